--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# The targets are the memory of how things are done.
+
+GO ?= go
+
+.PHONY: all build test race lint fmt generate events demo bench bench-decisions bench-path fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o bin/bramleygw .
+
+# What CI runs.
+test: lint race build
+
+race:
+	$(GO) test -race ./...
+
+lint: bin/staticcheck
+	test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run make fmt"; exit 1; }
+	$(GO) vet ./...
+	bin/staticcheck ./...
+
+bin/staticcheck:
+	GOBIN=$(CURDIR)/bin $(GO) install honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+fmt:
+	gofmt -w .
+
+# Needs protoc and the two protoc-gen-go plugins.
+generate:
+	cd peer/peerpb && protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
+
+events:
+	$(GO) run . events > docs/EVENTS.md
+
+demo:
+	$(GO) run . demo
+
+bench: build
+	bin/bramleygw bench --scenario all --policy all
+
+bench-decisions:
+	$(GO) test -run '^$$' -bench . -benchmem ./placement ./quota ./queue ./prefix ./catalog
+
+bench-path: build
+	test/path/run.sh
+
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./completion
+	$(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime 20s ./target
+	$(GO) test -run '^$$' -fuzz FuzzSettings -fuzztime 20s ./settings
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,386 @@
+// Package bench brings up a small fleet of real VMs and stand-ins on loopback,
+// sends it load, brings about faults and measures.
+//
+// # Usage
+//
+//	fleet, err := bench.Start(bench.Trentside(), policy)
+//	defer fleet.Stop()
+//	result := fleet.Run(ctx, bench.Load{Rate: 80, Until: deadline, Seed: 1})
+package bench
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/operator"
+	"github.com/bramleygw/bramleygw/placement"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/prefix"
+	"github.com/bramleygw/bramleygw/router"
+	"github.com/bramleygw/bramleygw/settings"
+	"github.com/bramleygw/bramleygw/standin"
+)
+
+// ephemeral lets the system pick a loopback port.
+var ephemeral = netip.MustParseAddrPort("127.0.0.1:0")
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	stopTime     = 15 * time.Second
+)
+
+// Account is a client account of a fleet.
+type Account struct {
+	catalog.Account
+	Models []string
+	// Share of the load.
+	Share float64
+	// Teams or schools with a context of their own.
+	Contexts int
+	Key      string
+}
+
+// Model is a model of a fleet.
+type Model struct {
+	Name        string
+	Engines     int
+	Interactive bool
+	// Blocks of the common instructions and of a context.
+	CommonBlocks  int
+	ContextBlocks int
+	// RequestBytes of each request's own text.
+	RequestBytes int
+	MaxTokens    int
+}
+
+// Layout is what a fleet consists of.
+type Layout struct {
+	VMs      int
+	Zones    []string
+	Models   []Model
+	Accounts []Account
+	Services []string
+	Routes   []catalog.Route
+	// EngineBlocks is the size of an engine's cache.
+	EngineBlocks int
+	// Poison crashes engines; see standin.Engine.
+	Poison string
+}
+
+// VM is one running router.
+type VM struct {
+	Settings settings.VM
+	Router   *router.Router
+	Door     *standin.Door
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Layout      Layout
+	Platform    *standin.Platform
+	Engines     []*standin.Engine
+	Services    []*standin.Service
+	VMs         []*VM
+	OperatorKey string
+	// NewPolicy makes each VM's policy; nil for the product's own.
+	NewPolicy func(*Fleet) placement.Policy
+	Output    io.Writer
+
+	mu      sync.Mutex // guards engines
+	engines map[string]*standin.Engine
+}
+
+// Start brings a fleet up and configures it through the operator interface.
+func Start(layout Layout, newPolicy func(*Fleet) placement.Policy) (*Fleet, error) {
+	fleet := &Fleet{Layout: layout, NewPolicy: newPolicy, Platform: &standin.Platform{}, engines: map[string]*standin.Engine{}}
+	if err := fleet.start(); err != nil {
+		fleet.Stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (fleet *Fleet) start() error {
+	key := make([]byte, 16)
+	_, _ = rand.Read(key) // never fails
+	fleet.OperatorKey = "op-" + hex.EncodeToString(key)
+	if err := fleet.startTargets(); err != nil {
+		return err
+	}
+	for i := range fleet.Layout.VMs {
+		door, err := fleet.Platform.Start(ephemeral)
+		if err != nil {
+			return err
+		}
+		zone := fleet.Layout.Zones[i%len(fleet.Layout.Zones)]
+		vm := &VM{Settings: fleet.settings(fmt.Sprintf("vm-%d", i+1), zone, door.Addr()), Door: door}
+		fleet.VMs = append(fleet.VMs, vm)
+		if err := fleet.Boot(vm); err != nil {
+			return err
+		}
+	}
+	if err := fleet.configure(); err != nil {
+		return err
+	}
+	return fleet.awaitSettled()
+}
+
+func (fleet *Fleet) startTargets() error {
+	store := &standin.WeightStore{}
+	for _, model := range fleet.Layout.Models {
+		for i := range model.Engines {
+			engine := &standin.Engine{
+				Name: fmt.Sprintf("%s-%d", model.Name, i+1), Model: model.Name, Weights: "w1", Store: store,
+				Blocks: fleet.Layout.EngineBlocks, Poison: fleet.Layout.Poison, Downtime: 300 * time.Millisecond,
+			}
+			if err := engine.Start(ephemeral); err != nil {
+				return err
+			}
+			fleet.Engines = append(fleet.Engines, engine)
+			fleet.engines[engine.Name] = engine
+		}
+	}
+	for _, name := range fleet.Layout.Services {
+		service := &standin.Service{Name: name}
+		if err := service.Start(ephemeral); err != nil {
+			return err
+		}
+		fleet.Services = append(fleet.Services, service)
+	}
+	return nil
+}
+
+func (fleet *Fleet) settings(name, zone string, door netip.AddrPort) settings.VM {
+	sum := sha256.Sum256([]byte(fleet.OperatorKey))
+	vm := settings.Defaults()
+	vm.Name = name
+	vm.AvailabilityZone = zone
+	vm.Platform = door
+	vm.Caller.Address, vm.Operator.Address, vm.Peer.Address = ephemeral, ephemeral, ephemeral
+	vm.OperatorKeys = []settings.OperatorKey{{Name: "bench", Digest: hex.EncodeToString(sum[:])}}
+	vm.Limits.DrainNotice = settings.Span(200 * time.Millisecond)
+	vm.Log.Level = "error"
+	return vm
+}
+
+// Boot starts a VM's process anew, at its former addresses if it had any.
+func (fleet *Fleet) Boot(vm *VM) error {
+	level, err := event.ParseLevel(vm.Settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	output := fleet.Output
+	if output == nil {
+		output = os.Stderr
+	}
+	vm.Settings.Peers = fleet.peersOf(vm)
+	started := router.New(vm.Settings, event.New(output, vm.Settings.Name, level))
+	if fleet.NewPolicy != nil {
+		started.Policy = fleet.NewPolicy(fleet)
+	}
+	if err := started.Listen(); err != nil {
+		return err
+	}
+	vm.Settings.Caller.Address = started.CallerAddress()
+	vm.Settings.Operator.Address = started.OperatorAddress()
+	vm.Settings.Peer.Address = started.PeerAddress()
+	vm.Router = started
+	fleet.list(vm, platform.Live)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.cancel = cancel
+	vm.done = make(chan error, 1)
+	go vm.run(ctx)
+	return nil
+}
+
+func (vm *VM) run(ctx context.Context) {
+	vm.done <- vm.Router.Run(ctx)
+}
+
+func (fleet *Fleet) peersOf(vm *VM) []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, other := range fleet.VMs {
+		if other != vm && other.Settings.Peer.Address.Port() != 0 {
+			peers = append(peers, other.Settings.Peer.Address)
+		}
+	}
+	return peers
+}
+
+func (fleet *Fleet) list(vm *VM, state platform.VMState) {
+	fleet.Platform.SetVM(platform.VM{
+		Name: vm.Settings.Name, AvailabilityZone: vm.Settings.AvailabilityZone,
+		Address: vm.Settings.Peer.Address.String(), Role: platform.RoleRouter, State: state,
+	})
+}
+
+// Shutdown stops a VM gracefully and waits for it.
+func (fleet *Fleet) Shutdown(vm *VM) error {
+	fleet.list(vm, platform.Leaving)
+	vm.cancel()
+	timer := time.NewTimer(stopTime)
+	defer timer.Stop()
+	select {
+	case err := <-vm.done:
+		return err
+	case <-timer.C:
+		return errors.Newf("%s does not stop", vm.Settings.Name)
+	}
+}
+
+// Stop ends everything.
+func (fleet *Fleet) Stop() {
+	var waiting sync.WaitGroup
+	for _, vm := range fleet.VMs {
+		if vm.cancel == nil {
+			continue
+		}
+		waiting.Go(func() { _ = fleet.Shutdown(vm) }) // what does not stop ends with the process
+	}
+	waiting.Wait()
+	for _, engine := range fleet.Engines {
+		engine.Stop()
+	}
+	for _, service := range fleet.Services {
+		service.Stop()
+	}
+	fleet.Platform.Stop()
+}
+
+// Operator returns a client of a VM's administration API.
+func (fleet *Fleet) Operator(vm *VM) *operator.Client {
+	client, _ := operator.NewClient("http://"+vm.Settings.Operator.Address.String(), fleet.OperatorKey) // a valid URL
+	return client
+}
+
+func (fleet *Fleet) configure() error {
+	client := fleet.Operator(fleet.VMs[0])
+	if err := await(func() bool { return client.Do("GET", "status", nil, nil) == nil && fleet.VMs[0].Router.Ready() }); err != nil {
+		return errors.Wrap(err, "first VM")
+	}
+	if err := fleet.configureTargets(client); err != nil {
+		return err
+	}
+	for i := range fleet.Layout.Accounts {
+		account := &fleet.Layout.Accounts[i]
+		if _, err := client.Create("client_accounts", account.Name, account.Account); err != nil {
+			return err
+		}
+		issued, err := client.IssueKey(account.Name+"-key", account.Name)
+		if err != nil {
+			return err
+		}
+		account.Key = issued.Key
+	}
+	return nil
+}
+
+func (fleet *Fleet) configureTargets(client *operator.Client) error {
+	for _, model := range fleet.Layout.Models {
+		spec := catalog.Model{Name: model.Name, Weights: "w1", Interactive: model.Interactive, MinTargets: 1, Accounts: fleet.usersOf(model.Name)}
+		if _, err := client.Create("models", model.Name, spec); err != nil {
+			return err
+		}
+	}
+	for i, engine := range fleet.Engines {
+		spec := catalog.Target{
+			Name: engine.Name, Kind: catalog.Engine, Address: engine.Addr(), Serves: engine.Model, Weights: "w1",
+			AvailabilityZone: fleet.Layout.Zones[i%len(fleet.Layout.Zones)], ChecksFencing: engine.ChecksFencing,
+		}
+		if _, err := client.Create("targets", engine.Name, spec); err != nil {
+			return err
+		}
+	}
+	for _, service := range fleet.Services {
+		spec := catalog.Target{Name: service.Name, Kind: catalog.Service, Address: service.Addr(), Serves: service.Name, AvailabilityZone: fleet.Layout.Zones[0]}
+		if _, err := client.Create("targets", service.Name, spec); err != nil {
+			return err
+		}
+	}
+	for _, route := range fleet.Layout.Routes {
+		if _, err := client.Create("routes", route.Name, route); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) usersOf(model string) []string {
+	var names []string
+	for _, account := range fleet.Layout.Accounts {
+		for _, used := range account.Models {
+			if used == model {
+				names = append(names, account.Name)
+			}
+		}
+	}
+	return names
+}
+
+// awaitSettled waits until every VM knows every account and all shares of the
+// rates are held.
+func (fleet *Fleet) awaitSettled() error {
+	return await(func() bool {
+		for _, vm := range fleet.VMs {
+			status := vm.Router.FleetStatus()
+			if len(vm.Router.Catalog().Snapshot().Accounts()) < len(fleet.Layout.Accounts) || len(status.Targets) < len(fleet.Engines) {
+				return false
+			}
+			for _, right := range status.Rights {
+				if right.Holder == "" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// await polls until the condition holds.
+func await(condition func() bool) error {
+	deadline := time.Now().Add(readyTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			return errors.New("the fleet does not become ready; see the log events")
+		}
+		time.Sleep(readyPoll)
+	}
+	return nil
+}
+
+// Match implements placement.Caches.
+func (fleet *Fleet) Match(target string, chain []prefix.Hash) int {
+	fleet.mu.Lock()
+	engine := fleet.engines[target]
+	fleet.mu.Unlock()
+	if engine == nil {
+		return 0
+	}
+	return engine.Match(chain)
+}
+
+// Backlog implements placement.Caches.
+func (fleet *Fleet) Backlog(target string) time.Duration {
+	fleet.mu.Lock()
+	engine := fleet.engines[target]
+	fleet.mu.Unlock()
+	if engine == nil {
+		return 0
+	}
+	return engine.Backlog()
+}
--- /dev/null
+++ b/bench/prompt.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/bramleygw/bramleygw/prefix"
+)
+
+// chatBody is a request as callers send it.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+var words = []string{
+	"platform", "bench", "litter", "ledger", "receipt", "stairs", "lift", "glass", "ticket", "hall", "salt", "rota",
+	"school", "month", "total", "slip", "cash", "paper", "swept", "checked", "reported", "closed", "early", "north",
+}
+
+// text returns repeatable text of a length.
+func text(bytes int, seed uint64) string {
+	buffer := make([]byte, 0, bytes+16)
+	for state := prefix.Mix(seed + 1); len(buffer) < bytes; state = prefix.Mix(state + 1) {
+		buffer = append(buffer, words[state%uint64(len(words))]...)
+		buffer = append(buffer, ' ')
+	}
+	return string(buffer[:bytes])
+}
+
+// prompts makes requests with nested shared prefixes.
+type prompts struct {
+	random *rand.Rand
+	layout Layout
+	common map[string]string // by account and model
+	own    map[string]string // by account, model and context
+	// shift rotates which contexts are popular.
+	shift int
+	zipf  map[int]*rand.Zipf
+}
+
+func newPrompts(layout Layout, seed uint64) *prompts {
+	return &prompts{
+		random: rand.New(rand.NewPCG(seed, 1)), layout: layout,
+		common: map[string]string{}, own: map[string]string{}, zipf: map[int]*rand.Zipf{},
+	}
+}
+
+// request is one request of the load.
+type request struct {
+	account *Account
+	model   *Model
+	body    []byte
+	cost    float64
+}
+
+const (
+	// blockText leaves room for roles, so that levels end near block borders.
+	blockText = prefix.BlockBytes
+	zipfSkew  = 1.2
+)
+
+func (prompts *prompts) pickAccount() *Account {
+	draw := prompts.random.Float64()
+	for i := range prompts.layout.Accounts {
+		account := &prompts.layout.Accounts[i]
+		if draw -= account.Share; draw < 0 {
+			return account
+		}
+	}
+	return &prompts.layout.Accounts[0]
+}
+
+func (prompts *prompts) pickModel(account *Account) *Model {
+	name := account.Models[prompts.random.IntN(len(account.Models))]
+	for i := range prompts.layout.Models {
+		if prompts.layout.Models[i].Name == name {
+			return &prompts.layout.Models[i]
+		}
+	}
+	return &prompts.layout.Models[0]
+}
+
+// context picks one of an account's contexts; a few are popular.
+func (prompts *prompts) context(account *Account) int {
+	zipf, ok := prompts.zipf[account.Contexts]
+	if !ok {
+		zipf = rand.NewZipf(prompts.random, zipfSkew, 2, uint64(account.Contexts-1))
+		prompts.zipf[account.Contexts] = zipf
+	}
+	return (int(zipf.Uint64()) + prompts.shift) % account.Contexts
+}
+
+func cached(texts map[string]string, key string, bytes int) string {
+	found, ok := texts[key]
+	if !ok {
+		found = text(bytes, prefix.Digest(key))
+		texts[key] = found
+	}
+	return found
+}
+
+// next makes the next request of an account; nil for any account.
+func (prompts *prompts) next(account *Account, streamed bool) request {
+	if account == nil {
+		account = prompts.pickAccount()
+	}
+	model := prompts.pickModel(account)
+	own := fmt.Sprintf("%s/%s/%d", account.Name, model.Name, prompts.context(account))
+	body := chatBody{
+		Model: model.Name, MaxTokens: model.MaxTokens, Stream: streamed,
+		Messages: []chatMessage{
+			{Role: "system", Content: cached(prompts.common, account.Name+model.Name, model.CommonBlocks*blockText)},
+			{Role: "system", Content: cached(prompts.own, own, model.ContextBlocks*blockText)},
+			{Role: "user", Content: text(model.RequestBytes/2+prompts.random.IntN(model.RequestBytes), prompts.random.Uint64())},
+		},
+	}
+	encoded, _ := json.Marshal(body) // plain values: cannot fail
+	length := 0
+	for _, message := range body.Messages {
+		length += len(message.Role) + len(message.Content) + 2
+	}
+	return request{account: account, model: model, body: encoded, cost: float64(prefix.Tokens(length) + model.MaxTokens)}
+}
--- /dev/null
+++ b/bench/scenario.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/bramleygw/bramleygw/placement"
+)
+
+// Fault is something that happens during a run.
+type Fault struct {
+	// After is when it happens, from the run's start.
+	After time.Duration
+	Do    func(*run)
+}
+
+// Scenario is a load with a timed list of faults.
+type Scenario struct {
+	Name string
+	// Rate is requests a second; 0 means the usual one.
+	Rate float64
+	// ExcessRate is what one account sends beyond its share.
+	ExcessRate float64
+	// Shift moves the popular contexts half way.
+	Shift  bool
+	Faults []Fault
+}
+
+const usualRate = 50 // requests a second
+
+// Scenarios is the table of scenarios.
+var Scenarios = []Scenario{
+	{Name: "steady"},
+	{Name: "hot_shift", Shift: true},
+	{Name: "burst", ExcessRate: 120},
+	{Name: "engine_crash", Faults: []Fault{
+		{After: 3 * time.Second, Do: crash(0)},
+		{After: 4 * time.Second, Do: restart(0)},
+		{After: 5 * time.Second, Do: crash(4)},
+		{After: 6 * time.Second, Do: restart(4)},
+	}},
+	{Name: "event_loss", Faults: []Fault{
+		{After: 2 * time.Second, Do: crash(1)},
+		{After: 2100 * time.Millisecond, Do: restart(1)}, // back before anyone can notice: only its cache is gone
+		{After: 5 * time.Second, Do: crash(2)},
+		{After: 5100 * time.Millisecond, Do: restart(2)},
+	}},
+	{Name: "platform_outage", Faults: []Fault{
+		{After: 2 * time.Second, Do: platformDown},
+		{After: 8 * time.Second, Do: platformUp},
+	}},
+	{Name: "restart_herd", Faults: []Fault{
+		{After: 2 * time.Second, Do: restartHalf},
+	}},
+	{Name: "restart_herd_in_outage", Faults: []Fault{
+		{After: 1 * time.Second, Do: platformDown},
+		{After: 3 * time.Second, Do: restartHalf},
+		{After: 8 * time.Second, Do: platformUp},
+	}},
+}
+
+// ScenarioNamed returns the scenario, or nil.
+func ScenarioNamed(name string) *Scenario {
+	for i := range Scenarios {
+		if Scenarios[i].Name == name {
+			return &Scenarios[i]
+		}
+	}
+	return nil
+}
+
+// NamedPolicy is a policy that runs can be compared by.
+type NamedPolicy struct {
+	Name string
+	New  func(*Fleet) placement.Policy
+}
+
+// Policies is the table of policies. The oracle is the limit.
+var Policies = []NamedPolicy{
+	{"round_robin", func(*Fleet) placement.Policy { return &placement.RoundRobin{} }},
+	{"least_loaded", func(*Fleet) placement.Policy { return &placement.LeastLoaded{} }},
+	{"hash_only", func(*Fleet) placement.Policy { return &placement.HashOnly{} }},
+	{"ours", nil},
+	{"oracle", func(fleet *Fleet) placement.Policy { return &placement.Oracle{Caches: fleet} }},
+}
+
+func crash(engine int) func(*run) {
+	return func(run *run) { run.fleet.Engines[engine].Crash() }
+}
+
+func restart(engine int) func(*run) {
+	return func(run *run) { _ = run.fleet.Engines[engine].Start(netip.AddrPort{}) } // its port is still ours
+}
+
+func platformDown(run *run) {
+	for _, vm := range run.fleet.VMs {
+		vm.Door.Cut()
+	}
+}
+
+func platformUp(run *run) {
+	for _, vm := range run.fleet.VMs {
+		_ = vm.Door.Mend() // its port is still ours
+	}
+}
+
+// restartHalf restarts every second VM at the same time, as a planned stop.
+func restartHalf(run *run) {
+	for i, vm := range run.fleet.VMs {
+		if i%2 == 1 {
+			run.waiting.Go(func() { run.restartVM(vm) })
+		}
+	}
+}
+
+func (run *run) restartVM(vm *VM) {
+	run.setOut(vm, true) // the balancer follows the health check
+	if err := run.fleet.Shutdown(vm); err != nil {
+		return
+	}
+	if err := run.fleet.Boot(vm); err != nil {
+		return
+	}
+	if await(vm.Router.Ready) == nil {
+		run.setOut(vm, false)
+	}
+}
+
+func (run *run) runFaults(ctx context.Context, faults []Fault, started time.Time) {
+	for _, fault := range faults {
+		time.Sleep(time.Until(started.Add(fault.After)))
+		if ctx.Err() != nil {
+			return
+		}
+		fault.Do(run)
+	}
+}
+
+// Options select a run.
+type Options struct {
+	Scenario *Scenario
+	Policy   NamedPolicy
+	Seed     uint64
+	Length   time.Duration
+}
+
+// Measure brings up a fleet, warms it up and runs a scenario.
+func Measure(ctx context.Context, options Options) (Result, error) {
+	fleet, err := Start(Trentside(), options.Policy.New)
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Stop()
+	rate := options.Scenario.Rate
+	if rate == 0 {
+		rate = usualRate
+	}
+	warm := Load{Rate: rate, Until: time.Now().Add(warmUp), Seed: options.Seed + 1000}
+	fleet.Run(ctx, warm, nil)
+	now := time.Now()
+	load := Load{Rate: rate, Until: now.Add(options.Length), Seed: options.Seed, SignOffs: 4}
+	if options.Scenario.ExcessRate > 0 {
+		load.Excess = fleet.Layout.Accounts[4].Name
+		load.ExcessRate = options.Scenario.ExcessRate
+		load.ExcessFrom = now.Add(2 * time.Second)
+		load.ExcessUntil = now.Add(options.Length)
+	}
+	if options.Scenario.Shift {
+		load.ShiftAt = now.Add(options.Length / 2)
+	}
+	result := fleet.Run(ctx, load, options.Scenario.Faults)
+	result.Scenario, result.Policy = options.Scenario.Name, options.Policy.Name
+	return result, nil
+}
+
+// warmUp fills the caches before a run.
+const warmUp = 3 * time.Second
--- /dev/null
+++ b/bench/short.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+)
+
+// ShortLoad is callers that send short requests one after the other.
+type ShortLoad struct {
+	URL         string
+	Direct      string
+	Key         string
+	Model       string
+	Callers     int
+	Rate        float64
+	Until       time.Time
+	MaxTokens   int
+	PromptBytes int
+}
+
+// ShortResult is what a short load measured.
+type ShortResult struct {
+	Requests int64
+	Failed   int64
+	Took     time.Duration
+	// Through and Direct are latencies in microseconds; Added is the paired
+	// difference.
+	Through *hdrhistogram.Histogram
+	Direct  *hdrhistogram.Histogram
+	Added   *hdrhistogram.Histogram
+}
+
+// String returns the result as text.
+func (result *ShortResult) String() string {
+	text := fmt.Sprintf("requests %d failed %d rate %.0f/s\n", result.Requests, result.Failed, float64(result.Requests)/result.Took.Seconds())
+	rows := []struct {
+		name      string
+		histogram *hdrhistogram.Histogram
+	}{{"through_vm", result.Through}, {"direct", result.Direct}, {"added", result.Added}}
+	for _, row := range rows {
+		if row.histogram.TotalCount() > 0 {
+			text += fmt.Sprintf("%-10s p50 %.3f ms p99 %.3f ms\n", row.name,
+				float64(row.histogram.ValueAtQuantile(50))/1000, float64(row.histogram.ValueAtQuantile(99))/1000)
+		}
+	}
+	return text
+}
+
+// shortRun is one run of a short load.
+type shortRun struct {
+	load   ShortLoad
+	body   []byte
+	http   fasthttp.Client
+	mu     sync.Mutex // guards result
+	result ShortResult
+}
+
+// Short sends a short load.
+func Short(ctx context.Context, load ShortLoad) *ShortResult {
+	body, _ := json.Marshal(chatBody{ // plain values: cannot fail
+		Model: load.Model, MaxTokens: load.MaxTokens,
+		Messages: []chatMessage{{Role: "user", Content: text(load.PromptBytes, 1)}},
+	})
+	run := &shortRun{load: load, body: body}
+	run.http.MaxIdemponentCallAttempts = 1
+	run.http.MaxConnsPerHost = 2 * load.Callers
+	for _, histogram := range []**hdrhistogram.Histogram{&run.result.Through, &run.result.Direct, &run.result.Added} {
+		*histogram = hdrhistogram.New(minMicros, maxMicros, digits)
+	}
+	started := time.Now()
+	var waiting sync.WaitGroup
+	for range load.Callers {
+		waiting.Go(func() { run.runCaller(ctx) })
+	}
+	waiting.Wait()
+	run.result.Took = time.Since(started)
+	return &run.result
+}
+
+func (run *shortRun) runCaller(ctx context.Context) {
+	gap := time.Duration(0)
+	if run.load.Rate > 0 {
+		gap = time.Duration(float64(run.load.Callers) / run.load.Rate * float64(time.Second))
+	}
+	for at := time.Now(); time.Now().Before(run.load.Until) && ctx.Err() == nil; at = at.Add(gap) {
+		time.Sleep(time.Until(at))
+		through, ok := run.once(run.load.URL)
+		direct := time.Duration(0)
+		if run.load.Direct != "" && ok {
+			direct, ok = run.once(run.load.Direct)
+		}
+		run.note(through, direct, ok)
+	}
+}
+
+func (run *shortRun) once(url string) (time.Duration, bool) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI(url + "/v1/chat/completions")
+	request.Header.SetContentType("application/json")
+	if url == run.load.URL {
+		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+run.load.Key)
+	}
+	request.SetBodyRaw(run.body)
+	started := time.Now()
+	err := run.http.Do(request, response)
+	return time.Since(started), err == nil && response.StatusCode() == fasthttp.StatusOK
+}
+
+func (run *shortRun) note(through, direct time.Duration, ok bool) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.result.Requests++
+	if !ok {
+		run.result.Failed++
+		return
+	}
+	_ = run.result.Through.RecordValue(max(minMicros, through.Microseconds())) // within its bounds
+	if direct > 0 {
+		_ = run.result.Direct.RecordValue(max(minMicros, direct.Microseconds()))
+		_ = run.result.Added.RecordValue(max(minMicros, (through - direct).Microseconds()))
+	}
+}
--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,235 @@
+package catalog
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quota"
+)
+
+// Snapshot is the configuration at one moment. It is immutable.
+type Snapshot struct {
+	// Version is the highest resource version up to which all changes are in.
+	Version platform.Version
+
+	accounts    map[string]*Account
+	keys        map[string]*Key // by digest
+	keysByName  map[string]*Key
+	models      map[string]*Model
+	routes      []*Route // longest path first
+	targets     []*Target
+	serving     map[string][]*Target // by what they serve
+	quarantines map[string]time.Time // by digest
+	objectives  []*Objective
+	rights      [quota.Rights]HeldRight
+}
+
+// HeldRight is a right with the version of its object; Right is nil when
+// nobody ever held it.
+type HeldRight struct {
+	Right   *Right
+	Version platform.Version
+}
+
+// Account returns the named account, or nil.
+func (snapshot *Snapshot) Account(name string) *Account {
+	return snapshot.accounts[name]
+}
+
+// Accounts returns all accounts, ordered by name.
+func (snapshot *Snapshot) Accounts() []*Account {
+	return sorted(snapshot.accounts, func(account *Account) string { return account.Name })
+}
+
+// Key returns the key with the digest, or nil. Digests are uniform, so that
+// the time of the look-up tells nothing about a key.
+func (snapshot *Snapshot) Key(digest string) *Key {
+	return snapshot.keys[digest]
+}
+
+// Model returns the named model, or nil.
+func (snapshot *Snapshot) Model(name string) *Model {
+	return snapshot.models[name]
+}
+
+// Models returns all models, ordered by name.
+func (snapshot *Snapshot) Models() []*Model {
+	return sorted(snapshot.models, func(model *Model) string { return model.Name })
+}
+
+// Route returns the route with the longest prefix of the path, or nil.
+func (snapshot *Snapshot) Route(path string) *Route {
+	for _, route := range snapshot.routes {
+		if strings.HasPrefix(path, route.Path) || path+"/" == route.Path {
+			return route
+		}
+	}
+	return nil
+}
+
+// Targets returns all targets, ordered by name.
+func (snapshot *Snapshot) Targets() []*Target {
+	return snapshot.targets
+}
+
+// Serving returns the targets that serve a model or service, ordered by name.
+func (snapshot *Snapshot) Serving(name string) []*Target {
+	return snapshot.serving[name]
+}
+
+// Quarantined reports whether the digest is barred at the time.
+func (snapshot *Snapshot) Quarantined(digest string, now time.Time) bool {
+	until, ok := snapshot.quarantines[digest]
+	return ok && now.Before(until)
+}
+
+// Right returns the right with the index.
+func (snapshot *Snapshot) Right(index int) HeldRight {
+	return snapshot.rights[index]
+}
+
+// KeyNamed returns the key with the name, or nil.
+func (snapshot *Snapshot) KeyNamed(name string) *Key {
+	return snapshot.keysByName[name]
+}
+
+// Objectives returns all objectives, ordered by name.
+func (snapshot *Snapshot) Objectives() []*Objective {
+	return snapshot.objectives
+}
+
+func sorted[T any](items map[string]*T, name func(*T) string) []*T {
+	list := make([]*T, 0, len(items))
+	for _, item := range items {
+		list = append(list, item)
+	}
+	sort.Slice(list, func(i, j int) bool { return name(list[i]) < name(list[j]) })
+	return list
+}
+
+// build makes a snapshot of the objects. Objects that cannot be read are
+// returned as faults and left out.
+func build(objects map[string]Object, version platform.Version) (*Snapshot, []error) {
+	snapshot := &Snapshot{
+		Version:     version,
+		accounts:    map[string]*Account{},
+		keys:        map[string]*Key{},
+		keysByName:  map[string]*Key{},
+		models:      map[string]*Model{},
+		serving:     map[string][]*Target{},
+		quarantines: map[string]time.Time{},
+	}
+	var faults []error
+	for _, object := range objects {
+		if object.Deleted {
+			continue
+		}
+		if err := snapshot.add(object); err != nil {
+			faults = append(faults, errors.Wrapf(err, "object %s", object.ID))
+		}
+	}
+	snapshot.order()
+	return snapshot, faults
+}
+
+func (snapshot *Snapshot) add(object Object) error {
+	switch object.Kind() {
+	case KindAccount:
+		account, err := decode[Account](object.Spec)
+		if err == nil {
+			snapshot.accounts[account.Name] = account
+		}
+		return err
+	case KindKey:
+		key, err := decode[Key](object.Spec)
+		if err == nil {
+			snapshot.keys[key.Digest] = key
+			snapshot.keysByName[key.Name] = key
+		}
+		return err
+	case KindModel:
+		model, err := decode[Model](object.Spec)
+		if err == nil {
+			snapshot.models[model.Name] = model
+		}
+		return err
+	case KindRoute:
+		route, err := decode[Route](object.Spec)
+		if err == nil {
+			snapshot.routes = append(snapshot.routes, route)
+		}
+		return err
+	case KindTarget:
+		target, err := decode[Target](object.Spec)
+		if err == nil {
+			snapshot.targets = append(snapshot.targets, target)
+		}
+		return err
+	case KindQuarantine:
+		quarantine, err := decode[Quarantine](object.Spec)
+		if err == nil {
+			snapshot.quarantines[quarantine.Digest] = quarantine.Until
+		}
+		return err
+	case KindRight:
+		right, err := decode[Right](object.Spec)
+		if err == nil {
+			snapshot.rights[right.Index] = HeldRight{Right: right, Version: object.Version}
+		}
+		return err
+	case KindObjective:
+		objective, err := decode[Objective](object.Spec)
+		if err == nil {
+			snapshot.objectives = append(snapshot.objectives, objective)
+		}
+		return err
+	}
+	return nil // a kind of a later release
+}
+
+func (snapshot *Snapshot) order() {
+	sort.Slice(snapshot.routes, func(i, j int) bool {
+		left, right := snapshot.routes[i], snapshot.routes[j]
+		if len(left.Path) != len(right.Path) {
+			return len(left.Path) > len(right.Path)
+		}
+		return left.Name < right.Name
+	})
+	sort.Slice(snapshot.targets, func(i, j int) bool { return snapshot.targets[i].Name < snapshot.targets[j].Name })
+	sort.Slice(snapshot.objectives, func(i, j int) bool { return snapshot.objectives[i].Name < snapshot.objectives[j].Name })
+	for _, target := range snapshot.targets {
+		snapshot.serving[target.Serves] = append(snapshot.serving[target.Serves], target)
+	}
+}
+
+type checked interface{ Check() error }
+
+func decode[T checked](spec json.RawMessage) (*T, error) {
+	var value T
+	if err := json.Unmarshal(spec, &value); err != nil {
+		return nil, errors.Wrap(err, "spec is not readable; write it again")
+	}
+	if err := value.Check(); err != nil {
+		return nil, err
+	}
+	return &value, nil
+}
+
+// Check reads and checks a spec of the kind before it is written.
+func Check(kind Kind, spec json.RawMessage) error {
+	probe, _ := build(nil, 0)
+	return probe.add(Object{ID: ID(kind, "x"), Spec: spec})
+}
+
+// check returns the fault of an object that is not a deletion.
+func (object Object) check() error {
+	if object.Deleted {
+		return nil
+	}
+	return errors.Wrapf(Check(object.Kind(), object.Spec), "object %s", object.ID)
+}
--- /dev/null
+++ b/catalog/store.go
@@ -0,0 +1,201 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/bramleygw/bramleygw/platform"
+)
+
+// Store holds the current snapshot. It is safe for concurrent use; Snapshot
+// never waits.
+type Store struct {
+	// OnFault, if set before use, is told of objects that cannot be read.
+	OnFault func(error)
+
+	current atomic.Pointer[Snapshot]
+
+	mu sync.Mutex // guards objects and version
+	// objects holds the newest known version of each object, deletions too.
+	objects map[string]Object
+	version platform.Version
+	changed chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	store := &Store{objects: map[string]Object{}, changed: make(chan struct{})}
+	snapshot, _ := build(nil, 0)
+	store.current.Store(snapshot)
+	return store
+}
+
+// Snapshot returns the configuration in force.
+func (store *Store) Snapshot() *Snapshot {
+	return store.current.Load()
+}
+
+// Changed returns a channel that is closed at the next change.
+func (store *Store) Changed() <-chan struct{} {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.changed
+}
+
+// Load takes a complete list that is current up to the version. Objects that
+// the list lacks are deleted unless they are newer than the list. A list older
+// than the store changes nothing and returns false.
+func (store *Store) Load(objects []Object, version platform.Version) bool {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if version < store.version {
+		return false
+	}
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.ID] = true
+		store.keep(object)
+	}
+	for id, object := range store.objects {
+		if !listed[id] && object.Version <= version {
+			delete(store.objects, id)
+		}
+	}
+	store.version = version
+	store.publish()
+	return true
+}
+
+// Apply takes one change out of a watch: all changes up to its version are
+// known afterwards.
+func (store *Store) Apply(object Object) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	changed := store.keep(object)
+	store.version = max(store.version, object.Version)
+	if changed {
+		store.publish()
+	} else {
+		store.advance()
+	}
+}
+
+// Hint takes one change told by another VM or written by this one. Earlier
+// changes may be missing, so the store's version stays. It returns false when
+// the object was known already.
+func (store *Store) Hint(object Object) bool {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if !store.keep(object) {
+		return false
+	}
+	store.publish()
+	return true
+}
+
+// Advance notes that all changes up to the version are known.
+func (store *Store) Advance(version platform.Version) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if version <= store.version {
+		return
+	}
+	store.version = version
+	store.advance()
+}
+
+// Objects returns all objects, deletions too, and the version up to which they
+// are complete, for another VM.
+func (store *Store) Objects() ([]Object, platform.Version) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	objects := make([]Object, 0, len(store.objects))
+	for _, object := range store.objects {
+		objects = append(objects, object)
+	}
+	return objects, store.version
+}
+
+// Object returns the newest known version of one object.
+func (store *Store) Object(kind Kind, name string) (Object, bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	object, ok := store.objects[ID(kind, name)]
+	return object, ok && !object.Deleted
+}
+
+// ObjectsOf returns the newest known version of each object of a kind.
+func (store *Store) ObjectsOf(kind Kind) []Object {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	var objects []Object
+	for _, object := range store.objects {
+		if object.Kind() == kind && !object.Deleted {
+			objects = append(objects, object)
+		}
+	}
+	return objects
+}
+
+// keep takes the object if it is newer. The caller holds mu.
+func (store *Store) keep(object Object) bool {
+	known, ok := store.objects[object.ID]
+	if ok && known.Version >= object.Version {
+		return false
+	}
+	if err := object.check(); err != nil {
+		store.fault(err)
+		if !ok || known.Deleted {
+			return false
+		}
+		object.Spec = known.Spec // the former one stays in force
+	}
+	if object.Kind() == KindKey && ok {
+		object.Spec = keepWithdrawn(known.Spec, object.Spec)
+	}
+	store.objects[object.ID] = object
+	return true
+}
+
+// publish makes a snapshot of the objects. The caller holds mu.
+func (store *Store) publish() {
+	snapshot, faults := build(maps.Clone(store.objects), store.version)
+	store.current.Store(snapshot)
+	for _, fault := range faults {
+		store.fault(fault)
+	}
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+// keepWithdrawn returns the spec of a key; once withdrawn, it stays so whatever
+// a racing change says.
+func keepWithdrawn(known, next json.RawMessage) json.RawMessage {
+	former, err := decode[Key](known)
+	if err != nil || !former.Withdrawn {
+		return next
+	}
+	latter, err := decode[Key](next)
+	if err != nil || latter.Withdrawn {
+		return next
+	}
+	latter.Withdrawn = true
+	text, _ := json.Marshal(latter) // plain values: cannot fail
+	return text
+}
+
+func (store *Store) fault(err error) {
+	if store.OnFault != nil {
+		store.OnFault(err)
+	}
+}
+
+// advance publishes the same configuration at a later version. The caller
+// holds mu.
+func (store *Store) advance() {
+	snapshot := *store.current.Load()
+	snapshot.Version = store.version
+	store.current.Store(&snapshot)
+}
--- /dev/null
+++ b/command/cmd_key.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleygw/bramleygw/operator"
+)
+
+// withdrawn is the answer to a withdrawal.
+type withdrawn struct {
+	Name     string `json:"name"`
+	Recorded bool   `json:"recorded"`
+}
+
+// rotation asks for a further key.
+type rotation struct {
+	Name string `json:"name"`
+}
+
+var cmdKey = &cli.Command{
+	Name:  "key",
+	Usage: "keys of client accounts",
+	Commands: []*cli.Command{
+		{
+			Name: "list", Usage: "list all, without the keys themselves", Flags: withOperator(),
+			Action: asOperator(func(client *operator.Client, _ *cli.Command, wantJSON bool) error {
+				return listItems(client, "keys", wantJSON)
+			}),
+		},
+		{
+			Name: "issue", Usage: "make a key; it is shown once", ArgsUsage: "NAME",
+			Flags: withOperator(&cli.StringFlag{Name: "account", Usage: "client `ACCOUNT` that it is for", Required: true}),
+			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
+				name, err := argument(command, "key")
+				if err != nil {
+					return err
+				}
+				issued, err := client.IssueKey(name, command.String("account"))
+				if err != nil {
+					return err
+				}
+				return printIssued(issued, wantJSON)
+			}),
+		},
+		{
+			Name: "rotate", Usage: "make a further key for the same account", ArgsUsage: "NAME",
+			Flags: withOperator(&cli.StringFlag{Name: "to", Usage: "`NAME` of the new key", Required: true}),
+			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
+				name, err := argument(command, "key")
+				if err != nil {
+					return err
+				}
+				var issued operator.Issued
+				if err := client.Do("POST", "keys/"+name+"/rotate", rotation{Name: command.String("to")}, &issued); err != nil {
+					return err
+				}
+				return printIssued(issued, wantJSON)
+			}),
+		},
+		{
+			Name: "withdraw", Usage: "make a key stop working at once", ArgsUsage: "NAME", Flags: withOperator(),
+			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
+				name, err := argument(command, "key")
+				if err != nil {
+					return err
+				}
+				var answer withdrawn
+				if err := client.Do("POST", "keys/"+name+"/withdraw", nil, &answer); err != nil {
+					return err
+				}
+				if wantJSON {
+					return printJSON(answer)
+				}
+				printLine("%s is withdrawn; recorded in the platform: %t", answer.Name, answer.Recorded)
+				return nil
+			}),
+		},
+	},
+}
+
+func printIssued(issued operator.Issued, wantJSON bool) error {
+	if wantJSON {
+		return printJSON(issued)
+	}
+	printLine("key %s of %s, shown this once:\n%s", issued.Name, issued.Account, issued.Key)
+	return nil
+}
--- /dev/null
+++ b/command/cmd_serve.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/router"
+	"github.com/bramleygw/bramleygw/settings"
+)
+
+var cmdServe = &cli.Command{
+	Name:        "serve",
+	Usage:       "run one VM's process",
+	Description: "Serves callers, operators and other VMs until SIGTERM, then stops gracefully.",
+	Flags:       []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}},
+	Action: func(ctx context.Context, command *cli.Command) error {
+		vm, err := settings.Read(command.String("settings"))
+		if err != nil {
+			return err
+		}
+		level, err := event.ParseLevel(vm.Log.Level)
+		if err != nil {
+			return err
+		}
+		served := router.New(vm, event.New(os.Stderr, vm.Name, level))
+		if err := served.Listen(); err != nil {
+			return err
+		}
+		return served.Run(ctx)
+	},
+}
--- /dev/null
+++ b/command/cmd_settings.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleygw/bramleygw/settings"
+)
+
+var cmdSettings = &cli.Command{
+	Name:  "settings",
+	Usage: "check settings",
+	Commands: []*cli.Command{{
+		Name:      "check",
+		Usage:     "check a settings file and start nothing",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Len() != 1 {
+				return usage("name one settings file")
+			}
+			vm, err := settings.Read(command.Args().First())
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(output, "settings of %s are in order\n", vm.Name)
+			return nil
+		},
+	}},
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,68 @@
+package event
+
+var catalogue []Event
+
+func register(number int, name string, level Level, meaning, remedy string) Event {
+	event := Event{Number: number, Name: name, Level: level, Meaning: meaning, Remedy: remedy}
+	catalogue = append(catalogue, event)
+	return event
+}
+
+// Process events.
+var (
+	Started  = register(101, "started", LevelInfo, "the process serves", "none")
+	Draining = register(102, "draining", LevelInfo, "a planned stop began; running requests finish", "none")
+	Stopped  = register(103, "stopped", LevelInfo, "the process stopped", "none")
+	NotReady = register(104, "not_ready", LevelWarn, "no configuration yet, neither from the platform nor from another VM", "check platform.address and peers in the settings")
+)
+
+// Configuration events.
+var (
+	ConfigApplied  = register(201, "config_applied", LevelDebug, "a configuration version is in force", "none")
+	ConfigRejected = register(202, "config_rejected", LevelError, "a configuration object could not be read; the former one stays in force", "correct the object named in the fields")
+	ConfigFromPeer = register(203, "config_from_peer", LevelInfo, "the configuration was taken from another VM", "none")
+	KeyWithdrawn   = register(204, "key_withdrawn", LevelInfo, "a key was withdrawn; its requests end", "none")
+)
+
+// Platform events.
+var (
+	PlatformDown = register(301, "platform_down", LevelWarn, "the platform does not answer; the VM goes on with what it knows", "check the platform; rights and keys stay as they are until it returns")
+	PlatformUp   = register(302, "platform_up", LevelInfo, "the platform answers again", "none")
+	WatchGone    = register(303, "watch_gone", LevelInfo, "the watch fell too far behind and lists again", "none")
+)
+
+// Membership events.
+var (
+	PeerLost      = register(401, "peer_lost", LevelWarn, "another VM is no longer heard", "check the VM and the network between the availability zones")
+	PeerHeard     = register(402, "peer_heard", LevelInfo, "another VM is heard", "none")
+	Isolated      = register(403, "isolated", LevelError, "neither the platform nor a majority of the VMs is heard; keyed requests are refused", "restore the network of this VM or replace it")
+	IsolationOver = register(404, "isolation_over", LevelInfo, "the VM serves again after isolation", "none")
+)
+
+// Limit events.
+var (
+	RightTaken     = register(501, "right_taken", LevelDebug, "this VM may issue a share of the rates", "none")
+	RightReleased  = register(502, "right_released", LevelDebug, "this VM gave up a share of the rates", "none")
+	RightRecovered = register(503, "right_recovered", LevelInfo, "a share of a VM that is gone was taken over", "none")
+)
+
+// Target events.
+var (
+	TargetDied      = register(601, "target_died", LevelWarn, "a target broke connections with work in flight", "check the target; it gets work again when it answers")
+	TargetRestarted = register(602, "target_restarted", LevelInfo, "a target came back with an empty cache", "none")
+	CrossedAnswer   = register(603, "crossed_answer", LevelError, "an answer carried the identity of another request; it was dropped and the connection closed", "check the target and proxies before it")
+	StreamResumed   = register(604, "stream_resumed", LevelInfo, "a stream went on at its offset on a new connection", "none")
+	StreamBroken    = register(605, "stream_broken", LevelWarn, "a stream could not be completed and ended in an error event", "check the target")
+	Quarantined     = register(606, "request_quarantined", LevelWarn, "a request was in flight at two target deaths and is refused", "inspect the caller's request; the entry lapses by itself")
+)
+
+// Plan events.
+var (
+	PlanStep   = register(701, "plan_step", LevelInfo, "a step of a confirmed plan was carried out", "none")
+	PlanFailed = register(702, "plan_failed", LevelError, "a step of a confirmed plan failed", "read the plan's status and compute it again")
+)
+
+// Claim events.
+var (
+	ClaimUnrecorded = register(801, "claim_unrecorded", LevelWarn, "the answer of a call that may run once could not be recorded; a repeat will be told that the outcome is unknown", "check the platform")
+)
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,94 @@
+// Package metric holds the counters of one VM, published by expvar.
+//
+// docs/METRICS.md lists each metric.
+//
+// # Usage
+//
+//	set := metric.New("vm-1")
+//	set.Requests.Add(1)
+package metric
+
+import (
+	"expvar"
+	"time"
+)
+
+// Set is the metrics of one VM.
+type Set struct {
+	Requests        expvar.Int // requests with a valid key or on an open route
+	Answered        expvar.Int // requests answered whole
+	PromptTokens    expvar.Int
+	CachedTokens    expvar.Int // prompt tokens that targets found in their caches
+	OutputTokens    expvar.Int
+	Retries         expvar.Int
+	Resumes         expvar.Int
+	Crossed         expvar.Int
+	TargetDeaths    expvar.Int
+	StreamsBroken   expvar.Int
+	CallersGone     expvar.Int
+	PlatformCalls   expvar.Int
+	Heartbeats      expvar.Int
+	Borrows         expvar.Int
+	ControlNanos    expvar.Int // processor time that loops of the control path took, wall clock
+	Refusals        *expvar.Map
+	FirstTokenMS    *expvar.Map // requests by time to first token, upper bound in milliseconds
+	ConfigVersion   expvar.Int
+	PlatformSilence expvar.Int // milliseconds since the platform was last in contact
+}
+
+// firstTokenBounds are the buckets of FirstTokenMS, in milliseconds.
+var firstTokenBounds = []struct {
+	bound time.Duration
+	name  string
+}{
+	{10 * time.Millisecond, "10"}, {25 * time.Millisecond, "25"}, {50 * time.Millisecond, "50"},
+	{100 * time.Millisecond, "100"}, {200 * time.Millisecond, "200"}, {400 * time.Millisecond, "400"},
+	{1000 * time.Millisecond, "1000"}, {5000 * time.Millisecond, "5000"},
+}
+
+// New returns the metrics of a VM, published under its name.
+func New(vm string) *Set {
+	set := &Set{Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init()}
+	name := "bramleygw." + vm
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, set.vars())
+	} else if published, ok := expvar.Get(name).(*expvar.Map); ok {
+		set.fill(published) // a restarted VM in the same process
+	}
+	return set
+}
+
+func (set *Set) vars() *expvar.Map {
+	vars := new(expvar.Map).Init()
+	set.fill(vars)
+	return vars
+}
+
+func (set *Set) fill(vars *expvar.Map) {
+	named := []struct {
+		name  string
+		value expvar.Var
+	}{
+		{"requests", &set.Requests}, {"answered", &set.Answered}, {"prompt_tokens", &set.PromptTokens},
+		{"cached_tokens", &set.CachedTokens}, {"output_tokens", &set.OutputTokens}, {"retries", &set.Retries},
+		{"resumes", &set.Resumes}, {"crossed", &set.Crossed}, {"target_deaths", &set.TargetDeaths},
+		{"streams_broken", &set.StreamsBroken}, {"callers_gone", &set.CallersGone},
+		{"platform_calls", &set.PlatformCalls}, {"heartbeats", &set.Heartbeats}, {"borrows", &set.Borrows},
+		{"control_nanos", &set.ControlNanos}, {"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
+		{"config_version", &set.ConfigVersion}, {"platform_silence_ms", &set.PlatformSilence},
+	}
+	for _, entry := range named {
+		vars.Set(entry.name, entry.value)
+	}
+}
+
+// FirstToken counts a time to first token.
+func (set *Set) FirstToken(took time.Duration) {
+	for _, bucket := range firstTokenBounds {
+		if took <= bucket.bound {
+			set.FirstTokenMS.Add(bucket.name, 1)
+			return
+		}
+	}
+	set.FirstTokenMS.Add("more", 1)
+}
--- /dev/null
+++ b/peer/dialer.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/peer/peerpb"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quota"
+)
+
+const (
+	maxReconnectPause = time.Second
+	connectTimeout    = time.Second
+)
+
+// ErrUnknownPeer is returned for an address that is not valid.
+var ErrUnknownPeer = errors.New("the VM's address is not known yet; retry later")
+
+// Dialer keeps one connection to each VM that is called. It is safe for
+// concurrent use.
+type Dialer struct {
+	tls *tls.Config
+	// Bytes counts what all calls sent and received.
+	Bytes atomic.Int64
+
+	mu    sync.Mutex // guards conns
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewDialer returns a dialer; a nil tlsConfig means plain TCP.
+func NewDialer(tlsConfig *tls.Config) *Dialer {
+	return &Dialer{tls: tlsConfig, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// Close breaks all connections.
+func (dialer *Dialer) Close() {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	for _, conn := range dialer.conns {
+		_ = conn.Close()
+	}
+	dialer.conns = map[netip.AddrPort]*grpc.ClientConn{}
+}
+
+// Retain breaks the connections to VMs that are not named.
+func (dialer *Dialer) Retain(addresses map[netip.AddrPort]bool) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	for address, conn := range dialer.conns {
+		if !addresses[address] {
+			_ = conn.Close()
+			delete(dialer.conns, address)
+		}
+	}
+}
+
+func (dialer *Dialer) client(address netip.AddrPort) (peerpb.PeerClient, error) {
+	if !address.IsValid() {
+		return nil, ErrUnknownPeer
+	}
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	if conn, ok := dialer.conns[address]; ok {
+		return peerpb.NewPeerClient(conn), nil
+	}
+	transport := insecure.NewCredentials()
+	if dialer.tls != nil {
+		transport = credentials.NewTLS(dialer.tls)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(transport),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithStatsHandler(&counter{bytes: &dialer.Bytes}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 2, Jitter: 0.3, MaxDelay: maxReconnectPause},
+			MinConnectTimeout: connectTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to VM")
+	}
+	dialer.conns[address] = conn
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Heartbeat exchanges heartbeats.
+func (dialer *Dialer) Heartbeat(ctx context.Context, address netip.AddrPort, beat Beat) (Beat, error) {
+	client, err := dialer.client(address)
+	if err != nil {
+		return Beat{}, err
+	}
+	reply, err := client.Heartbeat(ctx, encodeBeat(beat))
+	if err != nil {
+		return Beat{}, errors.Wrap(err, "heartbeat")
+	}
+	return decodeBeat(reply), nil
+}
+
+// Borrow asks for tokens of a right.
+func (dialer *Dialer) Borrow(ctx context.Context, address netip.AddrPort, right int, share quota.Share, want float64) (quota.Grant, error) {
+	client, err := dialer.client(address)
+	if err != nil {
+		return quota.Grant{}, err
+	}
+	reply, err := client.Borrow(ctx, &peerpb.BorrowRequest{
+		Right: uint32(right), Account: share.Account, Rate: share.Rate, Burst: share.Burst, Want: want,
+	})
+	if err != nil {
+		return quota.Grant{}, errors.Wrap(err, "borrow tokens")
+	}
+	return quota.Grant{Held: reply.GetHeld(), Tokens: reply.GetTokens(), Left: reply.GetLeft()}, nil
+}
+
+// Return gives tokens of a right back.
+func (dialer *Dialer) Return(ctx context.Context, address netip.AddrPort, right int, share quota.Share, tokens float64) error {
+	client, err := dialer.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Return(ctx, &peerpb.ReturnRequest{
+		Right: uint32(right), Account: share.Account, Rate: share.Rate, Burst: share.Burst, Tokens: tokens,
+	})
+	return errors.Wrap(err, "return tokens")
+}
+
+// Notify tells another VM of changes.
+func (dialer *Dialer) Notify(ctx context.Context, address netip.AddrPort, notice Notice) error {
+	client, err := dialer.client(address)
+	if err != nil {
+		return err
+	}
+	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects)}
+	for _, charge := range notice.Charges {
+		request.Charges = append(request.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
+	}
+	_, err = client.Notify(ctx, request)
+	return errors.Wrap(err, "notify VM")
+}
+
+// Snapshot returns another VM's configuration when it is above the version.
+func (dialer *Dialer) Snapshot(ctx context.Context, address netip.AddrPort, above platform.Version) ([]catalog.Object, platform.Version, error) {
+	client, err := dialer.client(address)
+	if err != nil {
+		return nil, 0, err
+	}
+	stream, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{AboveVersion: uint64(above)})
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "ask for configuration")
+	}
+	var objects []catalog.Object
+	var version platform.Version
+	for {
+		part, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return objects, version, nil
+		}
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "receive configuration")
+		}
+		objects = append(objects, decodeObjects(part.GetObjects())...)
+		version = platform.Version(part.GetVersion())
+	}
+}
+
+// counter counts bytes on the wire.
+type counter struct {
+	bytes *atomic.Int64
+}
+
+// TagRPC implements stats.Handler.
+func (counter *counter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (counter *counter) HandleRPC(_ context.Context, rpc stats.RPCStats) {
+	switch payload := rpc.(type) {
+	case *stats.InPayload:
+		counter.bytes.Add(int64(payload.WireLength))
+	case *stats.OutPayload:
+		counter.bytes.Add(int64(payload.WireLength))
+	}
+}
+
+// TagConn implements stats.Handler.
+func (counter *counter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
+	return ctx
+}
+
+// HandleConn implements stats.Handler.
+func (counter *counter) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,206 @@
+// Package peer talks to the other VMs, by grpc.
+//
+// VMs exchange heartbeats, lend each other tokens of the client accounts'
+// rates, tell each other of changes and of deaths of targets, and hand out the
+// configuration to a VM that starts. VMs are dialled by IP number; the
+// library's name resolution, balancing, proxies and retries are off.
+//
+// # Usage
+//
+//	server := &peer.Server{Address: address, Handler: router}
+//	err := server.Run(ctx)
+//
+//	dialer := peer.NewDialer(nil)
+//	beat, err := dialer.Heartbeat(ctx, address, beat)
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/peer/peerpb"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quota"
+)
+
+// keepaliveInterval must not be shorter than the server's enforced minimum.
+const (
+	keepaliveInterval = 10 * time.Second
+	keepaliveMinimum  = 5 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	partObjects       = 256
+	maxMessage        = 16 << 20 // bytes
+)
+
+// Beat is a heartbeat.
+type Beat struct {
+	Name        string
+	Address     netip.AddrPort
+	Version     platform.Version
+	PlatformAge time.Duration
+	Heard       []PeerAge
+}
+
+// PeerAge tells how long ago a VM was heard.
+type PeerAge struct {
+	Name string
+	Age  time.Duration
+}
+
+// Charge counts a target's death against a request.
+type Charge struct {
+	Digest string
+	Death  string
+}
+
+// Notice is news for another VM.
+type Notice struct {
+	Objects []catalog.Object
+	Charges []Charge
+}
+
+// Handler is what a VM does for others.
+type Handler interface {
+	Beat(beat Beat) Beat
+	Lend(right int, share quota.Share, want float64) quota.Grant
+	TakeBack(right int, share quota.Share, tokens float64)
+	Notified(notice Notice)
+	Objects() ([]catalog.Object, platform.Version)
+}
+
+// Server serves other VMs. The exported fields are set before Run.
+type Server struct {
+	Listener net.Listener
+	Handler  Handler
+	TLS      *tls.Config
+}
+
+// Run serves until the context ends.
+func (server *Server) Run(ctx context.Context) error {
+	transport := insecure.NewCredentials()
+	if server.TLS != nil {
+		transport = credentials.NewTLS(server.TLS)
+	}
+	grpcServer := grpc.NewServer(
+		grpc.Creds(transport),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinimum, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+	)
+	peerpb.RegisterPeerServer(grpcServer, &service{handler: server.Handler})
+	stop := context.AfterFunc(ctx, grpcServer.Stop)
+	defer stop()
+	err := grpcServer.Serve(server.Listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "serve other VMs")
+}
+
+// service adapts the handler to the generated interface.
+type service struct {
+	peerpb.UnimplementedPeerServer
+	handler Handler
+}
+
+// Heartbeat implements peerpb.PeerServer.
+func (service *service) Heartbeat(_ context.Context, request *peerpb.Beat) (*peerpb.Beat, error) {
+	return encodeBeat(service.handler.Beat(decodeBeat(request))), nil
+}
+
+// Borrow implements peerpb.PeerServer.
+func (service *service) Borrow(_ context.Context, request *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	share := quota.Share{Account: request.GetAccount(), Rate: request.GetRate(), Burst: request.GetBurst()}
+	grant := service.handler.Lend(int(request.GetRight()), share, request.GetWant())
+	return &peerpb.BorrowReply{Held: grant.Held, Tokens: grant.Tokens, Left: grant.Left}, nil
+}
+
+// Return implements peerpb.PeerServer.
+func (service *service) Return(_ context.Context, request *peerpb.ReturnRequest) (*peerpb.ReturnReply, error) {
+	share := quota.Share{Account: request.GetAccount(), Rate: request.GetRate(), Burst: request.GetBurst()}
+	service.handler.TakeBack(int(request.GetRight()), share, request.GetTokens())
+	return &peerpb.ReturnReply{}, nil
+}
+
+// Notify implements peerpb.PeerServer.
+func (service *service) Notify(_ context.Context, request *peerpb.Notice) (*peerpb.NoticeReply, error) {
+	notice := Notice{Objects: decodeObjects(request.GetObjects())}
+	for _, charge := range request.GetCharges() {
+		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
+	}
+	service.handler.Notified(notice)
+	return &peerpb.NoticeReply{}, nil
+}
+
+// Snapshot implements peerpb.PeerServer.
+func (service *service) Snapshot(request *peerpb.SnapshotRequest, stream grpc.ServerStreamingServer[peerpb.SnapshotPart]) error {
+	objects, version := service.handler.Objects()
+	if uint64(version) <= request.GetAboveVersion() {
+		return nil
+	}
+	for len(objects) > partObjects {
+		if err := stream.Send(&peerpb.SnapshotPart{Objects: encodeObjects(objects[:partObjects])}); err != nil {
+			return err
+		}
+		objects = objects[partObjects:]
+	}
+	return stream.Send(&peerpb.SnapshotPart{Objects: encodeObjects(objects), Version: uint64(version)})
+}
+
+func encodeBeat(beat Beat) *peerpb.Beat {
+	encoded := &peerpb.Beat{
+		Name:          beat.Name,
+		Address:       beat.Address.String(),
+		Version:       uint64(beat.Version),
+		PlatformAgeMs: uint32(min(beat.PlatformAge, time.Hour).Milliseconds()),
+	}
+	for _, heard := range beat.Heard {
+		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: heard.Name, AgeMs: uint32(heard.Age.Milliseconds())})
+	}
+	return encoded
+}
+
+func decodeBeat(encoded *peerpb.Beat) Beat {
+	address, _ := netip.ParseAddrPort(encoded.GetAddress()) // an invalid one is not used
+	beat := Beat{
+		Name:        encoded.GetName(),
+		Address:     address,
+		Version:     platform.Version(encoded.GetVersion()),
+		PlatformAge: time.Duration(encoded.GetPlatformAgeMs()) * time.Millisecond,
+	}
+	for _, heard := range encoded.GetHeard() {
+		beat.Heard = append(beat.Heard, PeerAge{Name: heard.GetName(), Age: time.Duration(heard.GetAgeMs()) * time.Millisecond})
+	}
+	return beat
+}
+
+func encodeObjects(objects []catalog.Object) []*peerpb.Object {
+	encoded := make([]*peerpb.Object, len(objects))
+	for i, object := range objects {
+		encoded[i] = &peerpb.Object{Id: object.ID, Version: uint64(object.Version), Deleted: object.Deleted, Spec: object.Spec}
+	}
+	return encoded
+}
+
+func decodeObjects(encoded []*peerpb.Object) []catalog.Object {
+	objects := make([]catalog.Object, len(encoded))
+	for i, object := range encoded {
+		objects[i] = catalog.Object{
+			ID:      object.GetId(),
+			Version: platform.Version(object.GetVersion()),
+			Deleted: object.GetDeleted(),
+			Spec:    object.GetSpec(),
+		}
+	}
+	return objects
+}
--- /dev/null
+++ b/quota/bucket.go
@@ -0,0 +1,93 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// loan is tokens that a borrower may still spend.
+type loan struct {
+	deadline time.Time
+	tokens   float64
+}
+
+// bucket is the token bucket of one share. Its level and the open loans
+// together never exceed the burst, so that no window of any length sees more
+// than burst + rate * length spent.
+type bucket struct {
+	level   float64
+	updated time.Time
+	loans   []loan
+	// withheld is what a former holder may have lent, until withheldUntil.
+	withheld      float64
+	withheldUntil time.Time
+}
+
+// refill brings the level up to the time.
+func (bucket *bucket) refill(share Share, now time.Time) {
+	if elapsed := now.Sub(bucket.updated).Seconds(); elapsed > 0 {
+		bucket.level += elapsed * share.Rate
+		bucket.updated = now
+	}
+	bucket.level = min(bucket.level, share.Burst-bucket.open(now))
+	bucket.level = max(bucket.level, 0)
+}
+
+// open returns the tokens on loan.
+func (bucket *bucket) open(now time.Time) float64 {
+	kept := bucket.loans[:0]
+	total := 0.0
+	for _, loan := range bucket.loans {
+		if now.Before(loan.deadline) {
+			kept = append(kept, loan)
+			total += loan.tokens
+		}
+	}
+	bucket.loans = kept
+	if now.Before(bucket.withheldUntil) {
+		total += bucket.withheld
+	}
+	return total
+}
+
+func (bucket *bucket) take(share Share, want float64, now time.Time) float64 {
+	bucket.refill(share, now)
+	granted := min(want, bucket.level)
+	bucket.level -= granted
+	return granted
+}
+
+// lend debits tokens for a borrower.
+func (bucket *bucket) lend(share Share, want float64, now time.Time) float64 {
+	bucket.refill(share, now)
+	room := maxLent*share.Burst - bucket.open(now)
+	granted := math.Max(0, min(want, bucket.level, room))
+	if granted == 0 {
+		return 0
+	}
+	bucket.level -= granted
+	bucket.loans = append(bucket.loans, loan{deadline: now.Add(LoanTime + loanMargin), tokens: granted})
+	return granted
+}
+
+// credit gives unspent tokens back. Tokens of a loan that is still open no
+// longer count as lent.
+func (bucket *bucket) credit(share Share, tokens float64, lent bool, now time.Time) {
+	if lent {
+		bucket.repay(tokens, now)
+	}
+	bucket.refill(share, now)
+	bucket.level += tokens
+	bucket.refill(share, now)
+}
+
+func (bucket *bucket) repay(tokens float64, now time.Time) {
+	for i := range bucket.loans {
+		if !now.Before(bucket.loans[i].deadline) {
+			continue
+		}
+		part := min(tokens, bucket.loans[i].tokens)
+		bucket.loans[i].tokens -= part
+		tokens -= part
+	}
+}
--- /dev/null
+++ b/quota/mint.go
@@ -0,0 +1,168 @@
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Mint issues tokens of the rights that this VM holds. It is safe for
+// concurrent use.
+type Mint struct {
+	mu     sync.Mutex // guards rights and all buckets
+	rights map[int]*right
+}
+
+// right is a held right with the buckets of its accounts.
+type right struct {
+	buckets map[string]*bucket
+	// known tells that accounts without a bucket have not spent anything.
+	known    bool
+	acquired time.Time
+}
+
+// NewMint returns a mint without rights.
+func NewMint() *Mint {
+	return &Mint{rights: map[int]*right{}}
+}
+
+// Acquire takes up a right whose former holder left its levels, or that nobody
+// held before. Accounts that are not in the levels have full buckets.
+func (mint *Mint) Acquire(index int, levels []Level, now time.Time) {
+	acquired := &right{buckets: map[string]*bucket{}, known: true, acquired: now}
+	for _, level := range levels {
+		acquired.buckets[level.Account] = &bucket{
+			level:         level.Tokens,
+			updated:       now,
+			withheld:      level.Lent,
+			withheldUntil: now.Add(LoanTime + loanMargin),
+		}
+	}
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	mint.rights[index] = acquired
+}
+
+// Recover takes up a right whose former holder is gone. All buckets start
+// empty and withhold what the former holder may have lent.
+func (mint *Mint) Recover(index int, now time.Time) {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	mint.rights[index] = &right{buckets: map[string]*bucket{}, acquired: now}
+}
+
+// Release gives a right up and returns its levels for the next holder.
+func (mint *Mint) Release(index int, now time.Time, shareOf func(account string) (Share, bool)) []Level {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	released, ok := mint.rights[index]
+	if !ok {
+		return nil
+	}
+	delete(mint.rights, index)
+	var levels []Level
+	for account, bucket := range released.buckets {
+		share, ok := shareOf(account)
+		if !ok {
+			continue
+		}
+		bucket.refill(share, now)
+		levels = append(levels, Level{Account: account, Tokens: bucket.level, Lent: bucket.open(now)})
+	}
+	return levels
+}
+
+// Holds reports whether this VM holds the right.
+func (mint *Mint) Holds(index int) bool {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	_, ok := mint.rights[index]
+	return ok
+}
+
+// Held returns the rights that this VM holds.
+func (mint *Mint) Held() []int {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	held := make([]int, 0, len(mint.rights))
+	for index := range mint.rights {
+		held = append(held, index)
+	}
+	return held
+}
+
+// bucket returns a share's bucket; nil when the right is not held. The caller
+// holds mu.
+func (mint *Mint) bucket(index int, share Share, now time.Time) *bucket {
+	held, ok := mint.rights[index]
+	if !ok {
+		return nil
+	}
+	found, ok := held.buckets[share.Account]
+	if ok {
+		return found
+	}
+	found = &bucket{updated: held.acquired}
+	if held.known {
+		found.level = share.Burst
+		found.updated = now
+	} else {
+		found.withheld = maxLent * share.Burst
+		found.withheldUntil = held.acquired.Add(LoanTime + loanMargin)
+	}
+	held.buckets[share.Account] = found
+	return found
+}
+
+// Take spends up to want tokens of a held right at once.
+func (mint *Mint) Take(index int, share Share, want float64, now time.Time) float64 {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	found := mint.bucket(index, share, now)
+	if found == nil {
+		return 0
+	}
+	return found.take(share, want, now)
+}
+
+// Grant is a loan as its borrower sees it.
+type Grant struct {
+	// Held is false when the lender no longer holds the right.
+	Held   bool
+	Tokens float64
+	// Left is what the lender could still lend.
+	Left float64
+}
+
+// Lend debits up to want tokens for another VM.
+func (mint *Mint) Lend(index int, share Share, want float64, now time.Time) Grant {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	found := mint.bucket(index, share, now)
+	if found == nil {
+		return Grant{}
+	}
+	tokens := found.lend(share, want, now)
+	return Grant{Held: true, Tokens: tokens, Left: found.level}
+}
+
+// Credit gives back unspent tokens of a held right. Tokens of a right that is
+// no longer held are lost.
+func (mint *Mint) Credit(index int, share Share, tokens float64, lent bool, now time.Time) {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	if found := mint.bucket(index, share, now); found != nil {
+		found.credit(share, tokens, lent, now)
+	}
+}
+
+// Level returns the tokens left of a held right's share.
+func (mint *Mint) Level(index int, share Share, now time.Time) float64 {
+	mint.mu.Lock()
+	defer mint.mu.Unlock()
+	found := mint.bucket(index, share, now)
+	if found == nil {
+		return 0
+	}
+	found.refill(share, now)
+	return found.level
+}
--- /dev/null
+++ b/router/fleet.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quarantine"
+	"github.com/bramleygw/bramleygw/quota"
+)
+
+const (
+	heartbeatInterval = time.Second
+	heartbeatTimeout  = 500 * time.Millisecond
+	// heartbeatPeers is how many VMs get a heartbeat in each interval.
+	heartbeatPeers = 2
+	notifyTimeout  = 300 * time.Millisecond
+	notifyAtOnce   = 32
+	// fetchLag is the platform's silence from which on a VM takes newer
+	// configuration from others.
+	fetchLag = 1500 * time.Millisecond
+)
+
+// runHeartbeats exchanges heartbeats with other VMs in turn.
+func (router *Router) runHeartbeats(ctx context.Context) error {
+	isolated := false
+	for {
+		now := time.Now()
+		var group errgroup.Group
+		for _, other := range router.members.Next(heartbeatPeers, now) {
+			group.Go(func() error { router.heartbeat(ctx, other.Address); return nil })
+		}
+		if len(router.members.Peers(now)) == 0 {
+			for _, seed := range router.members.Seeds() {
+				group.Go(func() error { router.heartbeat(ctx, seed); return nil })
+			}
+		}
+		_ = group.Wait() // each reports for itself
+		isolated = router.noteIsolation(isolated)
+		if !sleepUntil(ctx, now.Add(heartbeatInterval)) {
+			return nil
+		}
+	}
+}
+
+func (router *Router) noteIsolation(before bool) bool {
+	isolated := router.members.Isolated(time.Now())
+	switch {
+	case isolated && !before:
+		router.Log.Emit(event.Isolated)
+	case !isolated && before:
+		router.Log.Emit(event.IsolationOver)
+	}
+	return isolated
+}
+
+func (router *Router) heartbeat(ctx context.Context, address netip.AddrPort) {
+	if address == router.PeerAddress() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	router.metrics.Heartbeats.Add(1)
+	reply, err := router.dialer.Heartbeat(ctx, address, router.beat())
+	if err == nil {
+		router.heard(reply)
+	}
+}
+
+func (router *Router) beat() peer.Beat {
+	now := time.Now()
+	beat := peer.Beat{
+		Name:        router.Settings.Name,
+		Address:     router.PeerAddress(),
+		Version:     router.store.Snapshot().Version,
+		PlatformAge: router.members.PlatformAge(now),
+	}
+	for _, age := range router.members.Ages(now) {
+		beat.Heard = append(beat.Heard, peer.PeerAge{Name: age.Name, Age: age.Age})
+	}
+	return beat
+}
+
+// heard takes what another VM's heartbeat says.
+func (router *Router) heard(beat peer.Beat) {
+	now := time.Now()
+	router.members.Heard(beat.Name, beat.Address, 0, now)
+	router.members.Told(beat.Name, beat.Version, beat.PlatformAge)
+	for _, age := range beat.Heard {
+		router.members.Heard(age.Name, netip.AddrPort{}, age.Age, now)
+	}
+	version := router.store.Snapshot().Version
+	if version >= beat.Version {
+		// All that the platform had told the sender is known here too.
+		router.members.PlatformAnswered(beat.PlatformAge, now)
+		return
+	}
+	if router.members.PlatformAge(now) > fetchLag {
+		select {
+		case router.fetches <- beat.Address:
+		default: // one is on its way
+		}
+	}
+}
+
+// Beat implements peer.Handler.
+func (router *Router) Beat(beat peer.Beat) peer.Beat {
+	router.heard(beat)
+	return router.beat()
+}
+
+// Objects implements peer.Handler.
+func (router *Router) Objects() ([]catalog.Object, platform.Version) {
+	return router.store.Objects()
+}
+
+// Notified implements peer.Handler.
+func (router *Router) Notified(notice peer.Notice) {
+	for _, object := range notice.Objects {
+		if router.store.Hint(object) {
+			router.adoptWithdrawal(object)
+		}
+	}
+	now := time.Now()
+	for _, charge := range notice.Charges {
+		router.suspects.Charge(quarantine.Digest(charge.Digest), charge.Death, now)
+	}
+}
+
+// Lend implements peer.Handler. The account's limits are this VM's own.
+func (router *Router) Lend(right int, share quota.Share, want float64) quota.Grant {
+	return router.mint.Lend(right, router.ownShare(share), want, time.Now())
+}
+
+// TakeBack implements peer.Handler.
+func (router *Router) TakeBack(right int, share quota.Share, tokens float64) {
+	router.mint.Credit(right, router.ownShare(share), tokens, true, time.Now())
+}
+
+// ownShare returns a share with the limits that this VM knows. An account that
+// it does not know yet gets nothing.
+func (router *Router) ownShare(share quota.Share) quota.Share {
+	account := router.store.Snapshot().Account(share.Account)
+	if account == nil {
+		return quota.Share{Account: share.Account}
+	}
+	return quota.ShareOf(account.Name, account.Rate, account.Burst)
+}
+
+// notify tells all other VMs and returns when they know or time is up. It
+// returns how many know.
+func (router *Router) notify(ctx context.Context, notice peer.Notice) int {
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(notifyAtOnce)
+	others := router.members.Peers(time.Now())
+	told := make([]bool, len(others))
+	for i, other := range others {
+		group.Go(func() error {
+			told[i] = router.dialer.Notify(ctx, other.Address, notice) == nil
+			return nil
+		})
+	}
+	_ = group.Wait() // each reports for itself
+	count := 0
+	for _, ok := range told {
+		if ok {
+			count++
+		}
+	}
+	return count
+}
+
+// Publish puts an accepted change in force here and tells the other VMs, ahead
+// of the platform's watch.
+func (router *Router) Publish(ctx context.Context, object catalog.Object) int {
+	router.store.Hint(object)
+	return router.notify(ctx, peer.Notice{Objects: []catalog.Object{object}})
+}
+
+// Charged implements dispatch.Charger.
+func (router *Router) Charged(ctx context.Context, digest quarantine.Digest, death string, standing quarantine.Standing) {
+	notice := peer.Notice{Charges: []peer.Charge{{Digest: string(digest), Death: death}}}
+	router.notify(context.WithoutCancel(ctx), notice)
+	if standing == quarantine.Barred {
+		router.later(func(ctx context.Context) { router.keepQuarantine(ctx, digest) })
+	}
+}
--- /dev/null
+++ b/router/plans.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/lease"
+	"github.com/bramleygw/bramleygw/plan"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/target"
+)
+
+const statusTimeout = 500 * time.Millisecond
+
+// planIndex is the number by which the VM is chosen that carries out plans.
+const planIndex = 1 << 20
+
+// runPlans carries out confirmed plans while this VM holds the lease.
+func (router *Router) runPlans(ctx context.Context) error {
+	runner := &plan.Runner{
+		VM:    router.Settings.Name,
+		Fleet: router,
+		Lease: lease.New(router.platform, "plans", router.Settings.Name+"/"+router.boot),
+		Log:   router.Log,
+	}
+	return runner.Run(ctx)
+}
+
+// Catalog implements plan.Fleet and operator.Fleet.
+func (router *Router) Catalog() *catalog.Store {
+	return router.store
+}
+
+// Preferred implements plan.Fleet.
+func (router *Router) Preferred() bool {
+	return router.members.Preferred(planIndex, time.Now()) == router.Settings.Name
+}
+
+// Change implements plan.Fleet and operator.Fleet.
+func (router *Router) Change(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) error {
+	_, err := router.Write(ctx, kind, name, version, spec)
+	return err
+}
+
+// Write creates an object when the version is 0, or updates it on condition of
+// its version, and puts it in force.
+func (router *Router) Write(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) (catalog.Object, error) {
+	router.metrics.PlatformCalls.Add(1)
+	var written platform.Object
+	var err error
+	if version == 0 {
+		written, err = router.platform.Create(ctx, platform.Configs, catalog.ID(kind, name), spec)
+	} else {
+		written, err = router.platform.Update(ctx, platform.Configs, catalog.ID(kind, name), version, spec)
+	}
+	if errors.Is(err, platform.ErrUnknown) {
+		written, err = router.readBack(ctx, kind, name, version, spec, err)
+	}
+	if err != nil {
+		return catalog.Object{}, err
+	}
+	object := catalog.FromPlatform(written)
+	router.Publish(ctx, object)
+	return object, nil
+}
+
+// readBack settles a write whose answer was lost: it took effect when the
+// object has the new content at a later version.
+func (router *Router) readBack(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any, lost error) (platform.Object, error) {
+	router.metrics.PlatformCalls.Add(1)
+	object, err := router.platform.Get(ctx, platform.Configs, catalog.ID(kind, name))
+	if err != nil {
+		return platform.Object{}, lost
+	}
+	want, err := json.Marshal(spec)
+	if err != nil {
+		return platform.Object{}, lost
+	}
+	if object.Metadata.ResourceVersion > version && string(object.Spec) == string(want) {
+		return object, nil
+	}
+	if object.Metadata.ResourceVersion == version {
+		return platform.Object{}, lost
+	}
+	return platform.Object{}, platform.ErrConflict
+}
+
+// Delete implements plan.Fleet and operator.Fleet.
+func (router *Router) Delete(ctx context.Context, kind catalog.Kind, name string, version platform.Version) error {
+	router.metrics.PlatformCalls.Add(1)
+	return router.platform.Delete(ctx, platform.Configs, catalog.ID(kind, name), version)
+}
+
+// order is the body of an order to an engine.
+type order struct {
+	Type         string `json:"type"`
+	Weights      string `json:"weights,omitempty"`
+	FencingToken uint64 `json:"fencing_token"`
+}
+
+// LoadWeights implements plan.Fleet.
+func (router *Router) LoadWeights(ctx context.Context, name, weights string, token uint64, deadline time.Time) error {
+	client := router.dispatcher.Targets.Client(name)
+	if client == nil {
+		return errors.Newf("target %s is not configured", name)
+	}
+	text, err := json.Marshal(order{Type: "load_weights", Weights: weights, FencingToken: token})
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	return client.Order(ctx, text, deadline)
+}
+
+// Status implements plan.Fleet.
+func (router *Router) Status(ctx context.Context, name string) (plan.TargetStatus, error) {
+	client := router.dispatcher.Targets.Client(name)
+	if client == nil {
+		return plan.TargetStatus{}, errors.Newf("target %s is not configured", name)
+	}
+	head, _, err := client.Whole(ctx, target.Call{
+		Method:    fasthttp.MethodGet,
+		Path:      "/health",
+		RequestID: router.dispatcher.NewID(),
+		Deadline:  time.Now().Add(statusTimeout),
+	}, nil)
+	if err != nil {
+		return plan.TargetStatus{}, err
+	}
+	status := plan.TargetStatus{Weights: head.Weights, Running: router.dispatcher.Targets.Table().State(name, "").InFlight()}
+	if head.Loaded {
+		status.Running = max(status.Running, head.Load.Running)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/router/status.go
@@ -0,0 +1,208 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/operator"
+	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/refusal"
+	"github.com/bramleygw/bramleygw/report"
+)
+
+// FleetStatus implements operator.Fleet.
+func (router *Router) FleetStatus() operator.Status {
+	now := time.Now()
+	snapshot := router.store.Snapshot()
+	status := operator.Status{
+		VM:        router.Settings.Name,
+		Version:   snapshot.Version,
+		VMs:       router.members.Views(now),
+		Targets:   []operator.TargetStatus{},
+		Rights:    rightHolders(snapshot),
+		Requests:  router.dispatcher.InFlight(),
+		Degraded:  router.degraded(now),
+		StartedMS: now.Sub(router.started).Milliseconds(),
+	}
+	for i := range status.VMs {
+		if status.VMs[i].Name == router.Settings.Name {
+			status.VMs[i].Version = snapshot.Version
+			status.VMs[i].HeardMS = 0
+		}
+	}
+	for _, target := range snapshot.Targets() {
+		state := router.dispatcher.Targets.Table().State(target.Name, target.AvailabilityZone)
+		status.Targets = append(status.Targets, operator.TargetStatus{
+			Name: target.Name, Serves: target.Serves, Weights: target.Weights,
+			Healthy: state.Healthy(), Draining: state.Draining(), InFlight: state.InFlight(),
+		})
+	}
+	return status
+}
+
+func rightHolders(snapshot *catalog.Snapshot) []operator.RightStatus {
+	counts := map[string]int{}
+	for index := range quota.Rights {
+		held := snapshot.Right(index).Right
+		if held == nil || held.Released {
+			counts[""]++
+			continue
+		}
+		counts[held.Holder]++
+	}
+	holders := make([]operator.RightStatus, 0, len(counts))
+	for holder, count := range counts {
+		holders = append(holders, operator.RightStatus{Holder: holder, Count: count})
+	}
+	sort.Slice(holders, func(i, j int) bool { return holders[i].Holder < holders[j].Holder })
+	return holders
+}
+
+func (router *Router) degraded(now time.Time) []operator.Degradation {
+	found := []operator.Degradation{}
+	if age := router.members.PlatformAge(now); age > quietAfter {
+		found = append(found, operator.Degradation{
+			Name: "platform_down", SinceMS: age.Milliseconds(),
+			Meaning: "requests are served with the last configuration; calls that may run once and changes are refused",
+		})
+	}
+	if router.members.Isolated(now) {
+		found = append(found, operator.Degradation{
+			Name: "isolated", SinceMS: router.members.PlatformAge(now).Milliseconds(),
+			Meaning: "keyed requests are refused here; the balancer should use other VMs",
+		})
+	}
+	return found
+}
+
+// Withdraw implements operator.Fleet. While the platform is down, a withdrawal
+// is in force once a majority of the VMs know it, and is recorded later.
+func (router *Router) Withdraw(ctx context.Context, name string) (bool, error) {
+	object, ok := router.store.Object(catalog.KindKey, name)
+	if !ok {
+		return false, platform.ErrNotFound
+	}
+	var key catalog.Key
+	if err := json.Unmarshal(object.Spec, &key); err != nil {
+		return false, errors.Wrap(err, "key is not readable; write it again")
+	}
+	key.Withdrawn = true
+	for {
+		_, err := router.Write(ctx, catalog.KindKey, name, object.Version, key)
+		if err == nil {
+			return true, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return false, router.withdrawWithoutPlatform(ctx, object, key)
+		}
+		stored, err := router.platform.Get(ctx, platform.Configs, object.ID)
+		if err != nil {
+			return false, router.withdrawWithoutPlatform(ctx, object, key)
+		}
+		object.Version = stored.Metadata.ResourceVersion
+	}
+}
+
+func (router *Router) withdrawWithoutPlatform(ctx context.Context, object catalog.Object, key catalog.Key) error {
+	spec, err := json.Marshal(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	known := object.Version
+	object.Spec = spec
+	object.Version++ // the platform's next version of this key is at least this
+	router.store.Hint(object)
+	told := router.notify(ctx, peer.Notice{Objects: []catalog.Object{object}})
+	router.later(func(ctx context.Context) { router.recordWithdrawal(ctx, key, known) })
+	if others := len(router.members.Peers(time.Now())); others > 0 && 2*(told+1) <= others+1 {
+		return refusal.New(refusal.PlatformUnavailable, "the platform and most other VMs do not answer; the key is withdrawn on this VM alone, repeat at another VM").With(refusal.Unknown)
+	}
+	return nil
+}
+
+// recordWithdrawal writes a withdrawal that was made while the platform was
+// down; it queues itself again until that succeeds.
+func (router *Router) recordWithdrawal(ctx context.Context, key catalog.Key, version platform.Version) {
+	_, err := router.Write(ctx, catalog.KindKey, key.Name, version, key)
+	if err == nil {
+		return
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		stored, err := router.platform.Get(ctx, platform.Configs, catalog.ID(catalog.KindKey, key.Name))
+		if err == nil {
+			var known catalog.Key
+			if json.Unmarshal(stored.Spec, &known) == nil && known.Withdrawn {
+				return
+			}
+			version = stored.Metadata.ResourceVersion
+		}
+	}
+	if sleepUntil(ctx, time.Now().Add(time.Second)) {
+		router.later(func(ctx context.Context) { router.recordWithdrawal(ctx, key, version) })
+	}
+}
+
+// adoptWithdrawal takes care that a withdrawal that another VM told of is
+// recorded, should that VM fail before it can.
+func (router *Router) adoptWithdrawal(object catalog.Object) {
+	var key catalog.Key
+	if object.Kind() != catalog.KindKey || json.Unmarshal(object.Spec, &key) != nil || !key.Withdrawn {
+		return
+	}
+	if router.members.PlatformAge(time.Now()) > quietAfter {
+		router.later(func(ctx context.Context) { router.recordWithdrawal(ctx, key, object.Version-1) })
+	}
+}
+
+// burnObject is one VM's counts in the platform.
+type burnObject struct {
+	VM    string        `json:"vm"`
+	Slots []report.Slot `json:"slots"`
+}
+
+func (router *Router) burnName() string {
+	return "burn." + router.Settings.Name + "." + router.boot
+}
+
+// writeBurn writes this VM's counts.
+func (router *Router) writeBurn(ctx context.Context) {
+	slots := router.burn.Slots()
+	if len(slots) == 0 {
+		return
+	}
+	counts := burnObject{VM: router.Settings.Name, Slots: slots}
+	router.metrics.PlatformCalls.Add(1)
+	stored, err := router.platform.Get(ctx, platform.Status, router.burnName())
+	if errors.Is(err, platform.ErrNotFound) {
+		_, _ = router.platform.Create(ctx, platform.Status, router.burnName(), counts) // the next write makes up for a lost one
+		return
+	}
+	if err == nil {
+		_, _ = router.platform.Update(ctx, platform.Status, router.burnName(), stored.Metadata.ResourceVersion, counts)
+	}
+}
+
+// Slots implements operator.Fleet: this VM's own counts as they are now, and
+// the others' as they wrote them last.
+func (router *Router) Slots(ctx context.Context) ([]report.Slot, error) {
+	slots := router.burn.Slots()
+	list, err := router.platform.List(ctx, platform.Status)
+	if err != nil {
+		return nil, err
+	}
+	for _, item := range list.Items {
+		var counts burnObject
+		if item.Metadata.Name == router.burnName() || json.Unmarshal(item.Spec, &counts) != nil {
+			continue
+		}
+		slots = append(slots, counts.Slots...)
+	}
+	return slots, nil
+}
--- /dev/null
+++ b/standin/cache.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"container/list"
+	"sync"
+
+	"github.com/bramleygw/bramleygw/prefix"
+)
+
+// cache is an engine's prefix cache: blocks with least-recently-used eviction.
+type cache struct {
+	capacity int // blocks
+
+	mu     sync.Mutex // guards order and blocks
+	order  *list.List // most recent first
+	blocks map[prefix.Hash]*list.Element
+}
+
+func newCache(capacity int) *cache {
+	return &cache{capacity: capacity, order: list.New(), blocks: map[prefix.Hash]*list.Element{}}
+}
+
+// match returns how many leading blocks of the chain are cached.
+func (cache *cache) match(chain []prefix.Hash) int {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	for i, hash := range chain {
+		if _, ok := cache.blocks[hash]; !ok {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// use stores the chain's blocks and makes them the most recent. Later blocks
+// are touched first, so that eviction takes the end of a chain before its
+// beginning.
+func (cache *cache) use(chain []prefix.Hash) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	for i := len(chain) - 1; i >= 0; i-- {
+		if element, ok := cache.blocks[chain[i]]; ok {
+			cache.order.MoveToFront(element)
+			continue
+		}
+		cache.blocks[chain[i]] = cache.order.PushFront(chain[i])
+	}
+	for cache.order.Len() > cache.capacity {
+		last := cache.order.Back()
+		cache.order.Remove(last)
+		delete(cache.blocks, last.Value.(prefix.Hash))
+	}
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,438 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/prefix"
+)
+
+// Costs of a stand-in engine.
+const (
+	defaultPrefill     = 20 * time.Microsecond // a token
+	defaultDecode      = 2 * time.Millisecond  // a token
+	defaultBlocks      = 160
+	defaultRunning     = 16
+	cachedShare        = 100 // a cached token costs this fraction of a computed one
+	loadTime           = 250 * time.Millisecond
+	loadReportInterval = 100 * time.Millisecond
+	keepStreams        = 30 * time.Second
+	maxLoadsAtOnce     = 2
+)
+
+// WeightStore is shared by engines: loads beyond two at once slow each other.
+type WeightStore struct {
+	loading atomic.Int64
+	// Most is the highest number of loads that ran at once.
+	Most atomic.Int64
+}
+
+// Engine is a model engine: a prefix cache in blocks, one prefill at a time,
+// continuous batching of the decodes, streams that can be resumed.
+type Engine struct {
+	Name    string
+	Model   string
+	Weights string
+	// Blocks is the size of the prefix cache.
+	Blocks int
+	// PrefillPerToken and DecodePerToken are the costs.
+	PrefillPerToken time.Duration
+	DecodePerToken  time.Duration
+	// Running bounds the requests that are decoded at once.
+	Running int
+	// ChecksFencing refuses orders with an old fencing token.
+	ChecksFencing bool
+	// Store is the weight store; nil for one of its own.
+	Store *WeightStore
+	// Poison, if set, makes a prompt that contains it crash the engine.
+	Poison string
+	// Downtime is how long it stays down after a crash by poison.
+	Downtime time.Duration
+
+	// Silence makes open streams go silent while set; new ones work.
+	Silence atomic.Int64
+	// Cross makes that many answers carry another request's identity.
+	Cross atomic.Int64
+
+	// Deaths counts crashes.
+	Deaths atomic.Int64
+	// Prefilled counts prompt tokens that were computed.
+	Prefilled atomic.Int64
+	// Hit counts prompt tokens that were found in the cache.
+	Hit atomic.Int64
+	// Orders counts orders that took effect.
+	Orders atomic.Int64
+	// Cancelled counts requests that ended because their caller left.
+	Cancelled atomic.Int64
+	// SeenKeys counts requests that carried a credential.
+	SeenKeys atomic.Int64
+
+	server server
+	once   sync.Once
+
+	mu          sync.Mutex // guards the fields below
+	life        context.Context
+	endLife     context.CancelFunc
+	incarnation int
+	cache       *cache
+	waiting     []*job // ordered by priority, then arrival
+	running     int
+	busy        bool
+	streams     map[string]*job
+	fencing     uint64
+	draining    bool
+	report      string
+	reported    time.Time
+	runs        map[string]int // runs by request id
+}
+
+// job is one request inside the engine.
+type job struct {
+	id       string
+	form     completion.Form
+	model    string
+	chain    []prefix.Hash
+	tokens   []string
+	prompt   int // tokens
+	priority int
+	weights  string
+	life     context.Context
+
+	mu       sync.Mutex // guards the fields below
+	cached   int
+	produced int
+	finished bool
+	readers  int
+	left     time.Time // when the last reader went
+	changed  chan struct{}
+}
+
+func (engine *Engine) prepare() {
+	engine.server.handler = engine.serve
+	if engine.Blocks == 0 {
+		engine.Blocks = defaultBlocks
+	}
+	if engine.PrefillPerToken == 0 {
+		engine.PrefillPerToken = defaultPrefill
+	}
+	if engine.DecodePerToken == 0 {
+		engine.DecodePerToken = defaultDecode
+	}
+	if engine.Running == 0 {
+		engine.Running = defaultRunning
+	}
+	if engine.Store == nil {
+		engine.Store = &WeightStore{}
+	}
+	engine.runs = map[string]int{}
+}
+
+// Start begins to serve with an empty cache; an invalid address means the
+// former one.
+func (engine *Engine) Start(address netip.AddrPort) error {
+	engine.once.Do(engine.prepare)
+	engine.mu.Lock()
+	engine.life, engine.endLife = context.WithCancel(context.Background())
+	engine.incarnation++
+	engine.cache = newCache(engine.Blocks)
+	engine.waiting, engine.running, engine.busy = nil, 0, false
+	engine.streams = map[string]*job{}
+	engine.report = ""
+	engine.mu.Unlock()
+	return engine.server.start(address)
+}
+
+// Addr returns the address.
+func (engine *Engine) Addr() netip.AddrPort {
+	return engine.server.addr()
+}
+
+// Stop ends the engine at once: connections are reset and the cache is lost.
+func (engine *Engine) Stop() {
+	engine.mu.Lock()
+	if engine.endLife != nil {
+		engine.endLife()
+	}
+	engine.mu.Unlock()
+	engine.server.crash()
+}
+
+// Crash stops the engine and counts a death.
+func (engine *Engine) Crash() {
+	engine.Deaths.Add(1)
+	engine.Stop()
+}
+
+// Runs returns how often a request id was begun.
+func (engine *Engine) Runs(id string) int {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.runs[id]
+}
+
+// Match returns how many tokens of the chain are cached, for an oracle.
+func (engine *Engine) Match(chain []prefix.Hash) int {
+	engine.mu.Lock()
+	cache := engine.cache
+	engine.mu.Unlock()
+	return cache.match(chain) * prefix.BlockTokens
+}
+
+// Backlog returns the time that new work would wait, for an oracle.
+func (engine *Engine) Backlog() time.Duration {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	var total time.Duration
+	for _, job := range engine.waiting {
+		total += engine.prefillTime(job)
+	}
+	return total
+}
+
+// LoadedWeights returns the weights version in use.
+func (engine *Engine) LoadedWeights() string {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.Weights
+}
+
+func (engine *Engine) serve(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == completion.Chat.Path():
+		engine.complete(ctx, completion.Chat)
+	case path == completion.Text.Path():
+		engine.complete(ctx, completion.Text)
+	case path == "/v1/orders" && ctx.IsPost():
+		engine.order(ctx)
+	case path == "/health":
+		engine.headers(ctx, "")
+	default:
+		fail(ctx, fasthttp.StatusNotFound, "NotFound")
+	}
+}
+
+// headers sets identity and the lagging load report (ORCA, text form).
+func (engine *Engine) headers(ctx *fasthttp.RequestCtx, id string) {
+	engine.mu.Lock()
+	if now := time.Now(); now.Sub(engine.reported) > loadReportInterval {
+		engine.reported = now
+		var queued int
+		for _, job := range engine.waiting {
+			queued += job.prompt
+		}
+		engine.report = fmt.Sprintf("TEXT named_metrics.queued_tokens=%d, named_metrics.running=%d", queued, engine.running)
+	}
+	report, incarnation, draining, weights := engine.report, engine.incarnation, engine.draining, engine.Weights
+	engine.mu.Unlock()
+	if take(&engine.Cross) {
+		id += "-other"
+	}
+	ctx.Response.Header.Set("X-Request-Id", id)
+	ctx.Response.Header.Set("Endpoint-Load-Metrics", report)
+	ctx.Response.Header.Set("X-Incarnation", strconv.Itoa(incarnation))
+	ctx.Response.Header.Set("X-Weights-Version", weights)
+	if draining {
+		ctx.Response.Header.Set("X-Draining", "true")
+	}
+}
+
+func (engine *Engine) complete(ctx *fasthttp.RequestCtx, form completion.Form) {
+	if len(ctx.Request.Header.Peek("Authorization")) > 0 || len(ctx.Request.Header.Peek("Cookie")) > 0 {
+		engine.SeenKeys.Add(1)
+	}
+	request, err := completion.Parse(ctx.PostBody(), form, nil)
+	if err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if engine.Poison != "" && bytes.Contains(request.Prompt, []byte(engine.Poison)) {
+		go engine.die()
+		<-engine.currentLife().Done()
+		drop(ctx)
+		return
+	}
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	last := -1
+	if text := ctx.Request.Header.Peek("Last-Event-Id"); len(text) > 0 {
+		last, _ = strconv.Atoi(string(text))
+	}
+	want := string(ctx.Request.Header.Peek("X-Weights-Version"))
+	job := engine.admit(request, id, want, ctx.PostBody(), last >= 0)
+	if job == nil {
+		engine.headers(ctx, id)
+		fail(ctx, fasthttp.StatusConflict, "the stream or the weights version is not here")
+		return
+	}
+	engine.headers(ctx, id)
+	if request.Stream {
+		engine.stream(ctx, job, last, request.Usage)
+		return
+	}
+	engine.answer(ctx, job)
+}
+
+func (engine *Engine) currentLife() context.Context {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.life
+}
+
+func (engine *Engine) die() {
+	engine.Crash()
+	time.Sleep(engine.Downtime)
+	_ = engine.Start(netip.AddrPort{})
+}
+
+// requestSalt finds the member that keeps accounts' cache entries apart.
+type requestSalt struct {
+	Salt     string `json:"cache_salt"`
+	Priority int    `json:"priority"`
+}
+
+// admit finds the job to resume or queues a new one; nil when there is none to
+// resume, or when another weights version is wanted.
+func (engine *Engine) admit(request completion.Request, id, weights string, body []byte, resume bool) *job {
+	var members requestSalt
+	_ = json.Unmarshal(body, &members) // the body was checked before
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if known, ok := engine.streams[id]; ok && resume {
+		return known
+	}
+	if resume || weights != "" && weights != engine.Weights {
+		return nil
+	}
+	engine.runs[id]++
+	created := &job{
+		id: id, form: request.Form, model: request.Model, priority: members.Priority,
+		chain:   prefix.Seed(members.Salt, request.Model, engine.Weights).Chain(request.Prompt, nil),
+		tokens:  AnswerTokens(request.Model, engine.Weights, request.Prompt, request.MaxTokens),
+		prompt:  request.PromptTokens(),
+		weights: engine.Weights,
+		life:    engine.life,
+		changed: make(chan struct{}),
+		left:    time.Now(),
+	}
+	if id != "" {
+		engine.streams[id] = created
+	}
+	engine.enqueue(created)
+	return created
+}
+
+// enqueue inserts the job by priority and starts the prefill loop when it is
+// idle. The caller holds mu.
+func (engine *Engine) enqueue(created *job) {
+	at := len(engine.waiting)
+	for at > 0 && engine.waiting[at-1].priority > created.priority {
+		at--
+	}
+	engine.waiting = append(engine.waiting, nil)
+	copy(engine.waiting[at+1:], engine.waiting[at:])
+	engine.waiting[at] = created
+	if !engine.busy {
+		engine.busy = true
+		go engine.runPrefills(engine.life)
+	}
+}
+
+func (engine *Engine) runPrefills(life context.Context) {
+	for {
+		engine.mu.Lock()
+		if life.Err() != nil || len(engine.waiting) == 0 || engine.running >= engine.Running {
+			if life.Err() == nil {
+				engine.busy = false
+			}
+			engine.mu.Unlock()
+			return
+		}
+		next := engine.waiting[0]
+		engine.waiting = engine.waiting[1:]
+		engine.running++
+		engine.mu.Unlock()
+		engine.prefill(next)
+		go engine.runDecode(next)
+	}
+}
+
+func (engine *Engine) prefillTime(job *job) time.Duration {
+	cached := engine.cache.match(job.chain) * prefix.BlockTokens
+	return time.Duration(job.prompt-cached)*engine.PrefillPerToken + time.Duration(cached)*engine.PrefillPerToken/cachedShare
+}
+
+func (engine *Engine) prefill(job *job) {
+	if job.abandoned() {
+		return
+	}
+	engine.mu.Lock()
+	cache, cost := engine.cache, engine.prefillTime(job)
+	cached := cache.match(job.chain) * prefix.BlockTokens
+	engine.mu.Unlock()
+	engine.Hit.Add(int64(cached))
+	engine.Prefilled.Add(int64(job.prompt - cached))
+	sleep(job.life, cost)
+	cache.use(job.chain)
+	job.mu.Lock()
+	job.cached = cached
+	job.mu.Unlock()
+}
+
+func (engine *Engine) runDecode(job *job) {
+	ticker := time.NewTicker(engine.DecodePerToken)
+	defer ticker.Stop()
+	for range job.tokens {
+		if job.abandoned() || job.life.Err() != nil {
+			engine.Cancelled.Add(1)
+			break
+		}
+		job.produce()
+		select {
+		case <-ticker.C:
+		case <-job.life.Done():
+		}
+	}
+	job.finish()
+	engine.retire(job)
+}
+
+// retire frees the job's slot and forgets old streams.
+func (engine *Engine) retire(done *job) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if engine.life != done.life {
+		return
+	}
+	engine.running--
+	if !engine.busy && len(engine.waiting) > 0 {
+		engine.busy = true
+		go engine.runPrefills(engine.life)
+	}
+	for id, job := range engine.streams {
+		job.mu.Lock()
+		old := job.finished && time.Since(job.left) > keepStreams
+		job.mu.Unlock()
+		if old {
+			delete(engine.streams, id)
+		}
+	}
+}
+
+func sleep(life context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-life.Done():
+	}
+}
--- /dev/null
+++ b/standin/order.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Order is a change that an engine is told to make.
+type Order struct {
+	// Type is load_weights, drain, undrain or cancel.
+	Type         string `json:"type"`
+	Weights      string `json:"weights,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+	FencingToken uint64 `json:"fencing_token"`
+}
+
+func (engine *Engine) order(ctx *fasthttp.RequestCtx) {
+	var order Order
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, "BadRequest")
+		return
+	}
+	engine.mu.Lock()
+	if engine.ChecksFencing && order.FencingToken < engine.fencing {
+		engine.mu.Unlock()
+		fail(ctx, fasthttp.StatusPreconditionFailed, "old fencing token")
+		return
+	}
+	engine.fencing = max(engine.fencing, order.FencingToken)
+	life := engine.life
+	engine.mu.Unlock()
+	switch order.Type {
+	case "load_weights":
+		engine.load(order.Weights)
+	case "drain", "undrain":
+		engine.mu.Lock()
+		engine.draining = order.Type == "drain"
+		engine.mu.Unlock()
+	case "cancel":
+		engine.cancel(order.RequestID)
+	default:
+		fail(ctx, fasthttp.StatusBadRequest, "type must be load_weights, drain, undrain or cancel")
+		return
+	}
+	if life.Err() != nil {
+		drop(ctx)
+		return
+	}
+	engine.Orders.Add(1)
+	engine.headers(ctx, "")
+}
+
+func (engine *Engine) load(weights string) {
+	engine.mu.Lock()
+	same := engine.Weights == weights
+	engine.mu.Unlock()
+	if same {
+		return
+	}
+	loading := engine.Store.loading.Add(1)
+	defer engine.Store.loading.Add(-1)
+	for {
+		most := engine.Store.Most.Load()
+		if loading <= most || engine.Store.Most.CompareAndSwap(most, loading) {
+			break
+		}
+	}
+	slowdown := max(1, loading-maxLoadsAtOnce+1)
+	sleep(engine.currentLife(), loadTime*time.Duration(slowdown))
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.Weights = weights
+	engine.cache = newCache(engine.Blocks)
+}
+
+func (engine *Engine) cancel(id string) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if job, ok := engine.streams[id]; ok {
+		job.mu.Lock()
+		job.readers, job.left = 0, time.Time{}
+		job.mu.Unlock()
+	}
+}
+
+// Service is a plain service that counts what it ran.
+type Service struct {
+	Name string
+
+	// LoseAnswers breaks that many calls after they ran.
+	LoseAnswers atomic.Int64
+	// SeenKeys counts requests that carried a credential.
+	SeenKeys atomic.Int64
+
+	server server
+	mu     sync.Mutex // guards ran
+	ran    map[string]int
+}
+
+// Start begins to serve; an invalid address means the former one.
+func (service *Service) Start(address netip.AddrPort) error {
+	service.mu.Lock()
+	if service.ran == nil {
+		service.ran = map[string]int{}
+	}
+	service.mu.Unlock()
+	service.server.handler = service.serve
+	return service.server.start(address)
+}
+
+// Addr returns the address.
+func (service *Service) Addr() netip.AddrPort {
+	return service.server.addr()
+}
+
+// Stop ends the service at once.
+func (service *Service) Stop() {
+	service.server.crash()
+}
+
+// Ran returns how often a body was run.
+func (service *Service) Ran(body string) int {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return service.ran[body]
+}
+
+// MostRuns returns the highest number of runs of one body.
+func (service *Service) MostRuns() int {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	most := 0
+	for _, count := range service.ran {
+		most = max(most, count)
+	}
+	return most
+}
+
+func (service *Service) serve(ctx *fasthttp.RequestCtx) {
+	if len(ctx.Request.Header.Peek("Authorization")) > 0 || len(ctx.Request.Header.Peek("Cookie")) > 0 {
+		service.SeenKeys.Add(1)
+	}
+	body := string(ctx.PostBody())
+	service.mu.Lock()
+	service.ran[body]++
+	service.mu.Unlock()
+	if take(&service.LoseAnswers) {
+		drop(ctx)
+		return
+	}
+	ctx.Response.Header.Set("X-Request-Id", string(ctx.Request.Header.Peek("X-Request-Id")))
+	reply(ctx, fasthttp.StatusOK, serviceAnswer{Service: service.Name, Path: string(ctx.Path()), Echo: body})
+}
+
+type serviceAnswer struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Echo    string `json:"echo"`
+}
--- /dev/null
+++ b/standin/stream.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/completion"
+)
+
+const (
+	// heartbeat is how often an idle stream gets a comment, so that a lost
+	// reader is noticed.
+	heartbeat = 100 * time.Millisecond
+	// resumeGrace is how long a job without readers may be resumed.
+	resumeGrace = 500 * time.Millisecond
+)
+
+func (job *job) produce() {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	job.produced++
+	job.wake()
+}
+
+func (job *job) finish() {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	job.finished = true
+	job.wake()
+}
+
+// wake tells the readers of a change. The caller holds mu.
+func (job *job) wake() {
+	close(job.changed)
+	job.changed = make(chan struct{})
+}
+
+// abandoned reports whether all readers have been gone for the grace time.
+func (job *job) abandoned() bool {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	return job.readers == 0 && time.Since(job.left) > resumeGrace
+}
+
+func (job *job) join(delta int) {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	job.readers += delta
+	job.left = time.Now()
+}
+
+// progress is what a reader sees of a job at one moment.
+type progress struct {
+	produced int
+	finished bool
+	cached   int
+	changed  <-chan struct{}
+}
+
+func (job *job) progress() progress {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	return progress{job.produced, job.finished, job.cached, job.changed}
+}
+
+// complete reports whether every token was produced.
+func (progress progress) complete(job *job) bool {
+	return progress.finished && progress.produced == len(job.tokens)
+}
+
+func (job *job) usage(progress progress) completion.Usage {
+	return completion.Usage{
+		PromptTokens:     job.prompt,
+		CompletionTokens: progress.produced,
+		TotalTokens:      job.prompt + progress.produced,
+		Details:          &completion.UsageDetails{CachedTokens: progress.cached},
+	}
+}
+
+// answer waits for the whole answer and sends it at once.
+func (engine *Engine) answer(ctx *fasthttp.RequestCtx, job *job) {
+	job.join(1)
+	defer job.join(-1)
+	for {
+		progress := job.progress()
+		if progress.complete(job) {
+			text := ""
+			for _, token := range job.tokens {
+				text += token
+			}
+			ctx.SetContentType("application/json")
+			ctx.SetBody(completion.Whole(job.form, job.id, job.model, time.Now().Unix(), text, "stop", job.usage(progress)))
+			return
+		}
+		if progress.finished || job.life.Err() != nil {
+			drop(ctx)
+			return
+		}
+		select {
+		case <-progress.changed:
+		case <-job.life.Done():
+		}
+	}
+}
+
+// stream sends the events after the given one: the tokens, the usage, the end.
+func (engine *Engine) stream(ctx *fasthttp.RequestCtx, job *job, last int, usage bool) {
+	ctx.SetContentType("text/event-stream")
+	job.join(1)
+	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
+		defer job.join(-1)
+		opened := time.Now().UnixNano()
+		next := last + 1
+		ticker := time.NewTicker(heartbeat)
+		defer ticker.Stop()
+		for job.life.Err() == nil {
+			if engine.Silence.Load() > opened {
+				<-job.life.Done() // silent for good; new connections work
+				return
+			}
+			progress := job.progress()
+			for ; next < progress.produced; next++ {
+				writeEvent(writer, next, job.piece(next))
+			}
+			if progress.complete(job) {
+				job.writeEnd(writer, next, usage, progress)
+				return
+			}
+			if progress.finished || writer.Flush() != nil {
+				return
+			}
+			select {
+			case <-progress.changed:
+			case <-ticker.C:
+				_, _ = writer.WriteString(": wait\n\n")
+			case <-job.life.Done():
+			}
+		}
+	})
+}
+
+// piece returns the chunk with one token.
+func (job *job) piece(index int) completion.Answer {
+	choice := completion.Choice{}
+	if job.form == completion.Chat {
+		choice.Delta = &completion.Message{Content: job.tokens[index]}
+	} else {
+		choice.Text = job.tokens[index]
+	}
+	return job.chunk([]completion.Choice{choice})
+}
+
+func (job *job) chunk(choices []completion.Choice) completion.Answer {
+	object := "chat.completion.chunk"
+	if job.form == completion.Text {
+		object = "text_completion"
+	}
+	return completion.Answer{ID: job.id, Object: object, Created: 1, Model: job.model, Choices: choices}
+}
+
+func (job *job) writeEnd(writer *bufio.Writer, next int, usage bool, progress progress) {
+	stop := "stop"
+	closing := completion.Choice{FinishReason: &stop}
+	if job.form == completion.Chat {
+		closing.Delta = &completion.Message{}
+	}
+	base := len(job.tokens)
+	if next <= base {
+		writeEvent(writer, base, job.chunk([]completion.Choice{closing}))
+	}
+	if usage && next <= base+1 {
+		chunk := job.chunk([]completion.Choice{})
+		total := job.usage(progress)
+		chunk.Usage = &total
+		writeEvent(writer, base+1, chunk)
+	}
+	_, _ = writer.WriteString("data: [DONE]\n\n")
+	_ = writer.Flush()
+}
+
+func writeEvent(writer *bufio.Writer, id int, chunk completion.Answer) {
+	text, _ := json.Marshal(chunk) // plain values: cannot fail
+	_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", id, text)
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,384 @@
+// Package target talks to targets: model engines and plain services.
+//
+// A request is sent once on one connection, without the HTTP library's own
+// retries. A connection whose answer was late, broken or another request's is
+// closed and never used again. Callers' credentials are not passed on.
+//
+// # Usage
+//
+//	client := target.New(address, nil)
+//	answer, err := client.Stream(target.Call{...}, func(event target.Event) error { ... })
+//	switch {
+//	case errors.Is(err, target.ErrNotSent): // safe to send elsewhere
+//	case errors.Is(err, target.ErrDied):
+//	}
+package target
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tmaxmax/go-sse"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/connection"
+)
+
+// The kinds of failure.
+var (
+	// ErrNotSent: no byte of the request left this VM.
+	ErrNotSent = errors.New("the target does not accept connections")
+	// ErrDied: the target broke the connection.
+	ErrDied = errors.New("the target broke the connection")
+	// ErrSilent: the connection went silent.
+	ErrSilent = errors.New("the connection to the target went silent")
+	// ErrCrossed: the answer was another request's.
+	ErrCrossed = errors.New("the answer belongs to another request")
+	// ErrCancelled: this VM ended the call.
+	ErrCancelled = errors.New("the call was cancelled")
+	// ErrRefused: the target refused before it ran anything.
+	ErrRefused = errors.New("the target refused the request")
+	// ErrIncomplete: the stream ended without its end mark.
+	ErrIncomplete = errors.New("the stream ended early")
+)
+
+const (
+	maxIdle      = 64
+	maxEvent     = 1 << 20 // bytes
+	doneMark     = "[DONE]"
+	orderTimeout = 10 * time.Second
+)
+
+// Head is what the head of an answer tells of the target.
+type Head struct {
+	Status      int
+	ContentType string
+	Incarnation string
+	Weights     string
+	Draining    bool
+	// Load is valid when Loaded is set.
+	Loaded bool
+	Load   Load
+}
+
+// Call is one request to a target.
+type Call struct {
+	Method    string
+	Path      string
+	Body      []byte
+	RequestID string
+	// Weights is the version that must run the request; empty for services.
+	Weights     string
+	ContentType string
+	// After is the id of the last event received; empty for a new stream.
+	After string
+	// Deadline bounds the whole call.
+	Deadline time.Time
+	// Fresh calls are sent on a new connection, so that one that the target
+	// closed meanwhile cannot leave their outcome unknown.
+	Fresh bool
+	// Silence returns the deadline for the next byte.
+	Silence func(now time.Time) time.Time
+	// OnHead, if set, is told of the answer's head before its body.
+	OnHead func(Head)
+}
+
+// Event is one event of a stream.
+type Event struct {
+	ID   string
+	Data string
+}
+
+// Client sends requests to one target. It is safe for concurrent use.
+type Client struct {
+	address netip.AddrPort
+	tls     *tls.Config
+
+	mu     sync.Mutex // guards idle and closed
+	idle   []*connection.Client
+	closed bool
+}
+
+// New returns a client; a nil tlsConfig means plain TCP.
+func New(address netip.AddrPort, tlsConfig *tls.Config) *Client {
+	return &Client{address: address, tls: tlsConfig}
+}
+
+// Address returns the target's address.
+func (client *Client) Address() netip.AddrPort {
+	return client.address
+}
+
+// Close breaks the idle connections; calls that run go on.
+func (client *Client) Close() {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.closed = true
+	for _, idle := range client.idle {
+		idle.Close()
+	}
+	client.idle = nil
+}
+
+func (client *Client) acquire(fresh bool) *connection.Client {
+	for !fresh {
+		conn := client.pop()
+		if conn == nil {
+			break
+		}
+		if !conn.Stale() {
+			return conn
+		}
+		conn.Close()
+	}
+	return connection.New(client.address, client.tls)
+}
+
+// pop returns the idle connection that was used last, or nil.
+func (client *Client) pop() *connection.Client {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	last := len(client.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	conn := client.idle[last]
+	client.idle = client.idle[:last]
+	return conn
+}
+
+func (client *Client) release(conn *connection.Client) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if client.closed || len(client.idle) >= maxIdle {
+		conn.Close()
+		return
+	}
+	client.idle = append(client.idle, conn)
+}
+
+// Whole sends a request and returns its whole answer, whatever the status. The
+// body is valid until the next use of buffer.
+func (client *Client) Whole(ctx context.Context, call Call, buffer []byte) (Head, []byte, error) {
+	var body []byte
+	head, err := client.exchange(ctx, call, func(response *fasthttp.Response, _ io.Reader) error {
+		text, err := wholeBody(response)
+		body = append(buffer[:0], text...)
+		return err
+	})
+	return head, body, err
+}
+
+func wholeBody(response *fasthttp.Response) ([]byte, error) {
+	if !response.IsBodyStream() {
+		return response.Body(), nil
+	}
+	return response.BodyUncompressed()
+}
+
+// Stream sends a request and hands each event of its answer to handle. It
+// returns nil only after the stream's end mark. An answer that is not a stream
+// gives ErrRefused.
+func (client *Client) Stream(ctx context.Context, call Call, handle func(Event) error) (Head, error) {
+	return client.exchange(ctx, call, func(response *fasthttp.Response, body io.Reader) error {
+		if response.StatusCode() != fasthttp.StatusOK || body == nil {
+			return refused(response)
+		}
+		return readEvents(body, handle)
+	})
+}
+
+func refused(response *fasthttp.Response) error {
+	return errors.Mark(errors.Newf("the target answered status %d", response.StatusCode()), ErrRefused)
+}
+
+func readEvents(body io.Reader, handle func(Event) error) error {
+	ended := false
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent}) {
+		if err != nil {
+			return err
+		}
+		if ended {
+			return errors.Mark(errors.New("events after the stream's end"), ErrIncomplete)
+		}
+		if event.Data == doneMark {
+			ended = true
+			continue
+		}
+		if err := handle(Event{ID: event.LastEventID, Data: event.Data}); err != nil {
+			return err
+		}
+	}
+	if !ended {
+		return ErrIncomplete
+	}
+	return nil
+}
+
+// exchange sends a request and lets read consume the answer. The connection is
+// kept only when the answer was this request's and was read to its end.
+func (client *Client) exchange(ctx context.Context, call Call, read func(*fasthttp.Response, io.Reader) error) (Head, error) {
+	conn := client.acquire(call.Fresh)
+	reused := conn.Used()
+	stop := context.AfterFunc(ctx, conn.Abort)
+	defer stop()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	client.fill(request, call)
+	body := &watchedBody{conn: conn, call: &call}
+	body.extend()
+	if err := conn.Do(request, response); err != nil {
+		conn.Close()
+		return Head{}, classify(ctx, err, reused, true)
+	}
+	head := headOf(response)
+	if call.OnHead != nil {
+		call.OnHead(head)
+	}
+	err := client.consume(response, call, body, read)
+	if err != nil || !stop() {
+		conn.Close()
+		return head, classify(ctx, err, reused, false)
+	}
+	client.release(conn)
+	return head, nil
+}
+
+func (client *Client) consume(response *fasthttp.Response, call Call, body *watchedBody, read func(*fasthttp.Response, io.Reader) error) error {
+	if !ownAnswer(response, call.RequestID) {
+		return ErrCrossed
+	}
+	if !response.IsBodyStream() {
+		return read(response, nil)
+	}
+	body.reader = response.BodyStream()
+	if err := read(response, body); err != nil {
+		return err
+	}
+	return response.CloseBodyStream()
+}
+
+// ownAnswer reports whether the answer names this request, or none at all.
+func ownAnswer(response *fasthttp.Response, id string) bool {
+	named := response.Header.Peek("X-Request-Id")
+	return len(named) == 0 || string(named) == id
+}
+
+func (client *Client) fill(request *fasthttp.Request, call Call) {
+	request.Header.SetMethod(call.Method)
+	request.SetRequestURI(call.Path)
+	request.Header.SetHost(client.address.String())
+	request.Header.Set("X-Request-Id", call.RequestID)
+	if client.tls != nil {
+		request.URI().SetScheme("https")
+	}
+	if call.ContentType != "" {
+		request.Header.SetContentType(call.ContentType)
+	}
+	if call.Weights != "" {
+		request.Header.Set("X-Weights-Version", call.Weights)
+	}
+	if call.After != "" {
+		request.Header.Set("Last-Event-Id", call.After)
+	}
+	if call.Body != nil {
+		request.SetBodyRaw(call.Body)
+	}
+}
+
+func headOf(response *fasthttp.Response) Head {
+	head := Head{
+		Status:      response.StatusCode(),
+		ContentType: string(response.Header.ContentType()),
+		Incarnation: string(response.Header.Peek("X-Incarnation")),
+		Weights:     string(response.Header.Peek("X-Weights-Version")),
+		Draining:    string(response.Header.Peek("X-Draining")) == "true",
+	}
+	head.Load, head.Loaded = parseLoad(string(response.Header.Peek("Endpoint-Load-Metrics")))
+	return head
+}
+
+// watchedBody moves the connection's deadline on before each read.
+type watchedBody struct {
+	reader io.Reader
+	conn   *connection.Client
+	call   *Call
+}
+
+// Read implements io.Reader.
+func (body *watchedBody) Read(buffer []byte) (int, error) {
+	body.extend()
+	return body.reader.Read(buffer)
+}
+
+func (body *watchedBody) extend() {
+	deadline := body.call.Deadline
+	if body.call.Silence != nil {
+		if silence := body.call.Silence(time.Now()); silence.Before(deadline) {
+			deadline = silence
+		}
+	}
+	body.conn.SetDeadline(deadline)
+}
+
+// classify gives an error of an exchange its kind.
+func classify(ctx context.Context, err error, reused, beforeHead bool) error {
+	switch {
+	case ctx.Err() != nil:
+		return errors.Mark(errors.Wrap(ctx.Err(), "call ended"), ErrCancelled)
+	case err == nil:
+		return nil
+	case errors.IsAny(err, ErrCrossed, ErrRefused, ErrIncomplete):
+		return err
+	case errors.Is(err, connection.ErrDial) && !reused:
+		return errors.Mark(err, ErrNotSent)
+	case isTimeout(err):
+		return errors.Mark(err, ErrSilent)
+	case beforeHead || isBroken(err):
+		return errors.Mark(err, ErrDied)
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func isBroken(err error) bool {
+	var broken interface{ Temporary() bool } // net errors
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, fasthttp.ErrConnectionClosed) || errors.As(err, &broken)
+}
+
+// Order tells an engine to change. The token lets engines that check it refuse
+// an order that is older than one they took.
+func (client *Client) Order(ctx context.Context, order []byte, deadline time.Time) error {
+	call := Call{
+		Method:      fasthttp.MethodPost,
+		Path:        "/v1/orders",
+		Body:        order,
+		ContentType: "application/json",
+		RequestID:   "order-" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		Deadline:    deadline,
+		Fresh:       true,
+	}
+	if latest := time.Now().Add(orderTimeout); deadline.IsZero() || latest.Before(deadline) {
+		call.Deadline = latest
+	}
+	head, _, err := client.Whole(ctx, call, nil)
+	if err != nil {
+		return err
+	}
+	if head.Status != fasthttp.StatusOK {
+		return errors.Mark(errors.Newf("the target answered the order with status %d", head.Status), ErrRefused)
+	}
+	return nil
+}
