Place prefixes by their structure and keep parts of a rate even

Change: the level for placement comes from the request's last message and from how deep requests of an account and model repeat; the home counts as holding it; reported queues are weighed by the share that a target computes. Rights move on a change, not on the next tick. The load tool drops idle connections that were closed.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,24 +13,57 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/standin"
 )
 
 const callerDeadline = 30 * time.Second
 
-// callers is an HTTP client for the load.
+// callers is the callers' HTTP client. Like common clients, it notices idle
+// connections that were closed, and repeats nothing.
 type callers struct {
-	http fasthttp.Client
+	mu   sync.Mutex // guards idle
+	idle map[netip.AddrPort][]*connection.Client
 }
 
 func newCallers() *callers {
-	return &callers{http: fasthttp.Client{
-		MaxConnsPerHost:           4096,
-		MaxIdemponentCallAttempts: 1,
-		StreamResponseBody:        true,
-		ReadBufferSize:            16 << 10,
-	}}
+	return &callers{idle: map[netip.AddrPort][]*connection.Client{}}
+}
+
+func (callers *callers) acquire(address netip.AddrPort) *connection.Client {
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	for {
+		idle := callers.idle[address]
+		if len(idle) == 0 {
+			return connection.New(address, nil)
+		}
+		conn := idle[len(idle)-1]
+		callers.idle[address] = idle[:len(idle)-1]
+		if !conn.Stale() {
+			return conn
+		}
+		conn.Close()
+	}
+}
+
+func (callers *callers) release(address netip.AddrPort, conn *connection.Client) {
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	callers.idle[address] = append(callers.idle[address], conn)
+}
+
+// close breaks the idle connections.
+func (callers *callers) close() {
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	for _, idle := range callers.idle {
+		for _, conn := range idle {
+			conn.Close()
+		}
+	}
+	callers.idle = nil
 }
 
 // answer is what a caller got.
@@ -51,7 +85,8 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + address.String() + path)
+	request.SetRequestURI(path)
+	request.Header.SetHost(address.String())
 	request.Header.SetContentType("application/json")
 	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+key)
 	if idempotencyKey != "" {
@@ -59,20 +94,31 @@
 	}
 	request.SetBodyRaw(body)
 	started := time.Now()
-	if err := callers.http.DoDeadline(request, response, started.Add(callerDeadline)); err != nil {
+	conn := callers.acquire(address)
+	conn.SetDeadline(started.Add(callerDeadline))
+	if err := conn.Do(request, response); err != nil {
+		conn.Close()
 		return answer{err: err}
 	}
 	got := answer{status: response.StatusCode()}
 	if strings.HasPrefix(string(response.Header.ContentType()), "text/event-stream") {
 		got.readStream(response, started)
+	} else {
+		got.readWhole(response, started)
+	}
+	if got.err != nil || response.ConnectionClose() {
+		conn.Close()
 		return got
 	}
-	got.readWhole(response, started)
+	callers.release(address, conn)
 	return got
 }
 
 func (answer *answer) readWhole(response *fasthttp.Response, started time.Time) {
 	text, err := response.BodyUncompressed()
+	if err == nil && response.IsBodyStream() {
+		err = response.CloseBodyStream()
+	}
 	if err != nil {
 		answer.err = err
 		return
--- a/bench/run.go
+++ b/bench/run.go
@@ -83,6 +83,7 @@
 		run.waiting.Go(func() { run.runSignOffs(ctx) })
 	}
 	run.waiting.Wait()
+	run.callers.close()
 	run.judge.checkLimits(time.Now())
 	run.checkTargets()
 	return run.result(before, time.Since(started))
--- a/completion/completion.go
+++ b/completion/completion.go
@@ -55,6 +55,9 @@
 	// Prompt is the text that the engine sees, roles included. It is for
 	// hashing and counting; it holds JSON string escapes.
 	Prompt []byte
+	// Shared is the length of the prompt before its last message, in bytes; 0
+	// in a request without messages.
+	Shared int
 
 	body []byte
 }
@@ -144,6 +147,7 @@
 	}
 	var fault error
 	value.ForEach(func(_, message gjson.Result) bool {
+		request.Shared = len(request.Prompt)
 		role := message.Get("role")
 		if role.Type != gjson.String {
 			fault = errors.New("each message must have a role")
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -116,13 +116,13 @@
 }
 
 // Borrow asks for tokens of a right.
-func (dialer *Dialer) Borrow(ctx context.Context, address netip.AddrPort, right int, share quota.Share, want float64) (quota.Grant, error) {
+func (dialer *Dialer) Borrow(ctx context.Context, address netip.AddrPort, right int, share quota.Share, least, want float64) (quota.Grant, error) {
 	client, err := dialer.client(address)
 	if err != nil {
 		return quota.Grant{}, err
 	}
 	reply, err := client.Borrow(ctx, &peerpb.BorrowRequest{
-		Right: uint32(right), Account: share.Account, Rate: share.Rate, Burst: share.Burst, Want: want,
+		Right: uint32(right), Account: share.Account, Rate: share.Rate, Burst: share.Burst, Least: least, Want: want,
 	})
 	if err != nil {
 		return quota.Grant{}, errors.Wrap(err, "borrow tokens")
--- a/peer/server.go
+++ b/peer/server.go
@@ -72,7 +72,7 @@
 // Handler is what a VM does for others.
 type Handler interface {
 	Beat(beat Beat) Beat
-	Lend(right int, share quota.Share, want float64) quota.Grant
+	Lend(right int, share quota.Share, least, want float64) quota.Grant
 	TakeBack(right int, share quota.Share, tokens float64)
 	Notified(notice Notice)
 	Objects() ([]catalog.Object, platform.Version)
@@ -121,7 +121,7 @@
 // Borrow implements peerpb.PeerServer.
 func (service *service) Borrow(_ context.Context, request *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
 	share := quota.Share{Account: request.GetAccount(), Rate: request.GetRate(), Burst: request.GetBurst()}
-	grant := service.handler.Lend(int(request.GetRight()), share, request.GetWant())
+	grant := service.handler.Lend(int(request.GetRight()), share, request.GetLeast(), request.GetWant())
 	return &peerpb.BorrowReply{Held: grant.Held, Tokens: grant.Tokens, Left: grant.Left}, nil
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,11 @@
 
 // Request is what a policy may look at.
 type Request struct {
+	// Seed is the hash from which the chain starts.
+	Seed prefix.Hash
+	// Boundary is the number of full blocks before the request's last message,
+	// 0 when the request has no such structure.
+	Boundary int
 	// Chain holds the hashes of the prompt's full blocks.
 	Chain []prefix.Hash
 	// PromptTokens is the whole prompt's length.
--- a/placement/policy_baselines.go
+++ b/placement/policy_baselines.go
@@ -60,14 +60,18 @@
 	return chosen
 }
 
-// HashOnly is a baseline: the first usable home of the whole shared prefix.
+// HashOnly is a baseline: the first usable home of the prompt's first block.
 type HashOnly struct {
 	stateless
 }
 
 // Choose implements Policy.
 func (policy *HashOnly) Choose(pool *Pool, request *Request, now time.Time) *State {
-	ranked := rank(pool.seeds, firstKey(request.Chain).hash)
+	key := uint64(request.Seed)
+	if len(request.Chain) > 0 {
+		key = uint64(request.Chain[0])
+	}
+	ranked := rank(pool.seeds, key)
 	for _, index := range ranked.indexes[:ranked.count] {
 		state := pool.states[index]
 		if state.Usable(now) && !request.tried(state) && state.claim(now) {
--- a/placement/policy_prefix_aware.go
+++ b/placement/policy_prefix_aware.go
@@ -11,11 +11,9 @@
 	// homes is how many targets a prefix may spread over before any target
 	// will do.
 	homes = 4
-	// homeShare is the part of a prefix that its first home is taken to hold
-	// when this VM has no belief of its own: other VMs send it there too.
-	homeShare = 0.7
-	// homeBonus keeps VMs together at the same home when costs are alike.
-	homeBonus = 2 * time.Millisecond
+	// homeBonus keeps VMs together at the same home: it is about the time to
+	// compute one block, and less lets a passing load spread a prefix.
+	homeBonus = 20 * time.Millisecond
 	// zonePenalty is the round trip to another availability zone.
 	zonePenalty = 2 * time.Millisecond
 	// sharedAfter is how many earlier requests make a prefix a shared one.
@@ -27,6 +25,7 @@
 // PrefixAware is the product's policy.
 type PrefixAware struct {
 	beliefs *beliefs
+	levels  levels
 	turn    atomic.Uint64
 }
 
@@ -84,16 +83,15 @@
 	blocks int
 }
 
-// gather adds the believed holders, deepest level first, and returns the
-// deepest level that other requests share.
+// gather adds the believed holders, deepest level first, and returns the level
+// by which the request is placed: the deepest that other requests share.
 func (policy *PrefixAware) gather(pool *Pool, request *Request, now time.Time, found *candidates) homeKey {
 	clock := policy.beliefs.clock(now)
-	var key homeKey
+	shared := 0
 	for level := len(request.Chain) - 1; level >= 0; level-- {
-		hash := request.Chain[level]
-		seen, held := policy.beliefs.see(hash, clock)
-		if key.blocks == 0 && seen >= sharedAfter {
-			key = homeKey{hash: uint64(hash), blocks: level + 1}
+		seen, held := policy.beliefs.see(request.Chain[level], clock)
+		if shared == 0 && seen >= sharedAfter {
+			shared = level + 1
 		}
 		for _, holder := range held {
 			if index := pool.indexOf(holder, clock); index >= 0 {
@@ -101,19 +99,13 @@
 			}
 		}
 	}
-	if key.blocks == 0 {
-		key = firstKey(request.Chain)
-	}
-	return key
-}
-
-// firstKey places a prompt that shares nothing yet by its first block, or
-// anywhere when it has none.
-func firstKey(chain []prefix.Hash) homeKey {
-	if len(chain) == 0 {
+	if len(request.Chain) == 0 {
 		return homeKey{}
 	}
-	return homeKey{hash: uint64(chain[0])}
+	predicted := policy.levels.predict(request.Seed, request.Boundary)
+	policy.levels.note(request.Seed, shared)
+	blocks := min(max(shared, predicted, 1), len(request.Chain))
+	return homeKey{hash: uint64(request.Chain[blocks-1]), blocks: blocks}
 }
 
 // indexOf returns the index of a holder whose belief is still valid, or -1.
@@ -137,7 +129,9 @@
 	for place, index := range ranked.indexes[:ranked.count] {
 		added := candidate{index: index}
 		if place == 0 {
-			added.held = homeShare * float64(key.blocks)
+			// Other VMs send the prefix here too, so that it is taken to be held
+			// although this VM has not seen it.
+			added.held = float64(key.blocks)
 			added.bonus = homeBonus
 		}
 		found.add(added)
@@ -228,6 +222,7 @@
 func (policy *PrefixAware) Learn(state *State, request *Request, cached int, now time.Time) {
 	clock := policy.beliefs.clock(now)
 	hits := cached / prefix.BlockTokens
+	state.observeHit(cached, request.PromptTokens)
 	for level, hash := range request.Chain {
 		former := policy.beliefs.hold(hash, state, clock)
 		if former != 0 {
--- a/placement/state.go
+++ b/placement/state.go
@@ -11,7 +11,7 @@
 	// defaultPrefill is assumed until a target's speed was observed.
 	defaultPrefill = 20 * time.Microsecond // a token
 	// runningCost is what one running request adds to the wait of the next.
-	runningCost = 200 * time.Microsecond
+	runningCost = 20 * time.Microsecond
 	// reportHalfLife is how fast a load report loses its meaning.
 	reportHalfLife = 150 * time.Millisecond
 	// firstPause is how long a target rests after its first failure; it
@@ -22,8 +22,10 @@
 	probeInterval = 500 * time.Millisecond
 	// defaultRetention is how long a block is assumed to stay cached.
 	defaultRetention = 20 * time.Second
-	minRetention     = 500 * time.Millisecond
-	maxRetention     = 10 * time.Minute
+	// freshUnit is the unit of State.fresh.
+	freshUnit    = 1024
+	minRetention = 500 * time.Millisecond
+	maxRetention = 10 * time.Minute
 )
 
 // State is what a VM knows of one target. It is safe for concurrent use and
@@ -49,12 +51,14 @@
 	restUntil atomic.Int64 // Unix nanoseconds; 0 when healthy
 	prefill   atomic.Int64 // nanoseconds a token
 	retention atomic.Int64 // nanoseconds
+	fresh     atomic.Int64 // share of prompt tokens that are not cached, in 1/1024
 }
 
 func newState(id uint16, name, zone string) *State {
 	state := &State{Name: name, Zone: zone, id: id, seed: prefix.Digest(name)}
 	state.prefill.Store(int64(defaultPrefill))
 	state.retention.Store(int64(defaultRetention))
+	state.fresh.Store(freshUnit)
 	return state
 }
 
@@ -156,7 +160,7 @@
 		age := now.UnixNano() - state.reportedAt.Load()
 		halvings := age / int64(reportHalfLife)
 		if halvings < 32 {
-			queued += reported >> max(0, halvings)
+			queued += reported * state.fresh.Load() / freshUnit >> max(0, halvings)
 		}
 	}
 	running := state.inFlight.Load() + state.reportedRunning.Load()
@@ -186,6 +190,17 @@
 	state.prefill.Store(known + min(observed-known, known)/64)
 }
 
+// observeHit follows the share of prompt tokens that the target computes, which
+// turns the queue that it reports into work.
+func (state *State) observeHit(cached, prompt int) {
+	if prompt <= 0 {
+		return
+	}
+	observed := int64(max(0, prompt-cached)) * freshUnit / int64(prompt)
+	known := state.fresh.Load()
+	state.fresh.Store(known + (observed-known)/8)
+}
+
 // retain follows how long blocks stay cached, from one block's age and whether
 // it was still there.
 func (state *State) retain(age time.Duration, hit bool) {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // loan is tokens that a borrower may still spend.
 type loan struct {
@@ -57,12 +54,12 @@
 	return granted
 }
 
-// lend debits tokens for a borrower.
-func (bucket *bucket) lend(share Share, want float64, now time.Time) float64 {
+// lend debits up to want tokens for a borrower, or nothing when there are fewer
+// than the least that is of use to it.
+func (bucket *bucket) lend(share Share, least, want float64, now time.Time) float64 {
 	bucket.refill(share, now)
-	room := maxLent*share.Burst - bucket.open(now)
-	granted := math.Max(0, min(want, bucket.level, room))
-	if granted == 0 {
+	granted := min(want, bucket.level)
+	if granted <= 0 || granted < least {
 		return 0
 	}
 	bucket.level -= granted
--- a/quota/mint.go
+++ b/quota/mint.go
@@ -106,7 +106,7 @@
 		found.level = share.Burst
 		found.updated = now
 	} else {
-		found.withheld = maxLent * share.Burst
+		found.withheld = share.Burst
 		found.withheldUntil = held.acquired.Add(LoanTime + loanMargin)
 	}
 	held.buckets[share.Account] = found
@@ -133,15 +133,16 @@
 	Left float64
 }
 
-// Lend debits up to want tokens for another VM.
-func (mint *Mint) Lend(index int, share Share, want float64, now time.Time) Grant {
+// Lend debits up to want tokens for another VM, but not fewer than the least
+// that is of use to it.
+func (mint *Mint) Lend(index int, share Share, least, want float64, now time.Time) Grant {
 	mint.mu.Lock()
 	defer mint.mu.Unlock()
 	found := mint.bucket(index, share, now)
 	if found == nil {
 		return Grant{}
 	}
-	tokens := found.lend(share, want, now)
+	tokens := found.lend(share, least, want, now)
 	return Grant{Held: true, Tokens: tokens, Left: found.level}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -35,13 +35,11 @@
 	Rights = 32
 	// Parts is the number of rights over which an account is spread.
 	Parts = 4
-	// LoanTime is how long a borrower may spend a loan.
-	LoanTime = 2 * time.Second
+	// LoanTime is how long a borrower may take to spend a loan. It spends what it
+	// borrowed at once, so that this bounds the time of its calls.
+	LoanTime = 500 * time.Millisecond
 	// loanMargin is added on the lender's side, for differences in clock rate.
 	loanMargin = 100 * time.Millisecond
-	// maxLent is the share of a part's burst that may be on loan at once. A new
-	// holder that does not know what is on loan withholds as much.
-	maxLent = 0.5
 )
 
 // RightsOf returns the rights over which an account is spread.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -134,8 +134,8 @@
 }
 
 // Lend implements peer.Handler. The account's limits are this VM's own.
-func (router *Router) Lend(right int, share quota.Share, want float64) quota.Grant {
-	return router.mint.Lend(right, router.ownShare(share), want, time.Now())
+func (router *Router) Lend(right int, share quota.Share, least, want float64) quota.Grant {
+	return router.mint.Lend(right, router.ownShare(share), least, want, time.Now())
 }
 
 // TakeBack implements peer.Handler.
--- a/router/rights.go
+++ b/router/rights.go
@@ -15,6 +15,8 @@
 
 const (
 	rightsInterval = 500 * time.Millisecond
+	// rightsPause spaces the looks after changes of configuration.
+	rightsPause = 20 * time.Millisecond
 	// movesAtOnce bounds the rights that one VM hands over in one interval.
 	movesAtOnce = 2
 	// handOverTime bounds the release of what a stopping VM holds.
@@ -27,11 +29,20 @@
 
 // runRights takes, hands over and recovers shares of the rates.
 func (router *Router) runRights(ctx context.Context) error {
+	ticker := time.NewTicker(rightsInterval)
+	defer ticker.Stop()
 	for {
+		changed := router.store.Changed()
 		if router.ready() && !router.callers.Draining() {
 			router.stepRights(ctx)
 		}
-		if !sleepUntil(ctx, time.Now().Add(rightsInterval)) {
+		select {
+		case <-ticker.C:
+		case <-changed: // a right may have been released to this VM
+			if !sleepUntil(ctx, time.Now().Add(rightsPause)) {
+				return nil
+			}
+		case <-ctx.Done():
 			return nil
 		}
 	}
@@ -178,7 +189,7 @@
 }
 
 // Borrow implements quota.Lender.
-func (router *Router) Borrow(ctx context.Context, right int, share quota.Share, want float64) (quota.Grant, error) {
+func (router *Router) Borrow(ctx context.Context, right int, share quota.Share, least, want float64) (quota.Grant, error) {
 	held := router.store.Snapshot().Right(right)
 	if held.Right == nil || held.Right.Released || held.Right.Holder == router.Settings.Name {
 		return quota.Grant{}, errNoHolder
@@ -186,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	router.metrics.Borrows.Add(1)
-	return router.dialer.Borrow(ctx, router.members.Address(held.Right.Holder), right, share, want)
+	return router.dialer.Borrow(ctx, router.members.Address(held.Right.Holder), right, share, least, want)
 }
 
 // returned is unspent tokens on their way back to the VM that lent them.
