--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,159 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleygw/bramleygw/platform"
+)
+
+// store is one object of the platform in memory.
+type store struct {
+	mu      sync.Mutex // guards the fields below
+	version platform.Version
+	spec    json.RawMessage
+	// down fails each call; lose loses the answer of the next write.
+	down bool
+	lose bool
+}
+
+func (store *store) object() platform.Object {
+	return platform.Object{Metadata: platform.Metadata{ResourceVersion: store.version}, Spec: store.spec}
+}
+
+func (store *store) Get(context.Context, platform.Collection, string) (platform.Object, error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if store.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if store.version == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return store.object(), nil
+}
+
+func (store *store) write(condition platform.Version, conflict error, spec any) (platform.Object, error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if store.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if store.version != condition {
+		return platform.Object{}, conflict
+	}
+	store.version++
+	store.spec, _ = json.Marshal(spec)
+	if store.lose {
+		store.lose = false
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return store.object(), nil
+}
+
+func (store *store) Create(_ context.Context, _ platform.Collection, _ string, spec any) (platform.Object, error) {
+	return store.write(0, platform.ErrExists, spec)
+}
+
+func (store *store) Update(_ context.Context, _ platform.Collection, _ string, version platform.Version, spec any) (platform.Object, error) {
+	return store.write(version, platform.ErrConflict, spec)
+}
+
+// step is what happens in one interval.
+type step struct {
+	at   time.Duration
+	what func(*store, *bool)
+}
+
+func TestOneHolderUnderFaults(t *testing.T) {
+	pause := func(_ *store, paused *bool) { *paused = true }
+	wake := func(_ *store, paused *bool) { *paused = false }
+	cases := []struct {
+		name  string
+		steps []step
+		// second tells that the second VM must hold it at some time.
+		second bool
+	}{
+		{name: "no fault"},
+		{name: "holder paused", steps: []step{{4 * time.Second, pause}}, second: true},
+		{name: "holder paused and woken", steps: []step{{4 * time.Second, pause}, {16 * time.Second, wake}}, second: true},
+		{name: "holder paused for less than the term", steps: []step{{4 * time.Second, pause}, {7 * time.Second, wake}}},
+		{name: "platform down", steps: []step{
+			{4 * time.Second, func(store *store, _ *bool) { store.down = true }},
+			{20 * time.Second, func(store *store, _ *bool) { store.down = false }},
+		}},
+		{name: "renewal's answer lost", steps: []step{{4 * time.Second, func(store *store, _ *bool) { store.lose = true }}}},
+		{name: "paused and answers lost", steps: []step{
+			{4 * time.Second, pause},
+			{11 * time.Second, func(store *store, _ *bool) { store.lose = true }},
+			{16 * time.Second, wake},
+		}, second: true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkOneHolder(t, test.steps, test.second) })
+		})
+	}
+}
+
+func checkOneHolder(t *testing.T, steps []step, wantSecond bool) {
+	store := &store{}
+	first, second := New(store, "plans", "vm-1/a"), New(store, "plans", "vm-2/b")
+	started := time.Now()
+	paused, secondHeld := false, false
+	var lastToken uint64
+	for tick := 0; time.Since(started) < 40*time.Second; tick++ {
+		for len(steps) > 0 && time.Since(started) >= steps[0].at {
+			steps[0].what(store, &paused)
+			steps = steps[1:]
+		}
+		if tick%10 == 0 {
+			if !paused {
+				first.Try(t.Context())
+			}
+			second.Try(t.Context())
+		}
+		now := time.Now()
+		if first.Held(now) && second.Held(now) {
+			t.Fatalf("got two holders after %v, want one at most", time.Since(started))
+		}
+		for _, lease := range []*Lease{first, second} {
+			if !lease.Held(now) {
+				continue
+			}
+			if lease.Token() < lastToken {
+				t.Fatalf("got token %d after %d, want tokens to grow", lease.Token(), lastToken)
+			}
+			lastToken = lease.Token()
+		}
+		secondHeld = secondHeld || second.Held(now)
+		<-time.After(100 * time.Millisecond)
+	}
+	if secondHeld != wantSecond {
+		t.Errorf("got held by the second VM %t, want %t", secondHeld, wantSecond)
+	}
+	if !first.Held(time.Now()) && !second.Held(time.Now()) {
+		t.Error("got no holder in the end, want one")
+	}
+}
+
+func TestReleaseNeedsNoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &store{}
+		first, second := New(store, "plans", "vm-1/a"), New(store, "plans", "vm-2/b")
+		if !first.Try(t.Context()) || second.Try(t.Context()) {
+			t.Fatal("got no holder or two, want the first")
+		}
+		first.Release(t.Context())
+		if !second.Try(t.Context()) {
+			t.Error("got no lease after the release, want it at once")
+		}
+		if got, want := second.Token(), first.Token()+1; got != want {
+			t.Errorf("got token %d, want %d", got, want)
+		}
+	})
+}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -63,10 +63,22 @@
 		return 0
 	}
 	bucket.level -= granted
-	bucket.loans = append(bucket.loans, loan{deadline: now.Add(LoanTime + loanMargin), tokens: granted})
+	bucket.addLoan(loan{deadline: now.Add(LoanTime + loanMargin + loanStep), tokens: granted})
 	return granted
 }
 
+// loanStep is the time within which loans are counted as one. It bounds the
+// list, and each loan's deadline is later by as much.
+const loanStep = 50 * time.Millisecond
+
+func (bucket *bucket) addLoan(added loan) {
+	if last := len(bucket.loans) - 1; last >= 0 && added.deadline.Sub(bucket.loans[last].deadline) < loanStep {
+		bucket.loans[last].tokens += added.tokens
+		return
+	}
+	bucket.loans = append(bucket.loans, added)
+}
+
 // credit gives unspent tokens back. Tokens of a loan that is still open no
 // longer count as lent.
 func (bucket *bucket) credit(share Share, tokens float64, lent bool, now time.Time) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -334,6 +334,17 @@
 	ledger.levels[levelKey{share.Account, right}] = level
 }
 
+// gained notes that a lender is getting tokens back.
+func (ledger *Ledger) gained(share Share, right int, tokens float64) {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	key := levelKey{share.Account, right}
+	if known, ok := ledger.levels[key]; ok {
+		known.tokens += tokens
+		ledger.levels[key] = known
+	}
+}
+
 // Forget drops what is known of accounts that are not kept.
 func (ledger *Ledger) Forget(keep func(account string) bool) {
 	ledger.mu.Lock()
@@ -359,6 +370,7 @@
 		rest -= part
 		if piece.lent {
 			reservation.ledger.lender.Return(piece.right, reservation.share, part)
+			reservation.ledger.gained(reservation.share, piece.right, part)
 		} else {
 			reservation.ledger.mint.Credit(piece.right, reservation.share, part, false, now)
 		}
