Test placement and decode only what a change touches

Cause: a fresh VM doubted the structure of requests after ten of them and sent all contexts to one home (TestHomesAreEven: 990 of 1000); applying a change decoded the whole configuration again.

Change: structure is doubted only after 300 requests of which under 2 % repeat it; the store keeps decoded values.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -112,9 +112,15 @@
 	return list
 }
 
-// build makes a snapshot of the objects. Objects that cannot be read are
-// returned as faults and left out.
-func build(objects map[string]Object, version platform.Version) (*Snapshot, []error) {
+// entry is an object with its decoded spec, so that a change decodes only what
+// has changed.
+type entry struct {
+	Object
+	value any // nil for deletions and for kinds of a later release
+}
+
+// build makes a snapshot of the entries.
+func build(entries map[string]entry, version platform.Version) *Snapshot {
 	snapshot := &Snapshot{
 		Version:     version,
 		accounts:    map[string]*Account{},
@@ -124,72 +130,33 @@
 		serving:     map[string][]*Target{},
 		quarantines: map[string]time.Time{},
 	}
-	var faults []error
-	for _, object := range objects {
-		if object.Deleted {
-			continue
-		}
-		if err := snapshot.add(object); err != nil {
-			faults = append(faults, errors.Wrapf(err, "object %s", object.ID))
-		}
+	for _, entry := range entries {
+		snapshot.add(entry)
 	}
 	snapshot.order()
-	return snapshot, faults
-}
-
-func (snapshot *Snapshot) add(object Object) error {
-	switch object.Kind() {
-	case KindAccount:
-		account, err := decode[Account](object.Spec)
-		if err == nil {
-			snapshot.accounts[account.Name] = account
-		}
-		return err
-	case KindKey:
-		key, err := decode[Key](object.Spec)
-		if err == nil {
-			snapshot.keys[key.Digest] = key
-			snapshot.keysByName[key.Name] = key
-		}
-		return err
-	case KindModel:
-		model, err := decode[Model](object.Spec)
-		if err == nil {
-			snapshot.models[model.Name] = model
-		}
-		return err
-	case KindRoute:
-		route, err := decode[Route](object.Spec)
-		if err == nil {
-			snapshot.routes = append(snapshot.routes, route)
-		}
-		return err
-	case KindTarget:
-		target, err := decode[Target](object.Spec)
-		if err == nil {
-			snapshot.targets = append(snapshot.targets, target)
-		}
-		return err
-	case KindQuarantine:
-		quarantine, err := decode[Quarantine](object.Spec)
-		if err == nil {
-			snapshot.quarantines[quarantine.Digest] = quarantine.Until
-		}
-		return err
-	case KindRight:
-		right, err := decode[Right](object.Spec)
-		if err == nil {
-			snapshot.rights[right.Index] = HeldRight{Right: right, Version: object.Version}
-		}
-		return err
-	case KindObjective:
-		objective, err := decode[Objective](object.Spec)
-		if err == nil {
-			snapshot.objectives = append(snapshot.objectives, objective)
-		}
-		return err
+	return snapshot
+}
+
+func (snapshot *Snapshot) add(entry entry) {
+	switch value := entry.value.(type) {
+	case *Account:
+		snapshot.accounts[value.Name] = value
+	case *Key:
+		snapshot.keys[value.Digest] = value
+		snapshot.keysByName[value.Name] = value
+	case *Model:
+		snapshot.models[value.Name] = value
+	case *Route:
+		snapshot.routes = append(snapshot.routes, value)
+	case *Target:
+		snapshot.targets = append(snapshot.targets, value)
+	case *Quarantine:
+		snapshot.quarantines[value.Digest] = value.Until
+	case *Objective:
+		snapshot.objectives = append(snapshot.objectives, value)
+	case *Right:
+		snapshot.rights[value.Index] = HeldRight{Right: value, Version: entry.Version}
 	}
-	return nil // a kind of a later release
 }
 
 func (snapshot *Snapshot) order() {
@@ -209,7 +176,7 @@
 
 type checked interface{ Check() error }
 
-func decode[T checked](spec json.RawMessage) (*T, error) {
+func decode[T checked](spec json.RawMessage) (any, error) {
 	var value T
 	if err := json.Unmarshal(spec, &value); err != nil {
 		return nil, errors.Wrap(err, "spec is not readable; write it again")
@@ -220,16 +187,40 @@
 	return &value, nil
 }
 
+// parse decodes and checks a spec. Kinds of a later release give nil.
+func parse(kind Kind, spec json.RawMessage) (any, error) {
+	switch kind {
+	case KindAccount:
+		return decode[Account](spec)
+	case KindKey:
+		return decode[Key](spec)
+	case KindModel:
+		return decode[Model](spec)
+	case KindRoute:
+		return decode[Route](spec)
+	case KindTarget:
+		return decode[Target](spec)
+	case KindQuarantine:
+		return decode[Quarantine](spec)
+	case KindObjective:
+		return decode[Objective](spec)
+	case KindRight:
+		return decode[Right](spec)
+	}
+	return nil, nil
+}
+
 // Check reads and checks a spec of the kind before it is written.
 func Check(kind Kind, spec json.RawMessage) error {
-	probe, _ := build(nil, 0)
-	return probe.add(Object{ID: ID(kind, "x"), Spec: spec})
+	_, err := parse(kind, spec)
+	return err
 }
 
-// check returns the fault of an object that is not a deletion.
-func (object Object) check() error {
+// parsed returns the object with its decoded spec.
+func (object Object) parsed() (entry, error) {
 	if object.Deleted {
-		return nil
+		return entry{Object: object}, nil
 	}
-	return errors.Wrapf(Check(object.Kind(), object.Spec), "object %s", object.ID)
+	value, err := parse(object.Kind(), object.Spec)
+	return entry{Object: object, value: value}, errors.Wrapf(err, "object %s", object.ID)
 }
--- a/catalog/store.go
+++ b/catalog/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -19,16 +18,15 @@
 
 	mu sync.Mutex // guards objects and version
 	// objects holds the newest known version of each object, deletions too.
-	objects map[string]Object
+	objects map[string]entry
 	version platform.Version
 	changed chan struct{}
 }
 
 // New returns an empty store.
 func New() *Store {
-	store := &Store{objects: map[string]Object{}, changed: make(chan struct{})}
-	snapshot, _ := build(nil, 0)
-	store.current.Store(snapshot)
+	store := &Store{objects: map[string]entry{}, changed: make(chan struct{})}
+	store.current.Store(build(nil, 0))
 	return store
 }
 
@@ -113,7 +111,7 @@
 	defer store.mu.Unlock()
 	objects := make([]Object, 0, len(store.objects))
 	for _, object := range store.objects {
-		objects = append(objects, object)
+		objects = append(objects, object.Object)
 	}
 	return objects, store.version
 }
@@ -123,7 +121,7 @@
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	object, ok := store.objects[ID(kind, name)]
-	return object, ok && !object.Deleted
+	return object.Object, ok && !object.Deleted
 }
 
 // ObjectsOf returns the newest known version of each object of a kind.
@@ -133,7 +131,7 @@
 	var objects []Object
 	for _, object := range store.objects {
 		if object.Kind() == kind && !object.Deleted {
-			objects = append(objects, object)
+			objects = append(objects, object.Object)
 		}
 	}
 	return objects
@@ -145,40 +143,38 @@
 	if ok && known.Version >= object.Version {
 		return false
 	}
-	if err := object.check(); err != nil {
+	if object.Kind() == KindKey && ok {
+		object.Spec = keepWithdrawn(known.value, object.Spec)
+	}
+	kept, err := object.parsed()
+	if err != nil {
 		store.fault(err)
 		if !ok || known.Deleted {
 			return false
 		}
-		object.Spec = known.Spec // the former one stays in force
+		kept = known // the former one stays in force
+		kept.Version = object.Version
 	}
-	if object.Kind() == KindKey && ok {
-		object.Spec = keepWithdrawn(known.Spec, object.Spec)
-	}
-	store.objects[object.ID] = object
+	store.objects[object.ID] = kept
 	return true
 }
 
 // publish makes a snapshot of the objects. The caller holds mu.
 func (store *Store) publish() {
-	snapshot, faults := build(maps.Clone(store.objects), store.version)
-	store.current.Store(snapshot)
-	for _, fault := range faults {
-		store.fault(fault)
-	}
+	store.current.Store(build(store.objects, store.version))
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
-// keepWithdrawn returns the spec of a key; once withdrawn, it stays so whatever
-// a racing change says.
-func keepWithdrawn(known, next json.RawMessage) json.RawMessage {
-	former, err := decode[Key](known)
-	if err != nil || !former.Withdrawn {
+// keepWithdrawn returns the next spec of a key; once withdrawn, it stays so
+// whatever a racing change says.
+func keepWithdrawn(known any, next json.RawMessage) json.RawMessage {
+	former, ok := known.(*Key)
+	if !ok || !former.Withdrawn {
 		return next
 	}
-	latter, err := decode[Key](next)
-	if err != nil || latter.Withdrawn {
+	var latter Key
+	if err := json.Unmarshal(next, &latter); err != nil {
 		return next
 	}
 	latter.Withdrawn = true
--- a/placement/levels.go
+++ b/placement/levels.go
@@ -12,10 +12,14 @@
 	// repeatShare is the least share of requests that must have repeated a
 	// depth for it to count as shared.
 	repeatShare = 0.1
-	// enoughRequests is how many must be seen before structure is doubted.
-	enoughRequests = 10
+	// doubtShare is the share of requests below which a boundary that their
+	// structure shows counts as not shared.
+	doubtShare = 0.02
+	// enoughRequests is how many must be seen before structure is doubted: a VM
+	// that has just started sees many contexts for the first time.
+	enoughRequests = 300
 	// maxWeight halves old counts, so that changes of habit show.
-	maxWeight = 200
+	maxWeight = 1000
 )
 
 // levels learns, for each account and model, how deep the prefixes are that
@@ -57,17 +61,23 @@
 	levels.mu.Lock()
 	defer levels.mu.Unlock()
 	set := &levels.sets[uint64(seed)%levelSets]
-	needed := repeatShare * float64(set.total)
-	deepest, reached := 0, 0.0
+	if boundary > 0 && (set.total < enoughRequests || set.reached(boundary) >= doubtShare*float64(set.total)) {
+		return boundary
+	}
+	needed := max(1, repeatShare*float64(set.total))
 	for depth := levelBins - 1; depth > 0; depth-- {
-		reached += float64(set.bins[depth])
-		if reached >= max(needed, 1) {
-			deepest = depth
-			break
+		if set.reached(depth) >= needed {
+			return depth
 		}
 	}
-	if boundary > 0 && (set.total < enoughRequests || deepest >= boundary) {
-		return boundary
+	return 0
+}
+
+// reached returns how many requests shared at least the depth.
+func (count *levelCount) reached(depth int) float64 {
+	total := 0.0
+	for _, number := range count.bins[min(depth, levelBins-1):] {
+		total += float64(number)
 	}
-	return deepest
+	return total
 }
