--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -209,6 +209,9 @@
 		call.After = job.progress.lastID
 		call.Fresh = true
 		_, err = client.Stream(ctx, call, handle)
+		if errors.Is(err, target.ErrNotSent) {
+			err = target.ErrDied // the stream broke and nobody is there now
+		}
 	}
 	if err != nil {
 		return err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,17 +93,32 @@
 // time are the deadlines made from it.
 type Span time.Duration
 
-// UnmarshalYAML reads the textual form.
+// UnmarshalYAML reads the textual form. What cannot be read becomes 0, which is
+// out of bounds, so that the check names the field and its line.
 func (span *Span) UnmarshalYAML(text []byte) error {
+	*span = 0
 	var value string
-	if err := yaml.Unmarshal(text, &value); err != nil {
-		return err
+	if yaml.Unmarshal(text, &value) != nil {
+		return nil
 	}
 	duration, err := time.ParseDuration(value)
-	if err != nil {
-		return errors.Newf("%q is not a length of time; write for example 30s", value)
+	if err == nil {
+		*span = Span(duration)
+	}
+	return nil
+}
+
+// readAddress reads an IP:PORT. What cannot be read stays invalid, which the
+// check reports with the field and its line.
+func readAddress(address *netip.AddrPort, text []byte) error {
+	*address = netip.AddrPort{}
+	var value string
+	if yaml.Unmarshal(text, &value) != nil {
+		return nil
+	}
+	if parsed, err := netip.ParseAddrPort(value); err == nil {
+		*address = parsed
 	}
-	*span = Span(duration)
 	return nil
 }
 
@@ -175,7 +190,7 @@
 		return VM{}, syntaxFault(err)
 	}
 	vm := Defaults()
-	if err := yaml.UnmarshalWithOptions(text, &vm, yaml.Strict()); err != nil {
+	if err := yaml.UnmarshalWithOptions(text, &vm, yaml.Strict(), yaml.CustomUnmarshaler(readAddress)); err != nil {
 		return VM{}, syntaxFault(err)
 	}
 	if digest := os.Getenv(OperatorKeyEnv); digest != "" {
@@ -193,7 +208,7 @@
 func syntaxFault(err error) error {
 	var located yaml.Error
 	if !errors.As(err, &located) || located.GetToken() == nil {
-		return Faults{{Field: "settings", Remedy: err.Error()}}
+		return Faults{{Field: "settings", Remedy: err.Error() + "; docs/SETTINGS.md shows the form of each field"}}
 	}
 	found := located.GetToken()
 	return Faults{{Field: found.Value, Line: found.Position.Line, Remedy: located.GetMessage() + "; docs/SETTINGS.md lists the fields"}}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -159,12 +159,12 @@
 
 // Stop ends the engine at once: connections are reset and the cache is lost.
 func (engine *Engine) Stop() {
+	engine.server.crash() // first, so that no stream ends in order
 	engine.mu.Lock()
+	defer engine.mu.Unlock()
 	if engine.endLife != nil {
 		engine.endLife()
 	}
-	engine.mu.Unlock()
-	engine.server.crash()
 }
 
 // Crash stops the engine and counts a death.
--- a/target/target.go
+++ b/target/target.go
@@ -261,6 +261,9 @@
 	}
 	body.reader = response.BodyStream()
 	if err := read(response, body); err != nil {
+		if body.err != nil { // the cause of an incomplete stream
+			return body.err
+		}
 		return err
 	}
 	return response.CloseBodyStream()
@@ -311,12 +314,17 @@
 	reader io.Reader
 	conn   *connection.Client
 	call   *Call
+	err    error // what ended the reading, but for the regular end
 }
 
 // Read implements io.Reader.
 func (body *watchedBody) Read(buffer []byte) (int, error) {
 	body.extend()
-	return body.reader.Read(buffer)
+	count, err := body.reader.Read(buffer)
+	if err != nil && err != io.EOF {
+		body.err = err
+	}
+	return count, err
 }
 
 func (body *watchedBody) extend() {
--- /dev/null
+++ b/target/target_test.go
@@ -0,0 +1,269 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/standin"
+)
+
+var ephemeral = netip.MustParseAddrPort("127.0.0.1:0")
+
+// engineBody is a request whose answer is long enough to be cut.
+func engineBody(t *testing.T, text string) []byte {
+	t.Helper()
+	request, err := completion.Parse([]byte(`{"model":"m","max_tokens":16,"messages":[{"role":"user","content":"`+text+`"}]}`), completion.Chat, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return request.Forward(completion.Additions{Salt: "account"}, nil)
+}
+
+func startEngine(t *testing.T, engine *standin.Engine) *Client {
+	t.Helper()
+	engine.Model, engine.Weights = "m", "w1"
+	if err := engine.Start(ephemeral); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Stop)
+	client := New(engine.Addr(), nil)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func streamCall(body []byte) Call {
+	return Call{
+		Method: fasthttp.MethodPost, Path: "/v1/chat/completions", Body: body, ContentType: "application/json",
+		RequestID: "r-1", Deadline: time.Now().Add(20 * time.Second),
+		Silence: func(now time.Time) time.Time { return now.Add(700 * time.Millisecond) },
+	}
+}
+
+func TestFailuresHaveTheirKinds(t *testing.T) {
+	slow := 20 * time.Millisecond
+	cases := []struct {
+		name   string
+		engine *standin.Engine
+		// act runs at the first piece of the answer.
+		act  func(*standin.Engine, context.CancelFunc)
+		call func(*Call)
+		want error
+	}{
+		{name: "no fault", engine: &standin.Engine{}},
+		{name: "crash in mid stream", engine: &standin.Engine{DecodePerToken: slow}, act: func(engine *standin.Engine, _ context.CancelFunc) { engine.Crash() }, want: ErrDied},
+		{name: "silence in mid stream", engine: &standin.Engine{DecodePerToken: slow}, act: func(engine *standin.Engine, _ context.CancelFunc) {
+			engine.Silence.Store(time.Now().UnixNano())
+		}, want: ErrSilent},
+		{name: "caller left", engine: &standin.Engine{DecodePerToken: slow}, act: func(_ *standin.Engine, cancel context.CancelFunc) { cancel() }, want: ErrCancelled},
+		{name: "other weights", engine: &standin.Engine{}, call: func(call *Call) { call.Weights = "w2" }, want: ErrRefused},
+		{name: "unknown stream to resume", engine: &standin.Engine{}, call: func(call *Call) { call.After = "3" }, want: ErrRefused},
+		{name: "crossed answer", engine: func() *standin.Engine {
+			engine := &standin.Engine{}
+			engine.Cross.Store(1)
+			return engine
+		}(), want: ErrCrossed},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := startEngine(t, test.engine)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			call := streamCall(engineBody(t, "hello"))
+			if test.call != nil {
+				test.call(&call)
+			}
+			acted := false
+			_, err := client.Stream(ctx, call, func(Event) error {
+				if !acted && test.act != nil {
+					acted = true
+					test.act(test.engine, cancel)
+				}
+				return nil
+			})
+			if test.want == nil && err != nil || test.want != nil && !errors.Is(err, test.want) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
+			if got := len(client.idle); test.want != nil && got != 0 {
+				t.Errorf("got %d connections kept after a failure, want none", got)
+			}
+		})
+	}
+}
+
+func TestNothingIsSentToAClosedPort(t *testing.T) {
+	engine := &standin.Engine{}
+	client := startEngine(t, engine)
+	engine.Stop()
+	_, err := client.Stream(t.Context(), streamCall(engineBody(t, "hello")), func(Event) error { return nil })
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want %v", err, ErrNotSent)
+	}
+}
+
+func TestResumeGoesOnAtTheOffset(t *testing.T) {
+	engine := &standin.Engine{DecodePerToken: 10 * time.Millisecond}
+	client := startEngine(t, engine)
+	body := engineBody(t, "resume me")
+	var text strings.Builder
+	last := ""
+	handle := func(event Event) error {
+		chunk, err := completion.ParseChunk([]byte(event.Data))
+		if err != nil {
+			return err
+		}
+		text.WriteString(chunk.Text)
+		last = event.ID
+		if event.ID == "2" && engine.Silence.Load() == 0 {
+			engine.Silence.Store(time.Now().UnixNano())
+		}
+		return nil
+	}
+	call := streamCall(body)
+	if _, err := client.Stream(t.Context(), call, handle); !errors.Is(err, ErrSilent) {
+		t.Fatalf("got %v, want silence first", err)
+	}
+	call.After, call.Fresh = last, true
+	if _, err := client.Stream(t.Context(), call, handle); err != nil {
+		t.Fatal(err)
+	}
+	request, err := completion.Parse(body, completion.Chat, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := text.String(), standin.Answer("m", "w1", request.Prompt, 16); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := engine.Runs("r-1"); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// The HTTP library repeats requests by itself unless told not to.
+func TestNothingIsRepeatedByTheLibrary(t *testing.T) {
+	for _, method := range []string{fasthttp.MethodPost, fasthttp.MethodGet, fasthttp.MethodPut} {
+		service := &standin.Service{Name: "s"}
+		if err := service.Start(ephemeral); err != nil {
+			t.Fatal(err)
+		}
+		client := New(service.Addr(), nil)
+		call := Call{Method: method, Path: "/x/", Body: []byte("once"), RequestID: "r", Deadline: time.Now().Add(5 * time.Second)}
+		if _, _, err := client.Whole(t.Context(), call, nil); err != nil { // the connection is kept
+			t.Fatal(err)
+		}
+		service.LoseAnswers.Store(1)
+		if _, _, err := client.Whole(t.Context(), call, nil); !errors.Is(err, ErrDied) {
+			t.Errorf("%s: got %v, want %v", method, err, ErrDied)
+		}
+		if got := service.Ran("once"); got != 2 {
+			t.Errorf("%s: got %d runs for two calls, want 2", method, got)
+		}
+		client.Close()
+		service.Stop()
+	}
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	service := &standin.Service{Name: "s"}
+	if err := service.Start(ephemeral); err != nil {
+		t.Fatal(err)
+	}
+	client := New(service.Addr(), nil)
+	call := Call{Method: fasthttp.MethodPost, Path: "/x/", Body: []byte("b"), RequestID: "r", Deadline: time.Now().Add(5 * time.Second)}
+	if _, _, err := client.Whole(t.Context(), call, nil); err != nil {
+		t.Fatal(err)
+	}
+	service.Stop()
+	if err := service.Start(netip.AddrPort{}); err != nil {
+		t.Fatal(err)
+	}
+	defer service.Stop()
+	if _, _, err := client.Whole(t.Context(), call, nil); err != nil {
+		t.Errorf("got %v after a restart, want a new connection", err)
+	}
+}
+
+// An order must not leave this VM after its deadline, even when the process was
+// paused across it.
+func TestOrderAfterItsDeadlineIsNotSent(t *testing.T) {
+	engine := &standin.Engine{}
+	client := startEngine(t, engine)
+	order, err := json.Marshal(standin.Order{Type: "load_weights", Weights: "w9", FencingToken: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Order(t.Context(), order, time.Now().Add(-time.Millisecond)); err == nil {
+		t.Error("got success, want an error")
+	}
+	if got := engine.LoadedWeights(); got != "w1" {
+		t.Errorf("got weights %s, want w1", got)
+	}
+	if err := client.Order(t.Context(), order, time.Now().Add(5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got := engine.LoadedWeights(); got != "w9" {
+		t.Errorf("got weights %s, want w9", got)
+	}
+}
+
+func TestOldFencingTokenIsRefused(t *testing.T) {
+	engine := &standin.Engine{ChecksFencing: true}
+	client := startEngine(t, engine)
+	send := func(weights string, token uint64) error {
+		order, err := json.Marshal(standin.Order{Type: "load_weights", Weights: weights, FencingToken: token})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client.Order(t.Context(), order, time.Now().Add(5*time.Second))
+	}
+	if err := send("w2", 5); err != nil {
+		t.Fatal(err)
+	}
+	if err := send("w1", 4); !errors.Is(err, ErrRefused) {
+		t.Errorf("got %v, want %v", err, ErrRefused)
+	}
+	if got := engine.LoadedWeights(); got != "w2" {
+		t.Errorf("got weights %s, want w2", got)
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	for _, seed := range []string{
+		"TEXT named_metrics.queued_tokens=12, named_metrics.running=3", "TEXT cpu_utilization=0.5", "JSON {}", "TEXT =", "TEXT a=1e400", "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, header string) {
+		load, _ := parseLoad(header)
+		if load.QueuedTokens < 0 || load.Running < 0 {
+			t.Errorf("got %+v from %q, want nothing negative", load, header)
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: {}\n\ndata: [DONE]\n\n")
+	f.Add(": wait\n\ndata: [DONE]\n\ndata: x\n\n")
+	f.Add("data")
+	f.Fuzz(func(t *testing.T, text string) {
+		count := 0
+		err := readEvents(strings.NewReader(text), func(Event) error { count++; return nil })
+		if err == nil && !strings.Contains(text, doneMark) {
+			t.Errorf("got a complete stream from %q, want an error", text)
+		}
+	})
+}
+
+func BenchmarkLoadReport(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		parseLoad("TEXT named_metrics.queued_tokens=12, named_metrics.running=3")
+	}
+}
