Prove membership, configuration and plans on a fleet

Cause: planned stops, restarts in an outage, racing operators and plans whose VM fails had no test.

Change: scenarios for each on real VMs; a VM can be failed at once for them.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -242,8 +242,12 @@
 
 // Shutdown stops a VM gracefully and waits for it.
 func (fleet *Fleet) Shutdown(vm *VM) error {
+	if vm.cancel == nil {
+		return nil // it was stopped before
+	}
 	fleet.list(vm, platform.Leaving)
 	vm.cancel()
+	vm.cancel = nil
 	timer := time.NewTimer(stopTime)
 	defer timer.Stop()
 	select {
@@ -254,6 +258,16 @@
 	}
 }
 
+// Fail ends a VM without a graceful stop: its listeners close and nothing is
+// handed over.
+func (fleet *Fleet) Fail(vm *VM) error {
+	vm.Router.Kill()
+	vm.cancel()
+	err := <-vm.done
+	vm.cancel = nil
+	return err
+}
+
 // Stop ends everything.
 func (fleet *Fleet) Stop() {
 	var waiting sync.WaitGroup
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -179,7 +179,7 @@
 func decode[T checked](spec json.RawMessage) (any, error) {
 	var value T
 	if err := json.Unmarshal(spec, &value); err != nil {
-		return nil, errors.Wrap(err, "spec is not readable; write it again")
+		return nil, errors.Wrap(err, "spec is not readable; check the types, and that an address is IP:PORT")
 	}
 	if err := value.Check(); err != nil {
 		return nil, err
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"encoding/hex"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,7 @@
 	chores     chan chore
 	returns    chan returned
 	fetches    chan netip.AddrPort
+	killed     atomic.Bool
 }
 
 // New returns a VM with the settings.
@@ -213,6 +215,12 @@
 	return router.store.Snapshot().Version > 0
 }
 
+// Kill makes the end of Run's context end the process at once, as a failure of
+// the VM would: nothing is handed over.
+func (router *Router) Kill() {
+	router.killed.Store(true)
+}
+
 // Run serves until the context ends, then stops gracefully: the health check
 // fails first, running requests finish, and what this VM holds is handed over.
 func (router *Router) Run(ctx context.Context) error {
@@ -232,7 +240,9 @@
 	var failed error
 	select {
 	case <-ctx.Done():
-		failed = router.stop(stopServing, callersDone)
+		if !router.killed.Load() {
+			failed = router.stop(stopServing, callersDone)
+		}
 	case failed = <-callersDone:
 	case <-lasting.Done():
 	}
--- /dev/null
+++ b/test/membership/membership_test.go
@@ -0,0 +1,167 @@
+// Package membership holds the scenarios of VMs and targets that come and go.
+package membership
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/bramleygw/bramleygw/bench"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/refusal"
+	"github.com/bramleygw/bramleygw/test/harness"
+)
+
+// The promise: every planned stop is a graceful shutdown: it cuts no request.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	for _, platformDown := range []bool{false, true} {
+		t.Run(fmt.Sprintf("platform down %t", platformDown), func(t *testing.T) {
+			fleet, callers := harness.Start(t, bench.Small(3))
+			if platformDown {
+				for _, vm := range fleet.VMs {
+					vm.Door.Cut()
+				}
+			}
+			leaving := fleet.VMs[0]
+			var waiting sync.WaitGroup
+			for i := range 12 {
+				waiting.Go(func() {
+					body := bench.Chat("ledger", fmt.Sprint("question ", i), 48, i%2 == 0)
+					got := harness.Ask(fleet, callers, leaving, body)
+					if !got.Complete || !bench.Own(got.Text, body, "w1") {
+						t.Errorf("request %d: got %+v, want its own whole answer", i, got)
+					}
+				})
+			}
+			harness.Await(t, "all requests in flight", func() bool { return leaving.Router.FleetStatus().Requests == 12 })
+			if err := fleet.Shutdown(leaving); err != nil {
+				t.Errorf("got %v, want a clean stop", err)
+			}
+			waiting.Wait()
+		})
+	}
+}
+
+// The promise: a leaving target gets no new work after a few seconds.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave func(*testing.T, *bench.Fleet)
+	}{
+		{"listed as leaving by the platform", func(_ *testing.T, fleet *bench.Fleet) {
+			fleet.Platform.SetVM(platform.VM{Name: fleet.Engines[0].Name, Role: platform.RoleTarget, State: platform.Leaving})
+		}},
+		{"drained by the operator", func(t *testing.T, fleet *bench.Fleet) {
+			client := fleet.Operator(fleet.VMs[0])
+			item, err := client.Get("targets", fleet.Engines[0].Name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			item.Spec = append(item.Spec[:len(item.Spec)-1:len(item.Spec)-1], `,"draining":true}`...)
+			if _, err := client.Update("targets", item); err != nil {
+				t.Fatal(err)
+			}
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			fleet, callers := harness.Start(t, bench.Small(2))
+			test.leave(t, fleet)
+			leaving := fleet.Engines[0]
+			harness.Await(t, "all VMs to know", func() bool {
+				for _, vm := range fleet.VMs {
+					for _, target := range vm.Router.FleetStatus().Targets {
+						if target.Name == leaving.Name && !target.Draining {
+							return false
+						}
+					}
+				}
+				return true
+			})
+			before := leaving.Prefilled.Load() + leaving.Hit.Load()
+			for i := range 12 {
+				got := harness.Ask(fleet, callers, fleet.VMs[i%3], bench.Chat("ledger", fmt.Sprint("question ", i), 8, false))
+				if !got.Complete {
+					t.Errorf("got %+v, want the other engine's answer", got)
+				}
+			}
+			if got := leaving.Prefilled.Load() + leaving.Hit.Load() - before; got != 0 {
+				t.Errorf("got %d tokens at the leaving target, want none", got)
+			}
+		})
+	}
+}
+
+// The promise: a router that restarts serves at once, also while the platform
+// is down.
+func TestRestartServesFromOtherVMs(t *testing.T) {
+	fleet, callers := harness.Start(t, bench.Small(2))
+	for _, vm := range fleet.VMs {
+		vm.Door.Cut()
+	}
+	for _, vm := range fleet.VMs[:2] { // a herd of two out of three
+		if err := fleet.Shutdown(vm); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, vm := range fleet.VMs[:2] {
+		if err := fleet.Boot(vm); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, vm := range fleet.VMs {
+		harness.Await(t, "the VM to be ready", vm.Router.Ready)
+		body := bench.Chat("ledger", fmt.Sprint("question ", i), 16, true)
+		harness.Await(t, "the VM to answer", func() bool {
+			got := harness.Ask(fleet, callers, vm, body)
+			return got.Complete && bench.Own(got.Text, body, "w1")
+		})
+	}
+}
+
+// A VM that hears neither the platform nor a majority of the VMs refuses keyed
+// requests, truly as not run, and says so to the balancer.
+func TestIsolatedVMRefuses(t *testing.T) {
+	fleet, callers := harness.Start(t, bench.Small(1))
+	alone := fleet.VMs[0]
+	alone.Door.Cut()
+	for _, vm := range fleet.VMs[1:] {
+		if err := fleet.Fail(vm); err != nil {
+			t.Fatal(err)
+		}
+		fleet.Platform.RemoveVM(vm.Settings.Name)
+	}
+	body := bench.Chat("ledger", "question", 8, false)
+	harness.Await(t, "the VM to refuse", func() bool {
+		got := harness.Ask(fleet, callers, alone, body)
+		return got.Refusal == refusal.Isolated && got.Outcome == refusal.NotRun
+	})
+	health := callers.Send(alone.Settings.Caller.Address, "", "/healthz", nil, "")
+	if health.Status != 503 {
+		t.Errorf("got health status %d, want 503", health.Status)
+	}
+	if err := alone.Door.Mend(); err != nil {
+		t.Fatal(err)
+	}
+	harness.Await(t, "the VM to serve again", func() bool { return harness.Ask(fleet, callers, alone, body).Complete })
+}
+
+// The rights of a VM that failed pass on when the platform no longer lists it.
+func TestRightsOfFailedVMPassOn(t *testing.T) {
+	fleet, _ := harness.Start(t, bench.Small(1))
+	failed := fleet.VMs[2]
+	if err := fleet.Fail(failed); err != nil {
+		t.Fatal(err)
+	}
+	fleet.Platform.RemoveVM(failed.Settings.Name)
+	harness.Await(t, "its rights to pass on", func() bool {
+		total := 0
+		for _, right := range fleet.VMs[0].Router.FleetStatus().Rights {
+			if right.Holder == "" || right.Holder == failed.Settings.Name {
+				return false
+			}
+			total += right.Count
+		}
+		return total > 0
+	})
+}
