--- a/bench/caller.go
+++ b/bench/caller.go
@@ -100,6 +100,16 @@
 	Complete   bool
 	FirstToken time.Duration
 	Err        error
+
+	headers map[string]string // those that tell of limits
+}
+
+// limitHeaders are kept of refusals.
+var limitHeaders = []string{"Retry-After", "X-Ratelimit-Limit-Tokens", "X-Ratelimit-Remaining-Tokens", "X-Ratelimit-Reset-Tokens"}
+
+// Header returns a header that tells of limits.
+func (answer *Answer) Header(name string) string {
+	return answer.headers[name]
 }
 
 // Send makes one request and reads its answer.
@@ -148,6 +158,10 @@
 		var body refusal.Body
 		answer.Err = json.Unmarshal(text, &body)
 		answer.Refusal, answer.Outcome = body.Error.Code, body.Error.Outcome
+		answer.headers = map[string]string{}
+		for _, name := range limitHeaders {
+			answer.headers[name] = string(response.Header.Peek(name))
+		}
 		return
 	}
 	var whole completion.Answer
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -86,6 +86,8 @@
 	// Logs takes the VMs' logs; nil for the standard error stream.
 	Logs     io.Writer
 	LogLevel string
+	// Adjust, if set, changes each VM's settings.
+	Adjust func(*settings.VM)
 }
 
 // VM is one running router.
@@ -186,6 +188,9 @@
 	if fleet.Layout.LogLevel != "" {
 		vm.Log.Level = fleet.Layout.LogLevel
 	}
+	if fleet.Layout.Adjust != nil {
+		fleet.Layout.Adjust(&vm)
+	}
 	return vm
 }
 
