--- a/bench/short.go
+++ b/bench/short.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -75,20 +76,22 @@
 	}
 	started := time.Now()
 	var waiting sync.WaitGroup
-	for range load.Callers {
-		waiting.Go(func() { run.runCaller(ctx) })
+	for caller := range load.Callers {
+		waiting.Go(func() { run.runCaller(ctx, caller) })
 	}
 	waiting.Wait()
 	run.result.Took = time.Since(started)
 	return &run.result
 }
 
-func (run *shortRun) runCaller(ctx context.Context) {
+func (run *shortRun) runCaller(ctx context.Context, caller int) {
 	gap := time.Duration(0)
 	if run.load.Rate > 0 {
 		gap = time.Duration(float64(run.load.Callers) / run.load.Rate * float64(time.Second))
 	}
-	for at := time.Now(); time.Now().Before(run.load.Until) && ctx.Err() == nil; at = at.Add(gap) {
+	// The callers take turns, with half a gap of jitter.
+	first := time.Now().Add(gap * time.Duration(caller) / time.Duration(run.load.Callers))
+	for at := first; time.Now().Before(run.load.Until) && ctx.Err() == nil; at = at.Add(jittered(gap)) {
 		time.Sleep(time.Until(at))
 		through, ok := run.once(run.load.URL)
 		direct := time.Duration(0)
@@ -99,6 +102,10 @@
 	}
 }
 
+func jittered(gap time.Duration) time.Duration {
+	return gap/2 + time.Duration(rand.Int64N(int64(gap)+1))
+}
+
 func (run *shortRun) once(url string) (time.Duration, bool) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
--- a/completion/completion.go
+++ b/completion/completion.go
@@ -72,6 +72,9 @@
 	if !root.IsObject() {
 		return Request{}, errors.New("the body must be a JSON object")
 	}
+	if buffer == nil {
+		buffer = make([]byte, 0, len(body))
+	}
 	request := Request{Form: form, MaxTokens: DefaultMaxTokens, body: body, Prompt: buffer}
 	var fault error
 	root.ForEach(func(name, value gjson.Result) bool {
@@ -148,23 +151,36 @@
 	var fault error
 	value.ForEach(func(_, message gjson.Result) bool {
 		request.Shared = len(request.Prompt)
-		role := message.Get("role")
-		if role.Type != gjson.String {
-			fault = errors.New("each message must have a role")
-			return false
-		}
-		request.Prompt = append(request.Prompt, role.Str...)
-		request.Prompt = append(request.Prompt, '\n')
-		content := message.Get("content")
-		if content.Type == gjson.String {
-			request.Prompt = append(request.Prompt, inner(content.Raw)...)
-		} else {
-			request.Prompt = append(request.Prompt, content.Raw...)
+		fault = request.takeMessage(message)
+		return fault == nil
+	})
+	return fault
+}
+
+// takeMessage appends a message's role and content to the prompt.
+func (request *Request) takeMessage(message gjson.Result) error {
+	var role, content gjson.Result
+	message.ForEach(func(name, value gjson.Result) bool {
+		switch name.Str {
+		case "role":
+			role = value
+		case "content":
+			content = value
 		}
-		request.Prompt = append(request.Prompt, '\n')
 		return true
 	})
-	return fault
+	if role.Type != gjson.String {
+		return errors.New("each message must have a role")
+	}
+	request.Prompt = append(request.Prompt, role.Str...)
+	request.Prompt = append(request.Prompt, '\n')
+	if content.Type == gjson.String {
+		request.Prompt = append(request.Prompt, inner(content.Raw)...)
+	} else {
+		request.Prompt = append(request.Prompt, content.Raw...)
+	}
+	request.Prompt = append(request.Prompt, '\n')
+	return nil
 }
 
 // inner returns a JSON string's text without its quotes, escapes kept.
@@ -194,9 +210,15 @@
 	"max_tokens": true, "max_completion_tokens": true,
 }
 
+// forwardMargin is room for the members that a VM sets, in bytes.
+const forwardMargin = 256
+
 // Forward appends to buffer the body for the engine: the caller's members but
 // for those that the VM sets itself. It always asks for a stream with usage.
 func (request *Request) Forward(additions Additions, buffer []byte) []byte {
+	if buffer == nil {
+		buffer = make([]byte, 0, len(request.body)+forwardMargin)
+	}
 	buffer = append(buffer, '{')
 	gjson.ParseBytes(request.body).ForEach(func(name, value gjson.Result) bool {
 		if replaced[name.Str] {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -89,6 +89,7 @@
 	running     int
 	busy        bool
 	streams     map[string]*job
+	finished    []finishedStream
 	fencing     uint64
 	draining    bool
 	report      string
@@ -146,7 +147,7 @@
 	engine.incarnation++
 	engine.cache = newCache(engine.Blocks)
 	engine.waiting, engine.running, engine.busy = nil, 0, false
-	engine.streams = map[string]*job{}
+	engine.streams, engine.finished = map[string]*job{}, nil
 	engine.report = ""
 	engine.mu.Unlock()
 	return engine.server.start(address)
@@ -389,18 +390,13 @@
 }
 
 func (engine *Engine) runDecode(job *job) {
-	ticker := time.NewTicker(engine.DecodePerToken)
-	defer ticker.Stop()
 	for range job.tokens {
 		if job.abandoned() || job.life.Err() != nil {
 			engine.Cancelled.Add(1)
 			break
 		}
 		job.produce()
-		select {
-		case <-ticker.C:
-		case <-job.life.Done():
-		}
+		sleep(job.life, engine.DecodePerToken)
 	}
 	job.finish()
 	engine.retire(job)
@@ -418,17 +414,27 @@
 		engine.busy = true
 		go engine.runPrefills(engine.life)
 	}
-	for id, job := range engine.streams {
-		job.mu.Lock()
-		old := job.finished && time.Since(job.left) > keepStreams
-		job.mu.Unlock()
-		if old {
-			delete(engine.streams, id)
-		}
+	now := time.Now()
+	engine.finished = append(engine.finished, finishedStream{id: done.id, at: now})
+	for len(engine.finished) > 0 && now.Sub(engine.finished[0].at) > keepStreams {
+		delete(engine.streams, engine.finished[0].id)
+		engine.finished = engine.finished[1:]
 	}
 }
 
+// finishedStream may be resumed for a while.
+type finishedStream struct {
+	id string
+	at time.Time
+}
+
+// minSleep is the shortest time that is worth a timer.
+const minSleep = 20 * time.Microsecond
+
 func sleep(life context.Context, duration time.Duration) {
+	if duration < minSleep {
+		return
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
