--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -83,6 +83,8 @@
 	Decode time.Duration
 	// IgnoreFencing makes engines take orders with old fencing tokens.
 	IgnoreFencing bool
+	// ListedTargets is the number of configured targets, when more than run.
+	ListedTargets int
 	// Logs takes the VMs' logs; nil for the standard error stream.
 	Logs     io.Writer
 	LogLevel string
--- /dev/null
+++ b/bench/slope.go
@@ -0,0 +1,107 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/bramleygw/bramleygw/catalog"
+)
+
+// Slope is what control costs at one size of one dimension, without load.
+type Slope struct {
+	Dimension string `json:"dimension"`
+	Size      int    `json:"size"`
+	// CoreShare is an upper bound: it holds the stand-ins' work too.
+	CoreShare     float64 `json:"core_share_per_vm"`
+	BytesPerSec   float64 `json:"bytes_per_second_per_vm"`
+	HeapBytes     int64   `json:"heap_bytes_per_vm"`
+	PlatformCalls float64 `json:"platform_calls_per_second_per_vm"`
+}
+
+const (
+	slopeLength = 5 * time.Second
+	slopeSettle = 3 * time.Second
+)
+
+// dimension is something that grows.
+type dimension struct {
+	name  string
+	sizes []int
+	grow  func(*Layout, int)
+}
+
+var dimensions = []dimension{
+	{"vms", []int{3, 6, 12, 24}, func(layout *Layout, size int) { layout.VMs = size }},
+	{"targets", []int{13, 100, 300, 600}, func(layout *Layout, size int) { layout.ListedTargets = size }},
+	{"accounts", []int{10, 100, 430}, func(layout *Layout, size int) {
+		for i := len(layout.Accounts); i < size; i++ {
+			layout.Accounts = append(layout.Accounts, account(fmt.Sprint("account-", i), 1000, 0, 1, "ledger"))
+		}
+	}},
+}
+
+// Slopes measures idle fleets of growing sizes.
+func Slopes(report func(Slope)) error {
+	for _, dimension := range dimensions {
+		for _, size := range dimension.sizes {
+			layout := Small(1)
+			layout.VMs = 6
+			dimension.grow(&layout, size)
+			slope, err := measureIdle(layout)
+			if err != nil {
+				return err
+			}
+			slope.Dimension, slope.Size = dimension.name, size
+			report(slope)
+		}
+	}
+	return nil
+}
+
+func measureIdle(layout Layout) (Slope, error) {
+	base := heap()
+	fleet, err := Start(layout, nil)
+	if err != nil {
+		return Slope{}, err
+	}
+	defer fleet.Stop()
+	if err := fleet.listTargets(layout.ListedTargets); err != nil {
+		return Slope{}, err
+	}
+	time.Sleep(slopeSettle)
+	before, started := fleet.counters(), time.Now()
+	time.Sleep(slopeLength)
+	after, took := fleet.counters(), time.Since(started)
+	vms := float64(layout.VMs)
+	return Slope{
+		CoreShare:     (after.processor - before.processor).Seconds() / took.Seconds() / vms,
+		BytesPerSec:   float64(after.bytes-before.bytes) / took.Seconds() / vms,
+		HeapBytes:     (heap() - base) / int64(layout.VMs),
+		PlatformCalls: float64(after.calls-before.calls) / took.Seconds() / vms,
+	}, nil
+}
+
+// listTargets configures further targets that no request goes to.
+func (fleet *Fleet) listTargets(count int) error {
+	client := fleet.Operator(fleet.VMs[0])
+	for i := len(fleet.Engines); i < count; i++ {
+		name := fmt.Sprint("listed-", i)
+		spec := catalog.Target{
+			Name: name, Kind: catalog.Engine, Address: fleet.Engines[0].Addr(), AvailabilityZone: fleet.Layout.Zones[0],
+			Serves: fmt.Sprint("model-", i%30), Weights: "w1",
+		}
+		if _, err := client.Create("targets", name, spec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC() // what finalizers freed
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/command/cmd_bench.go
+++ b/command/cmd_bench.go
@@ -20,6 +20,7 @@
 		&cli.StringFlag{Name: "policy", Usage: "`NAME` of the policy, or all", Value: "ours"},
 		&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the load", Value: 1},
 		&cli.DurationFlag{Name: "length", Usage: "`TIME` of each run", Value: 10 * time.Second},
+		&cli.BoolFlag{Name: "slopes", Usage: "measure what control costs against the size of the fleet instead"},
 		formatFlag,
 	},
 	Action: benchAction,
@@ -30,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if command.Bool("slopes") {
+		return benchSlopes(wantJSON)
+	}
 	scenarios, err := scenariosNamed(command.String("scenario"))
 	if err != nil {
 		return err
@@ -58,6 +62,26 @@
 	return nil
 }
 
+func benchSlopes(wantJSON bool) error {
+	var slopes []bench.Slope
+	var rows [][]string
+	err := bench.Slopes(func(slope bench.Slope) {
+		slopes = append(slopes, slope)
+		rows = append(rows, []string{
+			slope.Dimension, fmt.Sprint(slope.Size), fmt.Sprintf("%.4f", slope.CoreShare), fmt.Sprintf("%.0f", slope.BytesPerSec),
+			fmt.Sprint(slope.HeapBytes), fmt.Sprintf("%.2f", slope.PlatformCalls),
+		})
+	})
+	if err != nil {
+		return err
+	}
+	if wantJSON {
+		return printJSON(slopes)
+	}
+	printTable([]string{"dimension", "size", "core_share_per_vm", "bytes_per_second_per_vm", "heap_bytes_per_vm", "platform_calls_per_second_per_vm"}, rows)
+	return nil
+}
+
 func scenariosNamed(name string) ([]*bench.Scenario, error) {
 	var all []*bench.Scenario
 	var names []string
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/quota"
+)
+
+// handler is a VM in memory.
+type handler struct {
+	mu       sync.Mutex // guards the fields below
+	beats    []Beat
+	notices  []Notice
+	returned float64
+	objects  []catalog.Object
+	mint     *quota.Mint
+}
+
+func (handler *handler) Beat(beat Beat) Beat {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.beats = append(handler.beats[:0], beat)
+	return Beat{Name: "other", Version: 7, Address: netip.MustParseAddrPort("127.0.0.9:1")}
+}
+
+func (handler *handler) Lend(right int, share quota.Share, least, want float64) quota.Grant {
+	return handler.mint.Lend(right, share, least, want, time.Now())
+}
+
+func (handler *handler) TakeBack(_ int, _ quota.Share, tokens float64) {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.returned += tokens
+}
+
+func (handler *handler) Notified(notice Notice) {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.notices = append(handler.notices, notice)
+}
+
+func (handler *handler) Objects() ([]catalog.Object, platform.Version) {
+	return handler.objects, 9
+}
+
+func start(t testing.TB, handler *handler) (*Dialer, netip.AddrPort, context.CancelFunc) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler.mint = quota.NewMint()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	server := &Server{Listener: listener, Handler: handler}
+	go func() { done <- server.Run(ctx) }()
+	dialer := NewDialer(nil)
+	t.Cleanup(func() {
+		dialer.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("got %v from the server, want a clean end", err)
+		}
+	})
+	return dialer, listener.Addr().(*net.TCPAddr).AddrPort(), cancel
+}
+
+func TestContract(t *testing.T) {
+	handler := &handler{}
+	for i := range 3*partObjects + 1 { // several parts
+		handler.objects = append(handler.objects, catalog.Object{ID: "client_account.a", Version: platform.Version(i), Spec: []byte(`{}`)})
+	}
+	dialer, address, _ := start(t, handler)
+	ctx := t.Context()
+	sent := Beat{Name: "me", Address: netip.MustParseAddrPort("127.0.0.8:1"), Version: 5, PlatformAge: time.Second, Heard: []PeerAge{{"x", 2 * time.Second}}}
+	reply, err := dialer.Heartbeat(ctx, address, sent)
+	if err != nil || reply.Name != "other" || reply.Version != 7 {
+		t.Errorf("got %+v %v, want the other's heartbeat", reply, err)
+	}
+	if got := handler.beats[0]; got.Name != sent.Name || got.Address != sent.Address || got.PlatformAge != sent.PlatformAge || len(got.Heard) != 1 {
+		t.Errorf("got %+v, want %+v", got, sent)
+	}
+	share := quota.Share{Account: "a", Rate: 1, Burst: 100}
+	if grant, err := dialer.Borrow(ctx, address, 3, share, 0, 10); err != nil || grant.Held {
+		t.Errorf("got %+v %v for a right that is not held, want no grant", grant, err)
+	}
+	handler.mint.Acquire(3, nil, time.Now())
+	if grant, err := dialer.Borrow(ctx, address, 3, share, 0, 10); err != nil || grant.Tokens != 10 {
+		t.Errorf("got %+v %v, want 10 tokens", grant, err)
+	}
+	if grant, err := dialer.Borrow(ctx, address, 3, share, 500, 500); err != nil || grant.Tokens != 0 || grant.Left < 89 {
+		t.Errorf("got %+v %v, want none of what is less than the least", grant, err)
+	}
+	if err := dialer.Return(ctx, address, 3, share, 4); err != nil || handler.returned != 4 {
+		t.Errorf("got %v returned %v, want 4", handler.returned, err)
+	}
+	notice := Notice{Objects: handler.objects[:1], Charges: []Charge{{"d", "e1/1"}}}
+	if err := dialer.Notify(ctx, address, notice); err != nil || len(handler.notices) != 1 || handler.notices[0].Charges[0] != notice.Charges[0] {
+		t.Errorf("got %+v %v, want the notice", handler.notices, err)
+	}
+	objects, version, err := dialer.Snapshot(ctx, address, 0)
+	if err != nil || len(objects) != len(handler.objects) || version != 9 {
+		t.Errorf("got %d objects at %d %v, want %d at 9", len(objects), version, err, len(handler.objects))
+	}
+	if objects, version, err = dialer.Snapshot(ctx, address, 9); err != nil || len(objects) != 0 || version != 0 {
+		t.Errorf("got %d objects at %d %v, want nothing newer", len(objects), version, err)
+	}
+}
+
+func TestFaultsEndInTime(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(*handler, context.CancelFunc) netip.AddrPort
+	}{
+		{"VM that is gone", func(_ *handler, cancel context.CancelFunc) netip.AddrPort { cancel(); return netip.AddrPort{} }},
+		{"address not known", func(*handler, context.CancelFunc) netip.AddrPort { return netip.MustParseAddrPort("0.0.0.0:0") }},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			handler := &handler{}
+			dialer, address, cancel := start(t, handler)
+			if other := test.act(handler, cancel); other.IsValid() {
+				address = other
+			}
+			ctx, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer stop()
+			for { // a call may still meet the VM that is stopping
+				if _, err := dialer.Heartbeat(ctx, address, Beat{Name: "me"}); err != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBorrow(b *testing.B) {
+	handler := &handler{}
+	dialer, address, _ := start(b, handler)
+	handler.mint.Acquire(3, nil, time.Now())
+	share := quota.Share{Account: "school-7", Rate: 1e12, Burst: 1e15}
+	if _, err := dialer.Borrow(b.Context(), address, 3, share, 0, 1); err != nil {
+		b.Fatal(err)
+	}
+	before := dialer.Bytes.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := dialer.Borrow(b.Context(), address, 3, share, 0, 1000); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(dialer.Bytes.Load()-before)/float64(b.N), "bytes/op")
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	handler := &handler{}
+	dialer, address, _ := start(b, handler)
+	beat := Beat{Name: "vm-100", Address: netip.MustParseAddrPort("127.0.0.8:1"), Version: 123456, PlatformAge: time.Second}
+	for range 16 {
+		beat.Heard = append(beat.Heard, PeerAge{"vm-101", 2 * time.Second})
+	}
+	before := dialer.Bytes.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := dialer.Heartbeat(b.Context(), address, beat); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(dialer.Bytes.Load()-before)/float64(b.N), "bytes/op")
+}
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,64 @@
+package report
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/refusal"
+)
+
+var now = time.Date(2030, 1, 4, 0, 0, 0, 0, time.UTC)
+
+// slot is one that began some time ago, with good and slow answers.
+func slot(ago time.Duration, good, slow, failed, limited int) Slot {
+	buckets := make([]int, len(Bounds)+1)
+	buckets[0], buckets[len(Bounds)] = good, slow
+	return Slot{Start: now.Add(-ago), Counts: []Count{{Account: "school", FirstToken: buckets, Failed: failed, Limited: limited}}}
+}
+
+func TestBurns(t *testing.T) {
+	ttft := &catalog.Objective{Name: "fast", Measure: "ttft", Goal: 0.99, ThresholdMS: 400}
+	cases := []struct {
+		name      string
+		objective *catalog.Objective
+		slots     []Slot
+		want      [3]float64 // 1 h, 6 h, 3 d
+	}{
+		{"nothing", ttft, nil, [3]float64{0, 0, 0}},
+		{"all good", ttft, []Slot{slot(time.Minute, 100, 0, 0, 0)}, [3]float64{0, 0, 0}},
+		{"budget used exactly", ttft, []Slot{slot(time.Minute, 99, 1, 0, 0)}, [3]float64{1, 1, 1}},
+		{"bad hours ago", ttft, []Slot{slot(time.Minute, 100, 0, 0, 0), slot(3*time.Hour, 0, 100, 0, 0)}, [3]float64{0, 50, 50}},
+		{"older than all windows", ttft, []Slot{slot(100*time.Hour, 0, 100, 0, 0)}, [3]float64{0, 0, 0}},
+		{"failures", &catalog.Objective{Measure: "completion", Goal: 0.9}, []Slot{slot(time.Minute, 90, 0, 10, 5)}, [3]float64{1, 1, 1}},
+		{"refusals", &catalog.Objective{Measure: "refusals", Goal: 0.9}, []Slot{slot(time.Minute, 80, 0, 3, 20)}, [3]float64{2, 2, 2}},
+		{"another account", &catalog.Objective{Account: "other", Measure: "completion", Goal: 0.9}, []Slot{slot(time.Minute, 0, 0, 10, 0)}, [3]float64{0, 0, 0}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			burns := Burns([]*catalog.Objective{test.objective}, test.slots, now)
+			for i, want := range test.want {
+				if got := burns[0].Rates[i].Rate; math.Abs(got-want) > 1e-9 {
+					t.Errorf("got %v over %s, want %v", got, burns[0].Rates[i].Window, want)
+				}
+			}
+			if got, want := burns[0].BudgetLeft, 1-test.want[2]; math.Abs(got-want) > 1e-9 {
+				t.Errorf("got %v of the budget left, want %v", got, want)
+			}
+		})
+	}
+}
+
+func TestRecorderCountsByAccountAndKind(t *testing.T) {
+	recorder := NewRecorder()
+	recorder.Answered("school", 30*time.Millisecond)
+	recorder.Answered("school", time.Minute)
+	recorder.Refused("school", refusal.RateLimited)
+	recorder.Refused("school", refusal.TargetFailed)
+	recorder.Refused("school", refusal.InvalidKey) // the caller's own fault
+	got := recorder.Slots()[0].Counts[0]
+	if got.answered() != 2 || got.FirstToken[1] != 1 || got.FirstToken[len(Bounds)] != 1 || got.Limited != 1 || got.Failed != 1 {
+		t.Errorf("got %+v, want two answers, one limited, one failed", got)
+	}
+}
