--- a/metric/metric.go
+++ b/metric/metric.go
@@ -25,11 +25,9 @@
 	Crossed         expvar.Int
 	TargetDeaths    expvar.Int
 	StreamsBroken   expvar.Int
-	CallersGone     expvar.Int
 	PlatformCalls   expvar.Int
 	Heartbeats      expvar.Int
 	Borrows         expvar.Int
-	ControlNanos    expvar.Int // processor time that loops of the control path took, wall clock
 	Refusals        *expvar.Map
 	FirstTokenMS    *expvar.Map // requests by time to first token, upper bound in milliseconds
 	ConfigVersion   expvar.Int
@@ -72,9 +70,9 @@
 		{"requests", &set.Requests}, {"answered", &set.Answered}, {"prompt_tokens", &set.PromptTokens},
 		{"cached_tokens", &set.CachedTokens}, {"output_tokens", &set.OutputTokens}, {"retries", &set.Retries},
 		{"resumes", &set.Resumes}, {"crossed", &set.Crossed}, {"target_deaths", &set.TargetDeaths},
-		{"streams_broken", &set.StreamsBroken}, {"callers_gone", &set.CallersGone},
+		{"streams_broken", &set.StreamsBroken},
 		{"platform_calls", &set.PlatformCalls}, {"heartbeats", &set.Heartbeats}, {"borrows", &set.Borrows},
-		{"control_nanos", &set.ControlNanos}, {"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
+		{"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
 		{"config_version", &set.ConfigVersion}, {"platform_silence_ms", &set.PlatformSilence},
 	}
 	for _, entry := range named {
