Split large files and mend what a second reading found

Change: the stand-ins and the bench's fleet are split by job; any VM takes a right that had no holder for 2 s; levels of removed accounts are dropped; lost and heard VMs are logged.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -25,7 +25,6 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/operator"
 	"github.com/bramleygw/bramleygw/placement"
 	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/prefix"
@@ -294,107 +293,6 @@
 	fleet.Platform.Stop()
 }
 
-// Operator returns a client of a VM's administration API.
-func (fleet *Fleet) Operator(vm *VM) *operator.Client {
-	client, _ := operator.NewClient("http://"+vm.Settings.Operator.Address.String(), fleet.OperatorKey) // a valid URL
-	return client
-}
-
-func (fleet *Fleet) configure() error {
-	client := fleet.Operator(fleet.VMs[0])
-	if err := Await(func() bool { return client.Do("GET", "status", nil, nil) == nil && fleet.VMs[0].Router.Ready() }); err != nil {
-		return errors.Wrap(err, "first VM")
-	}
-	if err := fleet.configureTargets(client); err != nil {
-		return err
-	}
-	for i := range fleet.Layout.Accounts {
-		account := &fleet.Layout.Accounts[i]
-		if _, err := client.Create("client_accounts", account.Name, account.Account); err != nil {
-			return err
-		}
-		issued, err := client.IssueKey(account.Name+"-key", account.Name)
-		if err != nil {
-			return err
-		}
-		account.Key = issued.Key
-	}
-	return nil
-}
-
-func (fleet *Fleet) configureTargets(client *operator.Client) error {
-	for _, model := range fleet.Layout.Models {
-		spec := catalog.Model{Name: model.Name, Weights: "w1", Interactive: model.Interactive, MinTargets: 1, Accounts: fleet.usersOf(model.Name)}
-		if _, err := client.Create("models", model.Name, spec); err != nil {
-			return err
-		}
-	}
-	for i, engine := range fleet.Engines {
-		spec := catalog.Target{
-			Name: engine.Name, Kind: catalog.Engine, Address: engine.Addr(), Serves: engine.Model, Weights: "w1",
-			AvailabilityZone: fleet.Layout.Zones[i%len(fleet.Layout.Zones)], ChecksFencing: engine.ChecksFencing,
-		}
-		if _, err := client.Create("targets", engine.Name, spec); err != nil {
-			return err
-		}
-	}
-	for _, service := range fleet.Services {
-		spec := catalog.Target{Name: service.Name, Kind: catalog.Service, Address: service.Addr(), Serves: service.Name, AvailabilityZone: fleet.Layout.Zones[0]}
-		if _, err := client.Create("targets", service.Name, spec); err != nil {
-			return err
-		}
-	}
-	for _, route := range fleet.Layout.Routes {
-		if _, err := client.Create("routes", route.Name, route); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (fleet *Fleet) usersOf(model string) []string {
-	var names []string
-	for _, account := range fleet.Layout.Accounts {
-		for _, used := range account.Models {
-			if used == model {
-				names = append(names, account.Name)
-			}
-		}
-	}
-	return names
-}
-
-// awaitSettled waits until every VM knows every account and all shares of the
-// rates are held.
-func (fleet *Fleet) awaitSettled() error {
-	return Await(func() bool {
-		for _, vm := range fleet.VMs {
-			status := vm.Router.FleetStatus()
-			if len(vm.Router.Catalog().Snapshot().Accounts()) < len(fleet.Layout.Accounts) || len(status.Targets) < len(fleet.Engines) {
-				return false
-			}
-			for _, right := range status.Rights {
-				if right.Holder == "" {
-					return false
-				}
-			}
-		}
-		return true
-	})
-}
-
-// Await polls until the condition holds, or fails after a long while.
-func Await(condition func() bool) error {
-	deadline := time.Now().Add(readyTimeout)
-	for !condition() {
-		if time.Now().After(deadline) {
-			return errors.New("the fleet does not become ready; see the log events")
-		}
-		time.Sleep(readyPoll)
-	}
-	return nil
-}
-
 // Key returns the key of an account.
 func (fleet *Fleet) Key(account string) string {
 	for _, known := range fleet.Layout.Accounts {
--- a/bench/slope.go
+++ b/bench/slope.go
@@ -60,7 +60,7 @@
 }
 
 func measureIdle(layout Layout) (Slope, error) {
-	base := heap()
+	base := quietHeap()
 	fleet, err := Start(layout, nil)
 	if err != nil {
 		return Slope{}, err
@@ -98,6 +98,23 @@
 	return nil
 }
 
+const (
+	// quietBytes is the most that a process without a fleet holds.
+	quietBytes = 6 << 20
+	quietWaits = 40
+)
+
+// quietHeap waits until a former fleet is gone and returns the heap.
+func quietHeap() int64 {
+	for range quietWaits {
+		if heap() < quietBytes {
+			break
+		}
+		time.Sleep(slopeSettle / 6)
+	}
+	return heap()
+}
+
 func heap() int64 {
 	runtime.GC()
 	runtime.GC() // what finalizers freed
--- a/caller/server.go
+++ b/caller/server.go
@@ -24,7 +24,6 @@
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/completion"
 	"github.com/bramleygw/bramleygw/dispatch"
-	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
@@ -49,7 +48,6 @@
 	Members    *membership.Table
 	Dispatcher *dispatch.Dispatcher
 	Burn       *report.Recorder
-	Log        *event.Log
 	// Ready reports whether a configuration is in force.
 	Ready func() bool
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -29,7 +29,6 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
@@ -64,7 +63,6 @@
 	Keys     []settings.OperatorKey
 	Platform *platform.Client
 	Fleet    Fleet
-	Log      *event.Log
 	VM       string
 }
 
--- a/router/config.go
+++ b/router/config.go
@@ -201,5 +201,7 @@
 		}
 	}
 	router.members.List(vms, now)
+	snapshot := router.store.Snapshot()
+	router.dispatcher.Ledger.Forget(func(account string) bool { return snapshot.Account(account) != nil })
 	router.dispatcher.Targets.SetLeaving(leaving)
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -20,8 +20,10 @@
 	heartbeatTimeout  = 500 * time.Millisecond
 	// heartbeatPeers is how many VMs get a heartbeat in each interval.
 	heartbeatPeers = 2
-	notifyTimeout  = 300 * time.Millisecond
-	notifyAtOnce   = 32
+	// silentAfter is when a VM that is not heard is worth a log event.
+	silentAfter   = 5 * time.Second
+	notifyTimeout = 300 * time.Millisecond
+	notifyAtOnce  = 32
 	// fetchLag is the platform's silence from which on a VM takes newer
 	// configuration from others.
 	fetchLag = 1500 * time.Millisecond
@@ -30,6 +32,7 @@
 // runHeartbeats exchanges heartbeats with other VMs in turn.
 func (router *Router) runHeartbeats(ctx context.Context) error {
 	isolated := false
+	silent := map[string]bool{}
 	for {
 		now := time.Now()
 		var group errgroup.Group
@@ -43,12 +46,27 @@
 		}
 		_ = group.Wait() // each reports for itself
 		isolated = router.noteIsolation(isolated)
+		router.noteSilent(silent)
 		if !sleepUntil(ctx, now.Add(heartbeatInterval)) {
 			return nil
 		}
 	}
 }
 
+// noteSilent logs listed VMs that are no longer heard, and those that are again.
+func (router *Router) noteSilent(silent map[string]bool) {
+	for _, view := range router.members.Views(time.Now()) {
+		lost := view.Listed && view.HeardMS > silentAfter.Milliseconds()
+		switch {
+		case lost && !silent[view.Name]:
+			router.Log.Emit(event.PeerLost, event.F("peer", view.Name))
+		case !lost && silent[view.Name]:
+			router.Log.Emit(event.PeerHeard, event.F("peer", view.Name))
+		}
+		silent[view.Name] = lost
+	}
+}
+
 func (router *Router) noteIsolation(before bool) bool {
 	isolated := router.members.Isolated(time.Now())
 	switch {
--- a/router/rights.go
+++ b/router/rights.go
@@ -17,6 +17,8 @@
 	rightsInterval = 500 * time.Millisecond
 	// rightsPause spaces the looks after changes of configuration.
 	rightsPause = 20 * time.Millisecond
+	// orphanedAfter is how long a right has no holder until any VM takes it.
+	orphanedAfter = 2 * time.Second
 	// movesAtOnce bounds the rights that one VM hands over in one interval.
 	movesAtOnce = 2
 	// handOverTime bounds the release of what a stopping VM holds.
@@ -61,7 +63,7 @@
 			moves += router.keepRight(ctx, index, held, moves, now)
 		case held.Right == nil || held.Right.Released:
 			router.dropRight(index)
-			if router.members.Listed() && router.members.Preferred(index, now) == router.Settings.Name {
+			if router.members.Listed() && router.mayTake(index, held, now) {
 				router.takeRight(ctx, index, held, true)
 			}
 		case held.Right.Holder == router.Settings.Name:
@@ -75,6 +77,26 @@
 	}
 }
 
+// mayTake reports whether a right that nobody holds is this VM's to take: the
+// preferred VM's at once, and any VM's after a while, since VMs that hear
+// different ones may each prefer another.
+func (router *Router) mayTake(index int, held catalog.HeldRight, now time.Time) bool {
+	if router.members.Preferred(index, now) == router.Settings.Name {
+		return true
+	}
+	free := &router.free[index]
+	if free.version != held.Version || free.since.IsZero() {
+		*free = freeRight{version: held.Version, since: now}
+	}
+	return now.Sub(free.since) >= orphanedAfter
+}
+
+// freeRight is since when a right was seen without a holder.
+type freeRight struct {
+	version platform.Version
+	since   time.Time
+}
+
 func (router *Router) isMine(right *catalog.Right) bool {
 	return right != nil && right.Holder == router.Settings.Name && right.Incarnation == router.boot && !right.Released
 }
--- a/router/router.go
+++ b/router/router.go
@@ -69,6 +69,7 @@
 	returns    chan returned
 	fetches    chan netip.AddrPort
 	killed     atomic.Bool
+	free       [quota.Rights]freeRight // used by runRights alone
 }
 
 // New returns a VM with the settings.
@@ -126,7 +127,7 @@
 	}
 	router.callers = &caller.Server{
 		Listener: listener, TLS: tlsConfig, Limits: router.Settings.Limits, Catalog: router.store,
-		Members: router.members, Dispatcher: router.dispatcher, Burn: router.burn, Log: router.Log, Ready: router.ready,
+		Members: router.members, Dispatcher: router.dispatcher, Burn: router.burn, Ready: router.ready,
 	}
 	return nil
 }
@@ -138,7 +139,7 @@
 	}
 	router.operators = &operator.Server{
 		Listener: listener, TLS: tlsConfig, Limits: router.Settings.Limits, Keys: router.Settings.OperatorKeys,
-		Platform: router.platform, Fleet: router, Log: router.Log, VM: router.Settings.Name,
+		Platform: router.platform, Fleet: router, VM: router.Settings.Name,
 	}
 	return nil
 }
