--- a/bench/prompt.go
+++ b/bench/prompt.go
@@ -44,7 +44,9 @@
 	own    map[string]string // by account, model and context
 	// shift rotates which contexts are popular.
 	shift int
-	zipf  map[int]*rand.Zipf
+	// day is part of the contexts: a new one makes all of them new.
+	day  int
+	zipf map[int]*rand.Zipf
 }
 
 func newPrompts(layout Layout, seed uint64) *prompts {
@@ -114,7 +116,7 @@
 		account = prompts.pickAccount()
 	}
 	model := prompts.pickModel(account)
-	own := fmt.Sprintf("%s/%s/%d", account.Name, model.Name, prompts.context(account))
+	own := fmt.Sprintf("%s/%s/%d/%d", account.Name, model.Name, prompts.context(account), prompts.day)
 	body := chatBody{
 		Model: model.Name, MaxTokens: model.MaxTokens, Stream: streamed,
 		Messages: []chatMessage{
--- /dev/null
+++ b/bench/roll.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/operator"
+	"github.com/bramleygw/bramleygw/plan"
+)
+
+// rollModel is the model whose weights the roll scenarios change.
+const rollModel = "round-summary"
+
+// rollByPlan rolls new weights by a confirmed plan.
+func rollByPlan(run *run) {
+	client := run.fleet.Operator(run.fleet.VMs[0])
+	var item operator.Item
+	intent := plan.Intent{Action: plan.RollWeights, Model: rollModel, Weights: "w2"}
+	if client.Do("POST", "plans", intent, &item) != nil || client.Do("POST", "plans/"+item.Name+"/confirm", nil, nil) != nil {
+		run.fail("the roll was refused")
+		return
+	}
+	if Await(func() bool { return planDone(client, item.Name) }) != nil {
+		run.fail("the roll did not end")
+	}
+}
+
+func planDone(client *operator.Client, id string) bool {
+	item, err := client.Get("plans", id)
+	var current plan.Plan
+	return err == nil && json.Unmarshal(item.Spec, &current) == nil && current.State == plan.Done
+}
+
+// rollAtOnce loads all engines at the same time and then tells the VMs: what a
+// plan is measured against.
+func rollAtOnce(run *run) {
+	client := run.fleet.Operator(run.fleet.VMs[0])
+	var waiting sync.WaitGroup
+	for _, engine := range run.fleet.Engines {
+		if engine.Model == rollModel {
+			waiting.Go(func() { engine.Load("w2") })
+		}
+	}
+	waiting.Wait()
+	for _, engine := range run.fleet.Engines {
+		if engine.Model == rollModel {
+			edit(client, "targets", engine.Name, func(target *catalog.Target) { target.Weights = "w2" })
+		}
+	}
+	edit(client, "models", rollModel, func(model *catalog.Model) { model.Weights = "w2" })
+}
+
+// edit changes one object; the run's judge sees what goes wrong.
+func edit[T any](client *operator.Client, collection, name string, change func(*T)) {
+	item, err := client.Get(collection, name)
+	var value T
+	if err != nil || json.Unmarshal(item.Spec, &value) != nil {
+		return
+	}
+	change(&value)
+	item.Spec, _ = json.Marshal(value) // plain values: cannot fail
+	_, _ = client.Update(collection, item)
+}
+
+// fail records that a run is not what it should be.
+func (run *run) fail(what string) {
+	run.judge.mu.Lock()
+	defer run.judge.mu.Unlock()
+	run.judge.broken = append(run.judge.broken, what)
+}
--- a/bench/run.go
+++ b/bench/run.go
@@ -28,6 +28,8 @@
 	ExcessUntil time.Time
 	// ShiftAt moves the popular contexts.
 	ShiftAt time.Time
+	// NewDayAt makes all contexts new, as notes of a new shift are.
+	NewDayAt time.Time
 	// OneVM sends everything to the first VM.
 	OneVM bool
 	// SignOffs is calls a second to the service that may run a call once only.
@@ -105,6 +107,9 @@
 			shifted = true
 			prompts.shift = 3
 		}
+		if !run.load.NewDayAt.IsZero() && at.After(run.load.NewDayAt) {
+			prompts.day = 1
+		}
 		var account *Account
 		if excess && random.Float64() < run.load.ExcessRate/rate {
 			account = run.accountNamed(run.load.Excess)
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -25,6 +25,8 @@
 	// Shift moves the popular contexts half way.
 	Shift  bool
 	Faults []Fault
+	// Handover makes all contexts new half way.
+	Handover bool
 }
 
 const usualRate = 50 // requests a second
@@ -33,6 +35,7 @@
 var Scenarios = []Scenario{
 	{Name: "steady"},
 	{Name: "hot_shift", Shift: true},
+	{Name: "handover", Handover: true},
 	{Name: "burst", ExcessRate: 120},
 	{Name: "engine_crash", Faults: []Fault{
 		{After: 3 * time.Second, Do: crash(0)},
@@ -50,6 +53,8 @@
 		{After: 2 * time.Second, Do: platformDown},
 		{After: 8 * time.Second, Do: platformUp},
 	}},
+	{Name: "roll", Faults: []Fault{{After: time.Second, Do: rollByPlan}}},
+	{Name: "roll_at_once", Faults: []Fault{{After: time.Second, Do: rollAtOnce}}},
 	{Name: "restart_herd", Faults: []Fault{
 		{After: 2 * time.Second, Do: restartHalf},
 	}},
@@ -169,6 +174,9 @@
 	if options.Scenario.Shift {
 		load.ShiftAt = now.Add(options.Length / 2)
 	}
+	if options.Scenario.Handover {
+		load.NewDayAt = now.Add(options.Length / 2)
+	}
 	result := fleet.Run(ctx, load, options.Scenario.Faults)
 	result.Scenario, result.Policy = options.Scenario.Name, options.Policy.Name
 	return result, nil
--- a/certificate/certificate_test.go
+++ b/certificate/certificate_test.go
@@ -1,14 +1,7 @@
 package certificate
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -16,58 +9,27 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/settings"
+	"github.com/bramleygw/bramleygw/test/authority"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         []byte
-}
-
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *authority.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(der)
+	made, err := authority.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &authority{certificate, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return made
 }
 
 // issue writes a certificate with a serial number and returns its settings.
-func (authority *authority) issue(t *testing.T, dir string, serial int64) settings.TLS {
+func issue(t *testing.T, from *authority.Authority, dir string, serial int64) settings.TLS {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "vm"}, NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, authority.certificate, &key.PublicKey, authority.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
+	pair, err := from.Issue(serial)
 	if err != nil {
 		t.Fatal(err)
 	}
 	named := settings.TLS{CertificateFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key"), AuthorityFile: filepath.Join(dir, "authority")}
-	for path, text := range map[string][]byte{
-		named.CertificateFile: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
-		named.KeyFile:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}),
-		named.AuthorityFile:   authority.pem,
-	} {
+	for path, text := range map[string][]byte{named.CertificateFile: pair.Certificate, named.KeyFile: pair.Key, named.AuthorityFile: from.PEM} {
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -116,9 +78,9 @@
 
 func TestMutualAuthentication(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	server := open(t, ours.issue(t, t.TempDir(), 7)).Server()
-	good := open(t, ours.issue(t, t.TempDir(), 8)).Client()
-	stranger := open(t, theirs.issue(t, t.TempDir(), 9)).Client()
+	server := open(t, issue(t, ours, t.TempDir(), 7)).Server()
+	good := open(t, issue(t, ours, t.TempDir(), 8)).Client()
+	stranger := open(t, issue(t, theirs, t.TempDir(), 9)).Client()
 	without := &tls.Config{InsecureSkipVerify: true}
 	if got, err := handshake(t, server, good); err != nil || got != 7 {
 		t.Errorf("got %d %v, want the server's certificate 7", got, err)
@@ -129,17 +91,17 @@
 	if _, err := handshake(t, server, without); err == nil {
 		t.Error("got a connection without a certificate, want none")
 	}
-	impostor := open(t, theirs.issue(t, t.TempDir(), 10)).Server()
+	impostor := open(t, issue(t, theirs, t.TempDir(), 10)).Server()
 	if _, err := handshake(t, impostor, good); err == nil {
 		t.Error("got a connection to a server of another authority, want none")
 	}
 }
 
 func TestRotationNeedsNoRestart(t *testing.T) {
-	authority := newAuthority(t)
+	ours := newAuthority(t)
 	dir := t.TempDir()
-	source := open(t, authority.issue(t, dir, 1))
-	client := open(t, authority.issue(t, t.TempDir(), 2)).Client()
+	source := open(t, issue(t, ours, dir, 1))
+	client := open(t, issue(t, ours, t.TempDir(), 2)).Client()
 	server := source.Server()
 	rotate := func(age time.Duration) {
 		source.mu.Lock()
@@ -147,7 +109,7 @@
 		source.checked = time.Time{}
 		source.modified = source.modified.Add(-age)
 	}
-	authority.issue(t, dir, 3)
+	issue(t, ours, dir, 3)
 	rotate(time.Hour) // as if the files were an hour newer
 	if got, err := handshake(t, server, client); err != nil || got != 3 {
 		t.Errorf("got %d %v, want the rotated certificate 3", got, err)
--- a/report/report.go
+++ b/report/report.go
@@ -1,7 +1,7 @@
 // Package report counts good and bad requests and works out service-level
 // burn.
 //
-// Each VM counts in slots of five minutes, in memory, and writes its finished
+// Each VM counts in slots of five minutes (of an hour beyond two hours), in memory, and writes its finished
 // slots into one object of its own in the platform; a report adds up the
 // objects of all VMs. What a VM counted since its last write is lost when it
 // fails, at most one slot. The burn rate is the share of bad requests over the
@@ -26,6 +26,10 @@
 
 const (
 	slotTime = 5 * time.Minute
+	// fineTime is how long slots are kept apart; older ones are added up by the
+	// hour.
+	fineTime = 2 * time.Hour
+	hourTime = time.Hour
 	keepTime = 72 * time.Hour
 )
 
@@ -52,9 +56,19 @@
 	return total
 }
 
-// Slot is the counts of five minutes.
+// add adds another count of the same account.
+func (count *Count) add(other *Count) {
+	for i, number := range other.FirstToken {
+		count.FirstToken[i] += number
+	}
+	count.Failed += other.Failed
+	count.Limited += other.Limited
+}
+
+// Slot is the counts of five minutes, or of an hour that is past.
 type Slot struct {
 	Start  time.Time `json:"start"`
+	End    time.Time `json:"end"`
 	Counts []Count   `json:"counts"`
 }
 
@@ -66,9 +80,33 @@
 
 type openSlot struct {
 	start  time.Time
+	end    time.Time
 	counts map[string]*Count
 }
 
+// addUp merges slots from before the time into slots of an hour, so that three
+// days of many accounts stay small.
+func addUp(slots []*openSlot, before time.Time) []*openSlot {
+	var kept []*openSlot
+	for _, slot := range slots {
+		hour := slot.start.Truncate(hourTime)
+		last := len(kept) - 1
+		if !slot.start.Before(before) || last < 0 || kept[last].start.Truncate(hourTime) != hour {
+			kept = append(kept, slot)
+			continue
+		}
+		kept[last].end = slot.end
+		for name, count := range slot.counts {
+			if known, ok := kept[last].counts[name]; ok {
+				known.add(count)
+			} else {
+				kept[last].counts[name] = count
+			}
+		}
+	}
+	return kept
+}
+
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
 	return &Recorder{}
@@ -106,13 +144,13 @@
 	start := now.UTC().Truncate(slotTime)
 	last := len(recorder.slots) - 1
 	if last < 0 || recorder.slots[last].start.Before(start) {
-		recorder.slots = append(recorder.slots, &openSlot{start: start, counts: map[string]*Count{}})
-		last++
+		recorder.slots = addUp(recorder.slots, now.Add(-fineTime))
+		recorder.slots = append(recorder.slots, &openSlot{start: start, end: start.Add(slotTime), counts: map[string]*Count{}})
 	}
 	for len(recorder.slots) > 1 && now.Sub(recorder.slots[0].start) > keepTime {
 		recorder.slots = recorder.slots[1:]
-		last--
 	}
+	last = len(recorder.slots) - 1
 	counts := recorder.slots[last].counts
 	if counts[account] == nil {
 		counts[account] = &Count{Account: account, FirstToken: make([]int, len(Bounds)+1)}
@@ -126,7 +164,7 @@
 	defer recorder.mu.Unlock()
 	slots := make([]Slot, 0, len(recorder.slots))
 	for _, open := range recorder.slots {
-		slot := Slot{Start: open.start}
+		slot := Slot{Start: open.start, End: open.end}
 		for _, count := range open.counts {
 			copied := *count
 			copied.FirstToken = append([]int(nil), count.FirstToken...)
@@ -185,7 +223,7 @@
 func burnOver(objective *catalog.Objective, slots []Slot, since time.Time) WindowBurn {
 	var burn WindowBurn
 	for _, slot := range slots {
-		if slot.Start.Add(slotTime).Before(since) {
+		if slot.End.Before(since) {
 			continue
 		}
 		for _, count := range slot.Counts {
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -15,7 +15,7 @@
 func slot(ago time.Duration, good, slow, failed, limited int) Slot {
 	buckets := make([]int, len(Bounds)+1)
 	buckets[0], buckets[len(Bounds)] = good, slow
-	return Slot{Start: now.Add(-ago), Counts: []Count{{Account: "school", FirstToken: buckets, Failed: failed, Limited: limited}}}
+	return Slot{Start: now.Add(-ago), End: now.Add(slotTime - ago), Counts: []Count{{Account: "school", FirstToken: buckets, Failed: failed, Limited: limited}}}
 }
 
 func TestBurns(t *testing.T) {
@@ -62,3 +62,27 @@
 		t.Errorf("got %+v, want two answers, one limited, one failed", got)
 	}
 }
+
+func TestOldSlotsAreAddedUp(t *testing.T) {
+	recorder := NewRecorder()
+	const slots = 3 * 24 * 12
+	recorder.mu.Lock()
+	for i := range slots {
+		recorder.count("school", now.Add(time.Duration(i)*slotTime)).Failed++
+	}
+	recorder.mu.Unlock()
+	got := recorder.Slots()
+	if most := 72 + 24 + 2; len(got) > most {
+		t.Errorf("got %d slots after three days, want at most %d", len(got), most)
+	}
+	total := 0
+	for i, slot := range got {
+		total += slot.Counts[0].Failed
+		if i > 0 && slot.Start.Before(got[i-1].End) {
+			t.Errorf("got slot %d from %v before %v, want no overlap", i, slot.Start, got[i-1].End)
+		}
+	}
+	if total != slots {
+		t.Errorf("got %d counted, want %d", total, slots)
+	}
+}
--- a/router/config.go
+++ b/router/config.go
@@ -201,7 +201,20 @@
 		}
 	}
 	router.members.List(vms, now)
+	router.dialer.Retain(router.reachable(now))
 	snapshot := router.store.Snapshot()
 	router.dispatcher.Ledger.Forget(func(account string) bool { return snapshot.Account(account) != nil })
 	router.dispatcher.Targets.SetLeaving(leaving)
 }
+
+// reachable returns the addresses of the VMs that calls may go to.
+func (router *Router) reachable(now time.Time) map[netip.AddrPort]bool {
+	addresses := map[netip.AddrPort]bool{}
+	for _, other := range router.members.Peers(now) {
+		addresses[other.Address] = true
+	}
+	for _, seed := range router.members.Seeds() {
+		addresses[seed] = true
+	}
+	return addresses
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -68,7 +68,7 @@
 }
 
 func (router *Router) noteIsolation(before bool) bool {
-	isolated := router.members.Isolated(time.Now())
+	isolated := router.ready() && router.members.Isolated(time.Now())
 	switch {
 	case isolated && !before:
 		router.Log.Emit(event.Isolated)
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -10,6 +10,7 @@
 // cache is an engine's prefix cache: blocks with least-recently-used eviction.
 type cache struct {
 	capacity int // blocks
+	events   *eventLog
 
 	mu     sync.Mutex // guards order and blocks
 	order  *list.List // most recent first
@@ -17,7 +18,7 @@
 }
 
 func newCache(capacity int) *cache {
-	return &cache{capacity: capacity, order: list.New(), blocks: map[prefix.Hash]*list.Element{}}
+	return &cache{capacity: capacity, events: &eventLog{}, order: list.New(), blocks: map[prefix.Hash]*list.Element{}}
 }
 
 // match returns how many leading blocks of the chain are cached.
@@ -44,10 +45,13 @@
 			continue
 		}
 		cache.blocks[chain[i]] = cache.order.PushFront(chain[i])
+		cache.events.add("stored", chain[i])
 	}
 	for cache.order.Len() > cache.capacity {
 		last := cache.order.Back()
 		cache.order.Remove(last)
-		delete(cache.blocks, last.Value.(prefix.Hash))
+		evicted := last.Value.(prefix.Hash)
+		delete(cache.blocks, evicted)
+		cache.events.add("evicted", evicted)
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -195,6 +195,8 @@
 		engine.complete(ctx, completion.Text)
 	case path == "/v1/orders" && ctx.IsPost():
 		engine.order(ctx)
+	case path == "/v1/cache_events":
+		engine.cacheEvents(ctx)
 	case path == "/health":
 		engine.headers(ctx, "")
 	default:
--- a/standin/order.go
+++ b/standin/order.go
@@ -36,7 +36,7 @@
 	engine.mu.Unlock()
 	switch order.Type {
 	case "load_weights":
-		engine.load(order.Weights)
+		engine.Load(order.Weights)
 	case "drain", "undrain":
 		engine.mu.Lock()
 		engine.draining = order.Type == "drain"
@@ -55,7 +55,8 @@
 	engine.headers(ctx, "")
 }
 
-func (engine *Engine) load(weights string) {
+// Load changes the weights; the cache is lost.
+func (engine *Engine) Load(weights string) {
 	engine.mu.Lock()
 	same := engine.Weights == weights
 	engine.mu.Unlock()
