Say once what stood twice: a request's frame, quiet logs, named arguments

Cause: completions and calls began and ended their requests in the same lines, three types dropped the HTTP library's messages, and ten commands read their argument in the same way.

Change: dispatch.begin and finish, connection.Quiet, withName.

Conclusion: no change in behaviour.

--- a/caller/server.go
+++ b/caller/server.go
@@ -23,6 +23,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/dispatch"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/refusal"
@@ -95,7 +96,7 @@
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       discard{},
+		Logger:                       connection.Quiet{},
 	}
 }
 
@@ -118,12 +119,6 @@
 	return errors.Wrap(http.ShutdownWithContext(ctx), "stop serving callers")
 }
 
-// discard drops the HTTP library's messages about callers' broken connections.
-type discard struct{}
-
-// Printf implements fasthttp.Logger.
-func (discard) Printf(string, ...any) {}
-
 // failedRead answers requests that could not be read.
 func failedRead(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
--- a/command/cmd_key.go
+++ b/command/cmd_key.go
@@ -30,11 +30,7 @@
 		{
 			Name: "issue", Usage: "make a key; it is shown once", ArgsUsage: "NAME",
 			Flags: withOperator(&cli.StringFlag{Name: "account", Usage: "client `ACCOUNT` that it is for", Required: true}),
-			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-				name, err := argument(command, "key")
-				if err != nil {
-					return err
-				}
+			Action: withName("key", func(client *operator.Client, command *cli.Command, name string, wantJSON bool) error {
 				issued, err := client.IssueKey(name, command.String("account"))
 				if err != nil {
 					return err
@@ -45,11 +41,7 @@
 		{
 			Name: "rotate", Usage: "make a further key for the same account", ArgsUsage: "NAME",
 			Flags: withOperator(&cli.StringFlag{Name: "to", Usage: "`NAME` of the new key", Required: true}),
-			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-				name, err := argument(command, "key")
-				if err != nil {
-					return err
-				}
+			Action: withName("key", func(client *operator.Client, command *cli.Command, name string, wantJSON bool) error {
 				var issued operator.Issued
 				if err := client.Do("POST", "keys/"+name+"/rotate", rotation{Name: command.String("to")}, &issued); err != nil {
 					return err
@@ -59,11 +51,7 @@
 		},
 		{
 			Name: "withdraw", Usage: "make a key stop working at once", ArgsUsage: "NAME", Flags: withOperator(),
-			Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-				name, err := argument(command, "key")
-				if err != nil {
-					return err
-				}
+			Action: withName("key", func(client *operator.Client, command *cli.Command, name string, wantJSON bool) error {
 				var answer withdrawn
 				if err := client.Do("POST", "keys/"+name+"/withdraw", nil, &answer); err != nil {
 					return err
--- a/command/cmd_plan.go
+++ b/command/cmd_plan.go
@@ -46,11 +46,7 @@
 func planIntent(name, help, argumentName string, flags []cli.Flag, intent func(*cli.Command, string) plan.Intent) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: help, ArgsUsage: argumentName, Flags: withOperator(flags...),
-		Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-			named, err := argument(command, strings.ToLower(argumentName))
-			if err != nil {
-				return err
-			}
+		Action: withName(strings.ToLower(argumentName), func(client *operator.Client, command *cli.Command, named string, wantJSON bool) error {
 			var item operator.Item
 			if err := client.Do("POST", "plans", intent(command, named), &item); err != nil {
 				return err
@@ -64,19 +60,17 @@
 	return &cli.Command{
 		Name: name, Usage: help, ArgsUsage: "ID",
 		Flags: withOperator(&cli.BoolFlag{Name: "wait", Usage: "wait until the plan has ended"}),
-		Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-			id, err := argument(command, "plan id")
-			if err != nil {
-				return err
-			}
+		Action: withName("plan id", func(client *operator.Client, command *cli.Command, id string, wantJSON bool) error {
 			var item operator.Item
 			if err := client.Do(method, "plans/"+id+suffix, nil, &item); err != nil {
 				return err
 			}
 			if command.Bool("wait") {
-				if item, err = awaitPlan(client, id); err != nil {
+				awaited, err := awaitPlan(client, id)
+				if err != nil {
 					return err
 				}
+				item = awaited
 			}
 			return printPlan(item, wantJSON)
 		}),
--- a/command/operator.go
+++ b/command/operator.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// namedAction is what an operator command does with the object that its one
+// argument names.
+type namedAction func(client *operator.Client, command *cli.Command, named string, wantJSON bool) error
+
+// withName runs the action with the argument, which must be there.
+func withName(what string, action namedAction) cli.ActionFunc {
+	return asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
+		named, err := argument(command, what)
+		if err != nil {
+			return err
+		}
+		return action(client, command, named, wantJSON)
+	})
+}
+
 // argument returns the one argument of a command.
 func argument(command *cli.Command, what string) (string, error) {
 	if command.Args().Len() != 1 {
@@ -81,11 +96,7 @@
 			},
 			{
 				Name: "show", Usage: "show one", ArgsUsage: "NAME", Flags: withOperator(),
-				Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-					named, err := argument(command, what)
-					if err != nil {
-						return err
-					}
+				Action: withName(what, func(client *operator.Client, command *cli.Command, named string, wantJSON bool) error {
 					item, err := client.Get(collection, named)
 					if err != nil {
 						return err
@@ -95,11 +106,7 @@
 			},
 			{
 				Name: "create", Usage: "make a new one", ArgsUsage: "NAME", Flags: withOperator(flags...),
-				Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-					named, err := argument(command, what)
-					if err != nil {
-						return err
-					}
+				Action: withName(what, func(client *operator.Client, command *cli.Command, named string, wantJSON bool) error {
 					item, err := client.Create(collection, named, spec(command))
 					if err != nil {
 						return err
@@ -109,14 +116,14 @@
 			},
 			{
 				Name: "update", Usage: "change the members that flags name", ArgsUsage: "NAME", Flags: withOperator(flags...),
-				Action: asOperator(func(client *operator.Client, command *cli.Command, wantJSON bool) error {
-					return updateItem(client, command, collection, what, spec, wantJSON)
+				Action: withName(what, func(client *operator.Client, command *cli.Command, named string, wantJSON bool) error {
+					return updateItem(client, collection, named, spec(command), wantJSON)
 				}),
 			},
 			{
 				Name: "delete", Usage: "delete one", ArgsUsage: "NAME", Flags: withOperator(),
-				Action: asOperator(func(client *operator.Client, command *cli.Command, _ bool) error {
-					return deleteItem(client, command, collection, what)
+				Action: withName(what, func(client *operator.Client, _ *cli.Command, named string, _ bool) error {
+					return deleteItem(client, collection, named)
 				}),
 			},
 		},
@@ -125,11 +132,7 @@
 
 // updateItem reads an object, sets members and writes it on condition that it
 // is unchanged.
-func updateItem(client *operator.Client, command *cli.Command, collection, what string, spec func(*cli.Command) map[string]any, wantJSON bool) error {
-	named, err := argument(command, what)
-	if err != nil {
-		return err
-	}
+func updateItem(client *operator.Client, collection, named string, changes map[string]any, wantJSON bool) error {
 	item, err := client.Get(collection, named)
 	if err != nil {
 		return err
@@ -138,7 +141,7 @@
 	if err := json.Unmarshal(item.Spec, &members); err != nil {
 		return errors.Wrap(err, "read the object")
 	}
-	for member, value := range spec(command) {
+	for member, value := range changes {
 		members[member] = value
 	}
 	if item.Spec, err = json.Marshal(members); err != nil {
@@ -151,11 +154,7 @@
 	return printItems([]operator.Item{updated}, wantJSON)
 }
 
-func deleteItem(client *operator.Client, command *cli.Command, collection, what string) error {
-	named, err := argument(command, what)
-	if err != nil {
-		return err
-	}
+func deleteItem(client *operator.Client, collection, named string) error {
 	item, err := client.Get(collection, named)
 	if err != nil {
 		return err
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -47,21 +47,10 @@
 // Call runs a call to a plain service. Idempotent calls are tried again; others
 // are sent once at most. The error is a refusal.
 func (dispatcher *Dispatcher) Call(ctx context.Context, call *Call) (Answer, error) {
-	dispatcher.Metrics.Requests.Add(1)
-	dispatcher.budget.Request(call.Arrived)
-	ctx, run := dispatcher.running.begin(ctx, call.Key)
-	defer dispatcher.running.end(run)
-	deadline := dispatcher.Limits.RequestDeadline.After(call.Arrived)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	ctx, deadline, end := dispatcher.begin(ctx, call.Key, call.Arrived)
+	defer end()
 	answer, err := dispatcher.limitCall(ctx, call, deadline)
-	if err != nil {
-		refused := refusal.From(err)
-		dispatcher.Metrics.Refusals.Add(string(refused.Code), 1)
-		return answer, refused
-	}
-	dispatcher.Metrics.Answered.Add(1)
-	return answer, nil
+	return answer, dispatcher.finish(err)
 }
 
 func (dispatcher *Dispatcher) limitCall(ctx context.Context, call *Call, deadline time.Time) (Answer, error) {
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -72,21 +72,10 @@
 
 // Complete runs a request. The error is a refusal.
 func (dispatcher *Dispatcher) Complete(ctx context.Context, request *Completion) (Result, error) {
-	dispatcher.Metrics.Requests.Add(1)
-	dispatcher.budget.Request(request.Arrived)
-	ctx, run := dispatcher.running.begin(ctx, request.Key)
-	defer dispatcher.running.end(run)
-	deadline := dispatcher.Limits.RequestDeadline.After(request.Arrived)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	ctx, deadline, end := dispatcher.begin(ctx, request.Key, request.Arrived)
+	defer end()
 	result, err := dispatcher.reserveAndServe(ctx, request, deadline)
-	if err != nil {
-		refused := refusal.From(err)
-		dispatcher.Metrics.Refusals.Add(string(refused.Code), 1)
-		return result, refused
-	}
-	dispatcher.Metrics.Answered.Add(1)
-	return result, nil
+	return result, dispatcher.finish(err)
 }
 
 func (dispatcher *Dispatcher) reserveAndServe(ctx context.Context, request *Completion, deadline time.Time) (Result, error) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"github.com/bramleygw/bramleygw/placement"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/settings"
 )
@@ -96,3 +97,28 @@
 func (dispatcher *Dispatcher) InFlight() int {
 	return dispatcher.running.count()
 }
+
+// begin counts a request. Its context ends with its deadline, with its caller or
+// with its key.
+func (dispatcher *Dispatcher) begin(ctx context.Context, key string, arrived time.Time) (context.Context, time.Time, func()) {
+	dispatcher.Metrics.Requests.Add(1)
+	dispatcher.budget.Request(arrived)
+	ctx, run := dispatcher.running.begin(ctx, key)
+	deadline := dispatcher.Limits.RequestDeadline.After(arrived)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	return ctx, deadline, func() {
+		cancel()
+		dispatcher.running.end(run)
+	}
+}
+
+// finish counts how a request ended; its error becomes a refusal.
+func (dispatcher *Dispatcher) finish(err error) error {
+	if err == nil {
+		dispatcher.Metrics.Answered.Add(1)
+		return nil
+	}
+	refused := refusal.From(err)
+	dispatcher.Metrics.Refusals.Add(string(refused.Code), 1)
+	return refused
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -29,6 +29,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
@@ -76,7 +77,7 @@
 		IdleTimeout:           callTime,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                discard{},
+		Logger:                connection.Quiet{},
 	}
 	listener := server.Listener
 	if server.TLS != nil {
@@ -95,12 +96,6 @@
 	return errors.Wrap(err, "serve operators")
 }
 
-// discard drops the HTTP library's messages about broken connections.
-type discard struct{}
-
-// Printf implements fasthttp.Logger.
-func (discard) Printf(string, ...any) {}
-
 // call is one call of an operator.
 type call struct {
 	*fasthttp.RequestCtx
--- a/standin/server.go
+++ b/standin/server.go
@@ -17,6 +17,8 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/connection"
 )
 
 const maxBody = 64 << 20 // bytes
@@ -59,7 +61,7 @@
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		ReadBufferSize:        32 << 10,
-		Logger:                quiet{},
+		Logger:                connection.Quiet{},
 		ConnState:             server.track,
 	}
 	_ = http.Serve(listener) // ends when the listener is closed
@@ -106,7 +108,3 @@
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(net.Conn) {}) // the library closes it afterwards
 }
-
-type quiet struct{}
-
-func (quiet) Printf(string, ...any) {}
