--- a/standin/engine.go
+++ b/standin/engine.go
@@ -217,9 +217,6 @@
 	}
 	report, incarnation, draining, weights := engine.report, engine.incarnation, engine.draining, engine.Weights
 	engine.mu.Unlock()
-	if take(&engine.Cross) {
-		id += "-other"
-	}
 	ctx.Response.Header.Set("X-Request-Id", id)
 	ctx.Response.Header.Set("Endpoint-Load-Metrics", report)
 	ctx.Response.Header.Set("X-Incarnation", strconv.Itoa(incarnation))
@@ -245,6 +242,10 @@
 		return
 	}
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	if take(&engine.Cross) {
+		id += "-other"
+		request.Prompt = []byte("another caller's question")
+	}
 	last := -1
 	if text := ctx.Request.Header.Peek("Last-Event-Id"); len(text) > 0 {
 		last, _ = strconv.Atoi(string(text))
