--- a/test/streams/streams_test.go
+++ b/test/streams/streams_test.go
@@ -17,13 +17,15 @@
 // or crossed.
 func TestAnswersAreWholeUnderFaults(t *testing.T) {
 	cases := []struct {
-		name  string
-		fault func(*bench.Fleet)
+		name string
+		// before is brought about before the requests, fault while they run.
+		before func(*bench.Fleet)
+		fault  func(*bench.Fleet)
 	}{
-		{"no fault", func(*bench.Fleet) {}},
-		{"engine crashes", func(fleet *bench.Fleet) { fleet.Engines[0].Crash() }},
-		{"two engines crash", func(fleet *bench.Fleet) { fleet.Engines[0].Crash(); fleet.Engines[1].Crash() }},
-		{"open connections go silent", func(fleet *bench.Fleet) {
+		{"no fault", nil, func(*bench.Fleet) {}},
+		{"engine crashes", nil, func(fleet *bench.Fleet) { fleet.Engines[0].Crash() }},
+		{"two engines crash", nil, func(fleet *bench.Fleet) { fleet.Engines[0].Crash(); fleet.Engines[1].Crash() }},
+		{"open connections go silent", nil, func(fleet *bench.Fleet) {
 			for _, engine := range fleet.Engines {
 				engine.Silence.Store(time.Now().UnixNano())
 			}
@@ -32,14 +34,14 @@
 			for _, engine := range fleet.Engines {
 				engine.Cross.Store(2)
 			}
-		}},
-		{"silence, then a crash", func(fleet *bench.Fleet) {
+		}, func(*bench.Fleet) {}},
+		{"silence, then a crash", nil, func(fleet *bench.Fleet) {
 			for _, engine := range fleet.Engines {
 				engine.Silence.Store(time.Now().UnixNano())
 			}
 			fleet.Engines[0].Crash()
 		}},
-		{"platform down and an engine crashes", func(fleet *bench.Fleet) {
+		{"platform down and an engine crashes", nil, func(fleet *bench.Fleet) {
 			for _, vm := range fleet.VMs {
 				vm.Door.Cut()
 			}
@@ -49,6 +51,9 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			fleet, callers := harness.Start(t, bench.Small(3))
+			if test.before != nil {
+				test.before(fleet)
+			}
 			var waiting sync.WaitGroup
 			for i := range 12 {
 				waiting.Go(func() {
