Reach targets by TLS when they are configured so

Cause: a target with tls set was reached in plain text: nothing gave the targets' clients a TLS configuration (found by reading the change once more).

Change: targets.tls in the settings names certificate and authority; without it the system's authorities count. A test that a TLS target is never sent plain text and that one of an unknown authority is refused.

--- a/router/router.go
+++ b/router/router.go
@@ -83,7 +83,9 @@
 	_, _ = rand.Read(boot) // never fails
 	router.boot = hex.EncodeToString(boot)
 	router.started = time.Now()
-	router.build()
+	if err := router.build(); err != nil {
+		return err
+	}
 	if err := router.listenCallers(); err != nil {
 		return err
 	}
@@ -93,8 +95,13 @@
 	return router.listenPeers()
 }
 
-func (router *Router) build() {
+func (router *Router) build() error {
 	vm := router.Settings
+	targets := dispatch.NewTargets()
+	var err error
+	if targets.TLS, err = targetTLS(vm.Targets.TLS); err != nil {
+		return errors.Wrap(err, "targets")
+	}
 	if router.Policy == nil {
 		router.Policy = placement.NewPrefixAware(placement.DefaultBeliefs)
 	}
@@ -115,9 +122,23 @@
 		Ledger:  quota.NewLedger(router.mint, router),
 		Suspect: router.suspects,
 		Claims:  claim.NewBook(router.platform, vm.Name),
-		Charger: router, Targets: dispatch.NewTargets(), Metrics: router.metrics, Log: router.Log,
+		Charger: router, Targets: targets, Metrics: router.metrics, Log: router.Log,
 	}
 	router.dispatcher.Prepare()
+	return nil
+}
+
+// targetTLS returns the configuration for targets that are reached by TLS:
+// with the named certificate and authority, or with the system's authorities.
+func targetTLS(named settings.TLS) (*tls.Config, error) {
+	if !named.Enabled() {
+		return &tls.Config{MinVersion: tls.VersionTLS12}, nil
+	}
+	source, err := certificate.Open(named)
+	if err != nil {
+		return nil, err
+	}
+	return source.Client(), nil
 }
 
 func (router *Router) listenCallers() error {
--- a/settings/check.go
+++ b/settings/check.go
@@ -24,6 +24,7 @@
 		add("platform", "give the platform's address as IP:PORT")
 	}
 	faults = append(faults, checkListeners(vm)...)
+	faults = append(faults, checkTLS("targets.tls", vm.Targets.TLS)...)
 	for i, peer := range vm.Peers {
 		if !peer.IsValid() || peer.Port() == 0 {
 			add(fmt.Sprintf("peers[%d]", i), "give the VM-to-VM address of another VM as IP:PORT")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,16 +25,18 @@
 
 // VM is the settings of one process.
 type VM struct {
-	Name             string           `yaml:"name"`
-	AvailabilityZone string           `yaml:"availability_zone"`
-	Caller           Listener         `yaml:"caller"`
-	Operator         Listener         `yaml:"operator"`
-	Peer             Listener         `yaml:"peer"`
-	Platform         netip.AddrPort   `yaml:"platform"`
-	Peers            []netip.AddrPort `yaml:"peers"`
-	OperatorKeys     []OperatorKey    `yaml:"operator_keys"`
-	Limits           Limits           `yaml:"limits"`
-	Log              Log              `yaml:"log"`
+	Name             string   `yaml:"name"`
+	AvailabilityZone string   `yaml:"availability_zone"`
+	Caller           Listener `yaml:"caller"`
+	Operator         Listener `yaml:"operator"`
+	Peer             Listener `yaml:"peer"`
+	// Targets holds the TLS material for targets that are reached by TLS.
+	Targets      Targets          `yaml:"targets"`
+	Platform     netip.AddrPort   `yaml:"platform"`
+	Peers        []netip.AddrPort `yaml:"peers"`
+	OperatorKeys []OperatorKey    `yaml:"operator_keys"`
+	Limits       Limits           `yaml:"limits"`
+	Log          Log              `yaml:"log"`
 }
 
 // Listener is where one of the three surfaces listens.
@@ -43,6 +45,11 @@
 	TLS     TLS            `yaml:"tls"`
 }
 
+// Targets is how targets are reached.
+type Targets struct {
+	TLS TLS `yaml:"tls"`
+}
+
 // TLS names the environment variables that hold PEM text, or the files.
 type TLS struct {
 	CertificateEnv  string `yaml:"certificate_env"`
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -234,6 +237,32 @@
 	}
 }
 
+// A target that is reached by TLS is never sent plain text.
+func TestTargetByTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	}))
+	defer server.Close()
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	trusted := server.Client().Transport.(*http.Transport).TLSClientConfig
+	call := Call{Method: fasthttp.MethodGet, Path: "/", RequestID: "r", Deadline: time.Now().Add(5 * time.Second)}
+	client := New(address, trusted)
+	defer client.Close()
+	if head, _, err := client.Whole(t.Context(), call, nil); err != nil || head.Status != fasthttp.StatusOK {
+		t.Errorf("got %+v %v, want an answer", head, err)
+	}
+	strict := New(address, &tls.Config{MinVersion: tls.VersionTLS12})
+	defer strict.Close()
+	if _, _, err := strict.Whole(t.Context(), call, nil); err == nil {
+		t.Error("got an answer from a target of an unknown authority, want none")
+	}
+	plain := New(address, nil)
+	defer plain.Close()
+	if head, _, err := plain.Whole(t.Context(), call, nil); err == nil && head.Status == fasthttp.StatusOK {
+		t.Error("got an answer over plain text, want none")
+	}
+}
+
 func FuzzLoad(f *testing.F) {
 	for _, seed := range []string{
 		"TEXT named_metrics.queued_tokens=12, named_metrics.running=3", "TEXT cpu_utilization=0.5", "JSON {}", "TEXT =", "TEXT a=1e400", "",
