Do not count what was never sent as a try

A suspect waits until it can run alone; meanwhile it tried the dead engines again and again as their rests ended, and each refused connection used up one of its six tries. Ruled out: differing answers (they are a pure function) and the retry budget (100 at once, 12 requests).

Change: a target that did not accept the connection uses up no try, and a suspect waits for its turn until the queue deadline in place of 2 s.

Conclusion: the request goes on as long as a target is left and its deadline allows.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,11 +34,11 @@
 // it whole.
 func (job *job) tryTargets(ctx context.Context) error {
 	var last error
-	giveUp := time.Now().Add(noTargetWait)
+	began := time.Now()
 	for attempt := 0; attempt < maxAttempts; {
 		state, release := job.choose()
 		if state == nil {
-			if time.Now().After(giveUp) || !wait(ctx, attempt) {
+			if time.Now().After(job.patience(began)) || !wait(ctx, attempt) {
 				break
 			}
 			job.place.Tried = nil
@@ -56,11 +56,22 @@
 			return final
 		}
 		last = err
-		attempt++
+		if !errors.Is(err, target.ErrNotSent) { // what was not sent was no try
+			attempt++
+		}
 	}
 	return job.exhausted(ctx, last)
 }
 
+// patience returns until when the request waits for a target. A suspect waits
+// for its turn, since others run alone before it.
+func (job *job) patience(began time.Time) time.Time {
+	if job.suspect {
+		return job.dispatcher.Limits.QueueDeadline.After(began)
+	}
+	return began.Add(noTargetWait)
+}
+
 func wait(ctx context.Context, attempt int) bool {
 	now := time.Now()
 	timer := time.NewTimer(max(time.Millisecond, tryBackoff.Next(attempt+1, now).Sub(now)))
