--- a/bench/configure.go
+++ b/bench/configure.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,20 +83,29 @@
 // awaitSettled waits until every VM knows every account and all shares of the
 // rates are held.
 func (fleet *Fleet) awaitSettled() error {
-	return Await(func() bool {
-		for _, vm := range fleet.VMs {
-			status := vm.Router.FleetStatus()
-			if len(vm.Router.Catalog().Snapshot().Accounts()) < len(fleet.Layout.Accounts) || len(status.Targets) < len(fleet.Engines) {
-				return false
-			}
-			for _, right := range status.Rights {
-				if right.Holder == "" {
-					return false
-				}
+	missing := ""
+	err := Await(func() bool {
+		missing = fleet.unsettled()
+		return missing == ""
+	})
+	return errors.Wrap(err, missing)
+}
+
+// unsettled returns what the fleet still lacks; empty when it is settled.
+func (fleet *Fleet) unsettled() string {
+	for _, vm := range fleet.VMs {
+		status := vm.Router.FleetStatus()
+		accounts := len(vm.Router.Catalog().Snapshot().Accounts())
+		if accounts < len(fleet.Layout.Accounts) || len(status.Targets) < len(fleet.Engines) {
+			return fmt.Sprintf("%s knows %d accounts and %d targets at version %s", status.VM, accounts, len(status.Targets), status.Version)
+		}
+		for _, right := range status.Rights {
+			if right.Holder == "" {
+				return fmt.Sprintf("%s sees %d shares without a holder: %+v", status.VM, right.Count, status)
 			}
 		}
-		return true
-	})
+	}
+	return ""
 }
 
 // Await polls until the condition holds, or fails after a long while.
