Learn of the very first object

Cause: the cause of the fleets that did not settle, found by reading the change once more: a VM that listed an empty platform (version 0) noted version 1, to count as loaded, and watched from there. The first object has version 1 and never reached it, so that it tried to create that right for ever.

Change: the store says whether a list was taken; the version stays what it is.

Conclusion: the cause is mended where it arose.

--- a/catalog/store.go
+++ b/catalog/store.go
@@ -20,6 +20,7 @@
 	// objects holds the newest known version of each object, deletions too.
 	objects map[string]entry
 	version platform.Version
+	loaded  bool // a list was taken, be it empty
 	changed chan struct{}
 }
 
@@ -62,10 +63,19 @@
 		}
 	}
 	store.version = version
+	store.loaded = true
 	store.publish()
 	return true
 }
 
+// Loaded reports whether a list was taken. A platform without objects has
+// version 0, so that the version does not tell.
+func (store *Store) Loaded() bool {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.loaded
+}
+
 // Apply takes one change out of a watch: all changes up to its version are
 // known afterwards.
 func (store *Store) Apply(object Object) {
--- a/router/config.go
+++ b/router/config.go
@@ -140,8 +140,7 @@
 	for i, item := range list.Items {
 		objects[i] = catalog.FromPlatform(item)
 	}
-	// An empty platform has version 0, which is a configuration too.
-	if router.store.Load(objects, max(1, list.Metadata.ResourceVersion)) {
+	if router.store.Load(objects, list.Metadata.ResourceVersion) {
 		router.members.PlatformAnswered(0, time.Now())
 		router.configChanged()
 	}
--- a/router/rights.go
+++ b/router/rights.go
@@ -171,9 +171,6 @@
 	} else {
 		object, err = router.platform.Update(ctx, platform.Configs, name, held.Version, right)
 	}
-	if errors.IsAny(err, platform.ErrExists, platform.ErrConflict) {
-		router.rereadRight(ctx, name)
-	}
 	if err != nil {
 		return false
 	}
@@ -181,15 +178,6 @@
 	return true
 }
 
-// rereadRight takes a right as the platform has it: a refused condition says
-// that what this VM knows is older.
-func (router *Router) rereadRight(ctx context.Context, name string) {
-	router.metrics.PlatformCalls.Add(1)
-	if object, err := router.platform.Get(ctx, platform.Configs, name); err == nil {
-		router.store.Hint(catalog.FromPlatform(object))
-	}
-}
-
 // releaseRight stops issuing and then leaves the levels for the next holder.
 func (router *Router) releaseRight(ctx context.Context, index int, held catalog.HeldRight) {
 	levels := router.mint.Release(index, time.Now(), router.shareOf)
--- a/router/router.go
+++ b/router/router.go
@@ -234,7 +234,7 @@
 }
 
 func (router *Router) ready() bool {
-	return router.store.Snapshot().Version > 0
+	return router.store.Loaded()
 }
 
 // Kill makes the end of Run's context end the process at once, as a failure of
