--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -25,8 +25,8 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/placement"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/router"
 	"github.com/bramleygw/bramleygw/settings"
@@ -217,7 +217,7 @@
 	vm.Settings.Operator.Address = started.OperatorAddress()
 	vm.Settings.Peer.Address = started.PeerAddress()
 	vm.Router = started
-	fleet.list(vm, platform.Live)
+	fleet.list(vm, objects.Live)
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.cancel = cancel
 	vm.done = make(chan error, 1)
@@ -239,10 +239,10 @@
 	return peers
 }
 
-func (fleet *Fleet) list(vm *VM, state platform.VMState) {
-	fleet.Platform.SetVM(platform.VM{
+func (fleet *Fleet) list(vm *VM, state objects.VMState) {
+	fleet.Platform.SetVM(objects.VM{
 		Name: vm.Settings.Name, AvailabilityZone: vm.Settings.AvailabilityZone,
-		Address: vm.Settings.Peer.Address.String(), Role: platform.RoleRouter, State: state,
+		Address: vm.Settings.Peer.Address.String(), Role: objects.RoleRouter, State: state,
 	})
 }
 
@@ -251,7 +251,7 @@
 	if vm.cancel == nil {
 		return nil // it was stopped before
 	}
-	fleet.list(vm, platform.Leaving)
+	fleet.list(vm, objects.Leaving)
 	vm.cancel()
 	vm.cancel = nil
 	timer := time.NewTimer(stopTime)
@@ -305,9 +305,9 @@
 
 // Withdrawn reports whether the platform has a key as withdrawn.
 func (fleet *Fleet) Withdrawn(door *standin.Door, key string) bool {
-	client := platform.New(door.Addr())
+	client := objects.New(door.Addr())
 	defer client.Close()
-	object, err := client.Get(context.Background(), platform.Configs, catalog.ID(catalog.KindKey, key))
+	object, err := client.Get(context.Background(), objects.Configs, catalog.ID(catalog.KindKey, key))
 	var stored catalog.Key
 	return err == nil && json.Unmarshal(object.Spec, &stored) == nil && stored.Withdrawn
 }
--- a/catalog/object.go
+++ b/catalog/object.go
@@ -21,7 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -44,8 +44,8 @@
 // Object is one configuration object at one resource version.
 type Object struct {
 	// ID is KIND.NAME, the object's name in the platform.
-	ID      string           `json:"id"`
-	Version platform.Version `json:"version"`
+	ID      string          `json:"id"`
+	Version objects.Version `json:"version"`
 	// Deleted marks the deletion of the object at Version.
 	Deleted bool            `json:"deleted,omitempty"`
 	Spec    json.RawMessage `json:"spec,omitempty"`
@@ -69,7 +69,7 @@
 }
 
 // FromPlatform converts a platform object.
-func FromPlatform(object platform.Object) Object {
+func FromPlatform(object objects.Object) Object {
 	return Object{ID: object.Metadata.Name, Version: object.Metadata.ResourceVersion, Spec: object.Spec}
 }
 
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -8,14 +8,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
 // Snapshot is the configuration at one moment. It is immutable.
 type Snapshot struct {
 	// Version is the highest resource version up to which all changes are in.
-	Version platform.Version
+	Version objects.Version
 
 	accounts    map[string]*Account
 	keys        map[string]*Key // by digest
@@ -33,7 +33,7 @@
 // nobody ever held it.
 type HeldRight struct {
 	Right   *Right
-	Version platform.Version
+	Version objects.Version
 }
 
 // Account returns the named account, or nil.
@@ -120,7 +120,7 @@
 }
 
 // build makes a snapshot of the entries.
-func build(entries map[string]entry, version platform.Version) *Snapshot {
+func build(entries map[string]entry, version objects.Version) *Snapshot {
 	snapshot := &Snapshot{
 		Version:     version,
 		accounts:    map[string]*Account{},
--- a/catalog/store.go
+++ b/catalog/store.go
@@ -5,7 +5,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 // Store holds the current snapshot. It is safe for concurrent use; Snapshot
@@ -19,7 +19,7 @@
 	mu sync.Mutex // guards objects and version
 	// objects holds the newest known version of each object, deletions too.
 	objects map[string]entry
-	version platform.Version
+	version objects.Version
 	loaded  bool // a list was taken, be it empty
 	changed chan struct{}
 }
@@ -46,7 +46,7 @@
 // Load takes a complete list that is current up to the version. Objects that
 // the list lacks are deleted unless they are newer than the list. A list older
 // than the store changes nothing and returns false.
-func (store *Store) Load(objects []Object, version platform.Version) bool {
+func (store *Store) Load(objects []Object, version objects.Version) bool {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	if version < store.version {
@@ -104,7 +104,7 @@
 }
 
 // Advance notes that all changes up to the version are known.
-func (store *Store) Advance(version platform.Version) {
+func (store *Store) Advance(version objects.Version) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	if version <= store.version {
@@ -116,7 +116,7 @@
 
 // Objects returns all objects, deletions too, and the version up to which they
 // are complete, for another VM.
-func (store *Store) Objects() ([]Object, platform.Version) {
+func (store *Store) Objects() ([]Object, objects.Version) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	objects := make([]Object, 0, len(store.objects))
--- a/catalog/store_test.go
+++ b/catalog/store_test.go
@@ -9,15 +9,15 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
-func keyObject(version platform.Version, withdrawn bool) Object {
+func keyObject(version objects.Version, withdrawn bool) Object {
 	spec, _ := json.Marshal(Key{Name: "k", Account: "school", Digest: fmt.Sprintf("%064d", 1), Withdrawn: withdrawn})
 	return Object{ID: ID(KindKey, "k"), Version: version, Spec: spec}
 }
 
-func accountObject(name string, version platform.Version, rate float64) Object {
+func accountObject(name string, version objects.Version, rate float64) Object {
 	spec, _ := json.Marshal(Account{Name: name, Rate: rate, Burst: 4 * rate})
 	return Object{ID: ID(KindAccount, name), Version: version, Spec: spec}
 }
@@ -90,7 +90,7 @@
 		final := map[string]Object{}
 		for version := 1; version <= count; version++ {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
-			object := accountObject(name, platform.Version(version), float64(version))
+			object := accountObject(name, objects.Version(version), float64(version))
 			if rapid.IntRange(0, 4).Draw(t, "delete") == 0 {
 				object = Object{ID: object.ID, Version: object.Version, Deleted: true}
 			}
@@ -115,7 +115,7 @@
 				t.Fatalf("got %s present %t, want %t", id, ok, !want.Deleted)
 			}
 		}
-		if got := store.Snapshot().Version; got != platform.Version(count) {
+		if got := store.Snapshot().Version; got != objects.Version(count) {
 			t.Fatalf("got version %d, want %d", got, count)
 		}
 	})
@@ -158,7 +158,7 @@
 					if client < 2 {
 						version := 1 + i*2 + client
 						call := tick()
-						store.Hint(accountObject("a", platform.Version(version), float64(version)))
+						store.Hint(accountObject("a", objects.Version(version), float64(version)))
 						note(porcupine.Operation{ClientId: client, Input: version, Output: 0, Call: call, Return: tick()})
 						continue
 					}
@@ -203,7 +203,7 @@
 						operation.Input = 1
 						store.Hint(keyObject(50, true))
 					case client == 1:
-						store.Hint(keyObject(platform.Version(10*i+2), false))
+						store.Hint(keyObject(objects.Version(10*i+2), false))
 						continue
 					default:
 						if key := store.Snapshot().Key(fmt.Sprintf("%064d", 1)); key != nil && key.Withdrawn {
@@ -226,12 +226,12 @@
 
 func BenchmarkApplyIn3000Objects(b *testing.B) {
 	store := New()
-	var objects []Object
+	var listed []Object
 	for i := range 3000 {
-		objects = append(objects, accountObject(fmt.Sprint("a", i), platform.Version(i+1), 100))
+		listed = append(listed, accountObject(fmt.Sprint("a", i), objects.Version(i+1), 100))
 	}
-	store.Load(objects, 3000)
-	version := platform.Version(3000)
+	store.Load(listed, 3000)
+	version := objects.Version(3000)
 	b.ReportAllocs()
 	for b.Loop() {
 		version++
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -26,7 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -44,10 +44,10 @@
 
 // Objects is the part of the platform that claims need.
 type Objects interface {
-	Get(ctx context.Context, collection platform.Collection, name string) (platform.Object, error)
-	Create(ctx context.Context, collection platform.Collection, name string, spec any) (platform.Object, error)
-	Update(ctx context.Context, collection platform.Collection, name string, version platform.Version, spec any) (platform.Object, error)
-	Delete(ctx context.Context, collection platform.Collection, name string, version platform.Version) error
+	Get(ctx context.Context, collection objects.Collection, name string) (objects.Object, error)
+	Create(ctx context.Context, collection objects.Collection, name string, spec any) (objects.Object, error)
+	Update(ctx context.Context, collection objects.Collection, name string, version objects.Version, spec any) (objects.Object, error)
+	Delete(ctx context.Context, collection objects.Collection, name string, version objects.Version) error
 }
 
 // State is how far a claimed call has come.
@@ -98,7 +98,7 @@
 
 	book    *Book
 	name    string
-	version platform.Version
+	version objects.Version
 	claim   Claim
 }
 
@@ -162,17 +162,17 @@
 // or has an answer, an error when it is another's, and neither when the
 // platform did not say.
 func (ticket *Ticket) try(ctx context.Context) (bool, error) {
-	object, err := ticket.book.objects.Create(ctx, platform.Claims, ticket.name, ticket.claim)
+	object, err := ticket.book.objects.Create(ctx, objects.Claims, ticket.name, ticket.claim)
 	if err == nil {
 		ticket.version = object.Metadata.ResourceVersion
 		return true, nil
 	}
-	if !errors.Is(err, platform.ErrExists) {
+	if !errors.Is(err, objects.ErrExists) {
 		// Even a refused connection may follow a creation that took effect in an
 		// earlier attempt; the next creation finds out.
 		return false, nil
 	}
-	object, err = ticket.book.objects.Get(ctx, platform.Claims, ticket.name)
+	object, err = ticket.book.objects.Get(ctx, objects.Claims, ticket.name)
 	if err != nil {
 		return false, nil
 	}
@@ -180,7 +180,7 @@
 }
 
 // compare settles a creation that found a claim there.
-func (ticket *Ticket) compare(object platform.Object) (bool, error) {
+func (ticket *Ticket) compare(object objects.Object) (bool, error) {
 	var known Claim
 	if err := json.Unmarshal(object.Spec, &known); err != nil {
 		return false, refusal.New(refusal.OutcomeUnknown, "the record of this call is not readable; check its effect before sending it with another idempotency key")
@@ -213,8 +213,8 @@
 	done.Answer = &answer
 	var last error
 	for attempt := range attempts {
-		_, err := ticket.book.objects.Update(ctx, platform.Claims, ticket.name, ticket.version, done)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		_, err := ticket.book.objects.Update(ctx, objects.Claims, ticket.name, ticket.version, done)
+		if err == nil || errors.Is(err, objects.ErrConflict) {
 			return nil // a conflict: an earlier attempt took effect
 		}
 		last = err
@@ -229,8 +229,8 @@
 // a repeat is told that the outcome is unknown, which is safe.
 func (ticket *Ticket) Release(ctx context.Context) {
 	for attempt := range attempts {
-		err := ticket.book.objects.Delete(ctx, platform.Claims, ticket.name, ticket.version)
-		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+		err := ticket.book.objects.Delete(ctx, objects.Claims, ticket.name, ticket.version)
+		if err == nil || errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrConflict) {
 			return
 		}
 		if !pause(ctx, attempt) {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -13,86 +13,86 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
-// objects is the platform in memory.
-type objects struct {
+// fakeObjects is the platform in memory.
+type fakeObjects struct {
 	mu      sync.Mutex // guards the fields below
-	version platform.Version
-	stored  map[string]platform.Object
+	version objects.Version
+	stored  map[string]objects.Object
 	// fault, if set, is asked before and after each call takes effect.
 	fault func(call string, after bool) error
 }
 
-func newObjects() *objects {
-	return &objects{stored: map[string]platform.Object{}}
+func newObjects() *fakeObjects {
+	return &fakeObjects{stored: map[string]objects.Object{}}
 }
 
-func (objects *objects) check(call string, after bool) error {
-	if objects.fault == nil {
+func (fake *fakeObjects) check(call string, after bool) error {
+	if fake.fault == nil {
 		return nil
 	}
-	return objects.fault(call, after)
+	return fake.fault(call, after)
 }
 
-func (objects *objects) do(call string, act func() (platform.Object, error)) (platform.Object, error) {
-	objects.mu.Lock()
-	defer objects.mu.Unlock()
-	if err := objects.check(call, false); err != nil {
-		return platform.Object{}, err
+func (fake *fakeObjects) do(call string, act func() (objects.Object, error)) (objects.Object, error) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	if err := fake.check(call, false); err != nil {
+		return objects.Object{}, err
 	}
 	object, err := act()
-	if lost := objects.check(call, true); lost != nil {
-		return platform.Object{}, lost
+	if lost := fake.check(call, true); lost != nil {
+		return objects.Object{}, lost
 	}
 	return object, err
 }
 
-func (objects *objects) put(name string, spec any) platform.Object {
-	objects.version++
+func (fake *fakeObjects) put(name string, spec any) objects.Object {
+	fake.version++
 	text, _ := json.Marshal(spec)
-	object := platform.Object{Metadata: platform.Metadata{Name: name, ResourceVersion: objects.version}, Spec: text}
-	objects.stored[name] = object
+	object := objects.Object{Metadata: objects.Metadata{Name: name, ResourceVersion: fake.version}, Spec: text}
+	fake.stored[name] = object
 	return object
 }
 
-func (objects *objects) Get(_ context.Context, _ platform.Collection, name string) (platform.Object, error) {
-	return objects.do("get", func() (platform.Object, error) {
-		object, ok := objects.stored[name]
+func (fake *fakeObjects) Get(_ context.Context, _ objects.Collection, name string) (objects.Object, error) {
+	return fake.do("get", func() (objects.Object, error) {
+		object, ok := fake.stored[name]
 		if !ok {
-			return object, platform.ErrNotFound
+			return object, objects.ErrNotFound
 		}
 		return object, nil
 	})
 }
 
-func (objects *objects) Create(_ context.Context, _ platform.Collection, name string, spec any) (platform.Object, error) {
-	return objects.do("create", func() (platform.Object, error) {
-		if _, ok := objects.stored[name]; ok {
-			return platform.Object{}, platform.ErrExists
+func (fake *fakeObjects) Create(_ context.Context, _ objects.Collection, name string, spec any) (objects.Object, error) {
+	return fake.do("create", func() (objects.Object, error) {
+		if _, ok := fake.stored[name]; ok {
+			return objects.Object{}, objects.ErrExists
 		}
-		return objects.put(name, spec), nil
+		return fake.put(name, spec), nil
 	})
 }
 
-func (objects *objects) Update(_ context.Context, _ platform.Collection, name string, version platform.Version, spec any) (platform.Object, error) {
-	return objects.do("update", func() (platform.Object, error) {
-		if objects.stored[name].Metadata.ResourceVersion != version {
-			return platform.Object{}, platform.ErrConflict
+func (fake *fakeObjects) Update(_ context.Context, _ objects.Collection, name string, version objects.Version, spec any) (objects.Object, error) {
+	return fake.do("update", func() (objects.Object, error) {
+		if fake.stored[name].Metadata.ResourceVersion != version {
+			return objects.Object{}, objects.ErrConflict
 		}
-		return objects.put(name, spec), nil
+		return fake.put(name, spec), nil
 	})
 }
 
-func (objects *objects) Delete(_ context.Context, _ platform.Collection, name string, version platform.Version) error {
-	_, err := objects.do("delete", func() (platform.Object, error) {
-		if objects.stored[name].Metadata.ResourceVersion != version {
-			return platform.Object{}, platform.ErrConflict
+func (fake *fakeObjects) Delete(_ context.Context, _ objects.Collection, name string, version objects.Version) error {
+	_, err := fake.do("delete", func() (objects.Object, error) {
+		if fake.stored[name].Metadata.ResourceVersion != version {
+			return objects.Object{}, objects.ErrConflict
 		}
-		delete(objects.stored, name)
-		return platform.Object{}, nil
+		delete(fake.stored, name)
+		return objects.Object{}, nil
 	})
 	return err
 }
@@ -130,10 +130,10 @@
 		replay  bool
 	}{
 		{name: "no fault"},
-		{name: "creation's answer lost", fault: once("create", true, platform.ErrUnknown)},
-		{name: "creation lost", fault: once("create", false, platform.ErrUnknown)},
+		{name: "creation's answer lost", fault: once("create", true, objects.ErrUnknown)},
+		{name: "creation lost", fault: once("create", false, objects.ErrUnknown)},
 		{name: "creation's and reading's answers lost", fault: func() func(string, bool) error {
-			first, second := once("create", true, platform.ErrUnknown), once("get", true, platform.ErrUnknown)
+			first, second := once("create", true, objects.ErrUnknown), once("get", true, objects.ErrUnknown)
 			return func(call string, after bool) error {
 				if err := first(call, after); err != nil {
 					return err
@@ -141,9 +141,9 @@
 				return second(call, after)
 			}
 		}()},
-		{name: "throttled once", fault: once("create", false, platform.ErrThrottled)},
-		{name: "platform down", fault: always("create", platform.ErrUnavailable), code: refusal.PlatformUnavailable, outcome: refusal.NotRun},
-		{name: "reading back fails", before: claimAs("vm-2", body, time.Hour), fault: always("get", platform.ErrUnavailable), code: refusal.PlatformUnavailable, outcome: refusal.NotRun},
+		{name: "throttled once", fault: once("create", false, objects.ErrThrottled)},
+		{name: "platform down", fault: always("create", objects.ErrUnavailable), code: refusal.PlatformUnavailable, outcome: refusal.NotRun},
+		{name: "reading back fails", before: claimAs("vm-2", body, time.Hour), fault: always("get", objects.ErrUnavailable), code: refusal.PlatformUnavailable, outcome: refusal.NotRun},
 		{name: "runs elsewhere", before: claimAs("vm-2", body, time.Hour), code: refusal.InProgress, outcome: refusal.Unknown},
 		{name: "same VM sent it", before: claimAs("vm-1", body, time.Hour), code: refusal.InProgress, outcome: refusal.Unknown},
 		{name: "ran and its VM died", before: claimAs("vm-2", body, -time.Hour), code: refusal.OutcomeUnknown, outcome: refusal.Unknown},
@@ -153,12 +153,12 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				objects := newObjects()
-				book := NewBook(objects, "vm-1")
+				fake := newObjects()
+				book := NewBook(fake, "vm-1")
 				if test.before != nil {
-					test.before(NewBook(objects, "vm-2"))
+					test.before(NewBook(fake, "vm-2"))
 				}
-				objects.fault = test.fault
+				fake.fault = test.fault
 				ticket, err := book.Claim(t.Context(), "school", "key-1", body, time.Now().Add(time.Minute))
 				if test.code != "" {
 					got := refusal.From(err)
@@ -195,13 +195,13 @@
 
 func TestRecordSurvivesLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		objects := newObjects()
-		book := NewBook(objects, "vm-1")
+		fake := newObjects()
+		book := NewBook(fake, "vm-1")
 		ticket, err := book.Claim(t.Context(), "school", "key-1", nil, time.Now().Add(time.Minute))
 		if err != nil {
 			t.Fatal(err)
 		}
-		objects.fault = once("update", true, platform.ErrUnknown)
+		fake.fault = once("update", true, objects.ErrUnknown)
 		if err := ticket.Record(t.Context(), Answer{Status: 200, Body: []byte("paid")}); err != nil {
 			t.Fatalf("got %v, want the record to be settled", err)
 		}
@@ -214,13 +214,13 @@
 
 func TestReleaseLetsTheCallRunLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		objects := newObjects()
-		book := NewBook(objects, "vm-1")
+		fake := newObjects()
+		book := NewBook(fake, "vm-1")
 		ticket, err := book.Claim(t.Context(), "school", "key-1", nil, time.Now().Add(time.Minute))
 		if err != nil {
 			t.Fatal(err)
 		}
-		objects.fault = once("delete", false, platform.ErrUnavailable)
+		fake.fault = once("delete", false, objects.ErrUnavailable)
 		ticket.Release(t.Context())
 		if _, err := book.Claim(t.Context(), "school", "key-1", nil, time.Now().Add(time.Minute)); err != nil {
 			t.Errorf("got %v, want a new ticket", err)
@@ -256,15 +256,15 @@
 func TestHistoriesRunAtMostOnce(t *testing.T) {
 	for seed := range uint64(30) {
 		synctest.Test(t, func(t *testing.T) {
-			objects := newObjects()
+			fake := newObjects()
 			random := rand.New(rand.NewPCG(seed, 1))
-			objects.fault = func(string, bool) error { // called under the lock
+			fake.fault = func(string, bool) error { // called under the lock
 				if random.Float64() < 0.25 {
-					return platform.ErrUnknown
+					return objects.ErrUnknown
 				}
 				return nil
 			}
-			history := runHistory(t.Context(), objects)
+			history := runHistory(t.Context(), fake)
 			if got := porcupine.CheckOperations(atMostOnce, history); !got {
 				t.Errorf("seed %d: got a history in which a call ran twice", seed)
 			}
@@ -272,7 +272,7 @@
 	}
 }
 
-func runHistory(ctx context.Context, objects *objects) []porcupine.Operation {
+func runHistory(ctx context.Context, fake *fakeObjects) []porcupine.Operation {
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	note := func(client int, input string, output claimOutcome, call time.Time, pending bool) {
@@ -287,7 +287,7 @@
 	var waiting sync.WaitGroup
 	for vm := range 5 {
 		waiting.Go(func() {
-			book := NewBook(objects, fmt.Sprintf("vm-%d", vm))
+			book := NewBook(fake, fmt.Sprintf("vm-%d", vm))
 			for range 3 {
 				call := time.Now()
 				ticket, err := book.Claim(ctx, "school", "key-1", nil, time.Now().Add(time.Minute))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -23,7 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 const (
@@ -37,9 +37,9 @@
 
 // Objects is the part of the platform that leases need.
 type Objects interface {
-	Get(ctx context.Context, collection platform.Collection, name string) (platform.Object, error)
-	Create(ctx context.Context, collection platform.Collection, name string, spec any) (platform.Object, error)
-	Update(ctx context.Context, collection platform.Collection, name string, version platform.Version, spec any) (platform.Object, error)
+	Get(ctx context.Context, collection objects.Collection, name string) (objects.Object, error)
+	Create(ctx context.Context, collection objects.Collection, name string, spec any) (objects.Object, error)
+	Update(ctx context.Context, collection objects.Collection, name string, version objects.Version, spec any) (objects.Object, error)
 }
 
 // Spec is the object in the platform.
@@ -59,7 +59,7 @@
 
 	deadline time.Time // of the own term
 	token    uint64
-	seen     platform.Version
+	seen     objects.Version
 	seenAt   time.Time // when the seen version was first seen
 }
 
@@ -86,9 +86,9 @@
 // Try acquires or renews the lease. It returns whether it is held.
 func (lease *Lease) Try(ctx context.Context) bool {
 	asked := time.Now()
-	object, err := lease.objects.Get(ctx, platform.Leases, lease.name)
-	if errors.Is(err, platform.ErrNotFound) {
-		_, err = lease.objects.Create(ctx, platform.Leases, lease.name, Spec{Holder: lease.holder, Token: 1})
+	object, err := lease.objects.Get(ctx, objects.Leases, lease.name)
+	if errors.Is(err, objects.ErrNotFound) {
+		_, err = lease.objects.Create(ctx, objects.Leases, lease.name, Spec{Holder: lease.holder, Token: 1})
 		return lease.settle(err, asked, 1)
 	}
 	if err != nil {
@@ -101,7 +101,7 @@
 	return lease.renew(ctx, object.Metadata.ResourceVersion, spec, asked)
 }
 
-func (lease *Lease) renew(ctx context.Context, version platform.Version, spec Spec, asked time.Time) bool {
+func (lease *Lease) renew(ctx context.Context, version objects.Version, spec Spec, asked time.Time) bool {
 	if version != lease.seen {
 		lease.seen, lease.seenAt = version, asked
 	}
@@ -114,14 +114,14 @@
 		spec = Spec{Holder: lease.holder, Token: spec.Token + 1}
 	}
 	spec.Renewals++
-	_, err := lease.objects.Update(ctx, platform.Leases, lease.name, version, spec)
+	_, err := lease.objects.Update(ctx, objects.Leases, lease.name, version, spec)
 	return lease.settle(err, asked, spec.Token)
 }
 
 // settle notes the outcome of a write. After a lost answer the term is not
 // extended; the next try finds out.
 func (lease *Lease) settle(err error, asked time.Time, token uint64) bool {
-	if errors.IsAny(err, platform.ErrConflict, platform.ErrExists) {
+	if errors.IsAny(err, objects.ErrConflict, objects.ErrExists) {
 		lease.deadline = time.Time{} // another holder wrote, or a lost write of this one did
 		return false
 	}
@@ -137,7 +137,7 @@
 // called only when no order runs.
 func (lease *Lease) Release(ctx context.Context) {
 	lease.deadline = time.Time{}
-	object, err := lease.objects.Get(ctx, platform.Leases, lease.name)
+	object, err := lease.objects.Get(ctx, objects.Leases, lease.name)
 	if err != nil {
 		return
 	}
@@ -146,5 +146,5 @@
 		return
 	}
 	spec.Holder = ""
-	_, _ = lease.objects.Update(ctx, platform.Leases, lease.name, object.Metadata.ResourceVersion, spec)
+	_, _ = lease.objects.Update(ctx, objects.Leases, lease.name, object.Metadata.ResourceVersion, spec)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,59 +8,59 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 // store is one object of the platform in memory.
 type store struct {
 	mu      sync.Mutex // guards the fields below
-	version platform.Version
+	version objects.Version
 	spec    json.RawMessage
 	// down fails each call; lose loses the answer of the next write.
 	down bool
 	lose bool
 }
 
-func (store *store) object() platform.Object {
-	return platform.Object{Metadata: platform.Metadata{ResourceVersion: store.version}, Spec: store.spec}
+func (store *store) object() objects.Object {
+	return objects.Object{Metadata: objects.Metadata{ResourceVersion: store.version}, Spec: store.spec}
 }
 
-func (store *store) Get(context.Context, platform.Collection, string) (platform.Object, error) {
+func (store *store) Get(context.Context, objects.Collection, string) (objects.Object, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	if store.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	if store.version == 0 {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return store.object(), nil
 }
 
-func (store *store) write(condition platform.Version, conflict error, spec any) (platform.Object, error) {
+func (store *store) write(condition objects.Version, conflict error, spec any) (objects.Object, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	if store.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	if store.version != condition {
-		return platform.Object{}, conflict
+		return objects.Object{}, conflict
 	}
 	store.version++
 	store.spec, _ = json.Marshal(spec)
 	if store.lose {
 		store.lose = false
-		return platform.Object{}, platform.ErrUnknown
+		return objects.Object{}, objects.ErrUnknown
 	}
 	return store.object(), nil
 }
 
-func (store *store) Create(_ context.Context, _ platform.Collection, _ string, spec any) (platform.Object, error) {
-	return store.write(0, platform.ErrExists, spec)
+func (store *store) Create(_ context.Context, _ objects.Collection, _ string, spec any) (objects.Object, error) {
+	return store.write(0, objects.ErrExists, spec)
 }
 
-func (store *store) Update(_ context.Context, _ platform.Collection, _ string, version platform.Version, spec any) (platform.Object, error) {
-	return store.write(version, platform.ErrConflict, spec)
+func (store *store) Update(_ context.Context, _ objects.Collection, _ string, version objects.Version, spec any) (objects.Object, error) {
+	return store.write(version, objects.ErrConflict, spec)
 }
 
 // step is what happens in one interval.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,7 +20,7 @@
 	"sync"
 	"time"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/prefix"
 )
 
@@ -46,8 +46,8 @@
 	since    time.Time // listed or delisted since
 	heard    time.Time
 	everSeen bool
-	version  platform.Version // of its configuration, as it said last
-	silence  time.Duration    // since its last contact with the platform
+	version  objects.Version // of its configuration, as it said last
+	silence  time.Duration   // since its last contact with the platform
 }
 
 // Age tells how long ago a VM was heard.
@@ -80,13 +80,13 @@
 }
 
 // List takes the platform's list of routers.
-func (table *Table) List(vms []platform.VM, now time.Time) {
+func (table *Table) List(vms []objects.VM, now time.Time) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	listed := map[string]bool{}
 	for _, vm := range vms {
 		address, err := netip.ParseAddrPort(vm.Address)
-		if err != nil || vm.Role != platform.RoleRouter {
+		if err != nil || vm.Role != objects.RoleRouter {
 			continue
 		}
 		listed[vm.Name] = true
@@ -96,7 +96,7 @@
 		}
 		member.address = address
 		member.zone = vm.AvailabilityZone
-		member.leaving = vm.State == platform.Leaving
+		member.leaving = vm.State == objects.Leaving
 	}
 	for name, member := range table.members {
 		if member.listed && !listed[name] {
@@ -152,7 +152,7 @@
 }
 
 // Told notes what a VM said of itself.
-func (table *Table) Told(name string, version platform.Version, platformAge time.Duration) {
+func (table *Table) Told(name string, version objects.Version, platformAge time.Duration) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	member := table.member(name)
@@ -162,14 +162,14 @@
 
 // View is a VM as another one sees it.
 type View struct {
-	Name             string           `json:"name"`
-	AvailabilityZone string           `json:"availability_zone"`
-	Address          string           `json:"address"`
-	Listed           bool             `json:"listed"`
-	Leaving          bool             `json:"leaving"`
-	HeardMS          int64            `json:"heard_ms_ago"`
-	Version          platform.Version `json:"config_version"`
-	PlatformMS       int64            `json:"platform_ms_ago"`
+	Name             string          `json:"name"`
+	AvailabilityZone string          `json:"availability_zone"`
+	Address          string          `json:"address"`
+	Listed           bool            `json:"listed"`
+	Leaving          bool            `json:"leaving"`
+	HeardMS          int64           `json:"heard_ms_ago"`
+	Version          objects.Version `json:"config_version"`
+	PlatformMS       int64           `json:"platform_ms_ago"`
 }
 
 // Views returns all known VMs, ordered by name. HeardMS is -1 for a VM that was
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -15,13 +15,13 @@
 	return epoch.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func listOf(count int, leaving ...string) []platform.VM {
-	var vms []platform.VM
+func listOf(count int, leaving ...string) []objects.VM {
+	var vms []objects.VM
 	for i := range count {
-		vm := platform.VM{Name: fmt.Sprintf("vm-%d", i+1), Address: fmt.Sprintf("127.0.0.%d:1", i+1), Role: platform.RoleRouter, State: platform.Live}
+		vm := objects.VM{Name: fmt.Sprintf("vm-%d", i+1), Address: fmt.Sprintf("127.0.0.%d:1", i+1), Role: objects.RoleRouter, State: objects.Live}
 		for _, name := range leaving {
 			if name == vm.Name {
-				vm.State = platform.Leaving
+				vm.State = objects.Leaving
 			}
 		}
 		vms = append(vms, vm)
--- a/platform/client.go
+++ b/objects/client.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bufio"
--- a/platform/platform.go
+++ b/objects/objects.go
@@ -1,4 +1,4 @@
-// Package platform talks to the platform's versioned object API.
+// Package objects talks to the platform's versioned object API.
 //
 // The API follows the Kubernetes style: collections of objects with a resource
 // version, creation, conditional update and deletion, lists, watches with
@@ -7,10 +7,10 @@
 //
 // # Usage
 //
-//	client := platform.New(address)
-//	object, err := client.Create(ctx, platform.Claims, "claim-1", spec)
-//	if errors.Is(err, platform.ErrExists) { ... }
-package platform
+//	client := objects.New(address)
+//	object, err := client.Create(ctx, objects.Claims, "claim-1", spec)
+//	if errors.Is(err, objects.ErrExists) { ... }
+package objects
 
 import (
 	"encoding/json"
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -27,18 +27,18 @@
 
 // Issued is the answer: the only time that the key is shown.
 type Issued struct {
-	Name    string           `json:"name"`
-	Account string           `json:"account"`
-	Version platform.Version `json:"version"`
-	Key     string           `json:"key"`
+	Name    string          `json:"name"`
+	Account string          `json:"account"`
+	Version objects.Version `json:"version"`
+	Key     string          `json:"key"`
 }
 
 // keyView is a key as operators see it later; digests stay inside.
 type keyView struct {
-	Name      string           `json:"name"`
-	Account   string           `json:"account"`
-	Withdrawn bool             `json:"withdrawn"`
-	Version   platform.Version `json:"version"`
+	Name      string          `json:"name"`
+	Account   string          `json:"account"`
+	Withdrawn bool            `json:"withdrawn"`
+	Version   objects.Version `json:"version"`
 }
 
 // withdrawal is the answer to a withdrawal.
@@ -118,7 +118,7 @@
 func (call *call) rotateKey(name string) (any, error) {
 	known := call.server.Fleet.Catalog().Snapshot().KeyNamed(name)
 	if known == nil {
-		return nil, platform.ErrNotFound
+		return nil, objects.ErrNotFound
 	}
 	var sent issue
 	if err := json.Unmarshal(call.PostBody(), &sent); err != nil || sent.Name == "" {
--- a/operator/plans.go
+++ b/operator/plans.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/plan"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
 )
@@ -97,7 +97,7 @@
 
 // changePlan edits a plan on condition that it is unchanged in the platform.
 func (call *call) changePlan(id, verb string, edit func(*plan.Plan) error) (any, error) {
-	object, err := call.server.Platform.Get(call.context, platform.Configs, catalog.ID(catalog.KindPlan, id))
+	object, err := call.server.Platform.Get(call.context, objects.Configs, catalog.ID(catalog.KindPlan, id))
 	if err != nil {
 		return nil, err
 	}
--- a/operator/resources.go
+++ b/operator/resources.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -38,9 +38,9 @@
 
 // Item is an object as operators see it.
 type Item struct {
-	Name    string           `json:"name"`
-	Version platform.Version `json:"version"`
-	Spec    json.RawMessage  `json:"spec"`
+	Name    string          `json:"name"`
+	Version objects.Version `json:"version"`
+	Spec    json.RawMessage `json:"spec"`
 }
 
 // Page is one page of a list.
@@ -54,8 +54,8 @@
 type change struct {
 	Name string `json:"name"`
 	// Version is the one that the change was made from; required for updates.
-	Version platform.Version `json:"version"`
-	Spec    json.RawMessage  `json:"spec"`
+	Version objects.Version `json:"version"`
+	Spec    json.RawMessage `json:"spec"`
 }
 
 func (call *call) resource(resource resource, name string) (any, error) {
@@ -103,7 +103,7 @@
 func (call *call) get(kind catalog.Kind, name string) (Item, error) {
 	object, ok := call.server.Fleet.Catalog().Object(kind, name)
 	if !ok {
-		return Item{}, platform.ErrNotFound
+		return Item{}, objects.ErrNotFound
 	}
 	return itemOf(object), nil
 }
@@ -165,7 +165,7 @@
 }
 
 // write records the change and makes it.
-func (call *call) write(kind catalog.Kind, name string, version platform.Version, spec json.RawMessage) (Item, error) {
+func (call *call) write(kind catalog.Kind, name string, version objects.Version, spec json.RawMessage) (Item, error) {
 	verb := "update"
 	if version == 0 {
 		verb = "create"
@@ -174,7 +174,7 @@
 		return Item{}, err
 	}
 	object, err := call.server.Fleet.Write(call.context, kind, name, version, spec)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		return Item{}, call.conflict(kind, name, spec)
 	}
 	if err != nil {
@@ -188,11 +188,11 @@
 	if err != nil || version == 0 {
 		return nil, refusal.New(refusal.BadRequest, "give ?version= with the version that you read; read the object first")
 	}
-	if err := call.audit("delete", kind, name, platform.Version(version)); err != nil {
+	if err := call.audit("delete", kind, name, objects.Version(version)); err != nil {
 		return nil, err
 	}
-	err = call.server.Fleet.Delete(call.context, kind, name, platform.Version(version))
-	if errors.Is(err, platform.ErrConflict) {
+	err = call.server.Fleet.Delete(call.context, kind, name, objects.Version(version))
+	if errors.Is(err, objects.ErrConflict) {
 		return nil, call.conflict(kind, name, nil)
 	}
 	if err != nil {
@@ -203,9 +203,9 @@
 
 // conflict tells in what the object in force differs from the refused change.
 func (call *call) conflict(kind catalog.Kind, name string, spec json.RawMessage) error {
-	stored, err := call.server.Platform.Get(call.context, platform.Configs, catalog.ID(kind, name))
+	stored, err := call.server.Platform.Get(call.context, objects.Configs, catalog.ID(kind, name))
 	if err != nil {
-		return platform.ErrConflict
+		return objects.ErrConflict
 	}
 	message := fmt.Sprintf("%s %s was changed meanwhile and is at version %s", kind, name, stored.Metadata.ResourceVersion)
 	if differences := differences(stored.Spec, spec); len(differences) > 0 {
@@ -232,24 +232,24 @@
 
 // Audit is the record of a change.
 type Audit struct {
-	Operator string           `json:"operator"`
-	VM       string           `json:"vm"`
-	Verb     string           `json:"verb"`
-	Object   string           `json:"object"`
-	Version  platform.Version `json:"from_version"`
-	At       time.Time        `json:"at"`
+	Operator string          `json:"operator"`
+	VM       string          `json:"vm"`
+	Verb     string          `json:"verb"`
+	Object   string          `json:"object"`
+	Version  objects.Version `json:"from_version"`
+	At       time.Time       `json:"at"`
 }
 
 // audit records who asks for what; without the record, nothing is changed.
-func (call *call) audit(verb string, kind catalog.Kind, name string, version platform.Version) error {
+func (call *call) audit(verb string, kind catalog.Kind, name string, version objects.Version) error {
 	now := time.Now().UTC()
 	record := Audit{Operator: call.operator, VM: call.server.VM, Verb: verb, Object: catalog.ID(kind, name), Version: version, At: now}
 	id := fmt.Sprintf("%s-%s-%d", now.Format("20060102T150405"), call.server.VM, now.UnixNano())
-	_, err := call.server.Platform.Create(call.context, platform.Audits, id, record)
-	if errors.Is(err, platform.ErrUnknown) {
-		_, err = call.server.Platform.Create(call.context, platform.Audits, id, record)
+	_, err := call.server.Platform.Create(call.context, objects.Audits, id, record)
+	if errors.Is(err, objects.ErrUnknown) {
+		_, err = call.server.Platform.Create(call.context, objects.Audits, id, record)
 	}
-	if errors.Is(err, platform.ErrExists) {
+	if errors.Is(err, objects.ErrExists) {
 		return nil // the lost answer was of a record that was made
 	}
 	if err != nil {
@@ -260,7 +260,7 @@
 
 // audits returns the newest records.
 func (call *call) audits() (any, error) {
-	list, err := call.server.Platform.List(call.context, platform.Audits)
+	list, err := call.server.Platform.List(call.context, objects.Audits)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -30,7 +30,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/connection"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
 	"github.com/bramleygw/bramleygw/settings"
@@ -47,8 +47,8 @@
 type Fleet interface {
 	Catalog() *catalog.Store
 	// Write creates (version 0) or updates an object and puts it in force.
-	Write(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) (catalog.Object, error)
-	Delete(ctx context.Context, kind catalog.Kind, name string, version platform.Version) error
+	Write(ctx context.Context, kind catalog.Kind, name string, version objects.Version, spec any) (catalog.Object, error)
+	Delete(ctx context.Context, kind catalog.Kind, name string, version objects.Version) error
 	// Withdraw makes a key stop working, also while the platform is down.
 	Withdraw(ctx context.Context, name string) (recorded bool, err error)
 	FleetStatus() Status
@@ -62,7 +62,7 @@
 	TLS      *tls.Config
 	Limits   settings.Limits
 	Keys     []settings.OperatorKey
-	Platform *platform.Client
+	Platform *objects.Client
 	Fleet    Fleet
 	VM       string
 }
@@ -184,13 +184,13 @@
 	switch {
 	case errors.As(err, &refused):
 		return refused
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		return refusal.New(refusal.NotFound, "there is no such object; list them to see the names")
-	case errors.Is(err, platform.ErrExists):
+	case errors.Is(err, objects.ErrExists):
 		return refusal.New(refusal.Conflict, "an object of that name exists; choose another name or update it")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		return refusal.New(refusal.Conflict, "the object was changed meanwhile; read it again and repeat your change")
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, objects.ErrUnknown):
 		return refusal.New(refusal.OutcomeUnknown, "the platform's answer was lost; read the object to see whether the change took effect")
 	}
 	return refusal.New(refusal.PlatformUnavailable, "the platform does not answer; retry later").At(time.Now().Add(time.Second))
--- a/operator/status.go
+++ b/operator/status.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/bramleygw/bramleygw/membership"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 // Status is the fleet at a glance, as one VM sees it.
 type Status struct {
 	VM string `json:"vm"`
 	// Version is the configuration version in force.
-	Version   platform.Version  `json:"config_version"`
+	Version   objects.Version   `json:"config_version"`
 	VMs       []membership.View `json:"vms"`
 	Targets   []TargetStatus    `json:"targets"`
 	Rights    []RightStatus     `json:"rights"`
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -18,8 +18,8 @@
 	"google.golang.org/grpc/stats"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -148,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects)}
+	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets)}
 	for _, charge := range notice.Charges {
 		request.Charges = append(request.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
 	}
@@ -157,7 +157,7 @@
 }
 
 // Snapshot returns another VM's configuration when it is above the version.
-func (dialer *Dialer) Snapshot(ctx context.Context, address netip.AddrPort, above platform.Version) ([]catalog.Object, platform.Version, error) {
+func (dialer *Dialer) Snapshot(ctx context.Context, address netip.AddrPort, above objects.Version) ([]catalog.Object, objects.Version, error) {
 	client, err := dialer.client(address)
 	if err != nil {
 		return nil, 0, err
@@ -166,18 +166,18 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "ask for configuration")
 	}
-	var objects []catalog.Object
-	var version platform.Version
+	var received []catalog.Object
+	var version objects.Version
 	for {
 		part, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
-			return objects, version, nil
+			return received, version, nil
 		}
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "receive configuration")
 		}
-		objects = append(objects, decodeObjects(part.GetObjects())...)
-		version = platform.Version(part.GetVersion())
+		received = append(received, decodeObjects(part.GetObjects())...)
+		version = objects.Version(part.GetVersion())
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -46,7 +46,7 @@
 	handler.notices = append(handler.notices, notice)
 }
 
-func (handler *handler) Objects() ([]catalog.Object, platform.Version) {
+func (handler *handler) Objects() ([]catalog.Object, objects.Version) {
 	return handler.objects, 9
 }
 
@@ -75,7 +75,7 @@
 func TestContract(t *testing.T) {
 	handler := &handler{}
 	for i := range 3*partObjects + 1 { // several parts
-		handler.objects = append(handler.objects, catalog.Object{ID: "client_account.a", Version: platform.Version(i), Spec: []byte(`{}`)})
+		handler.objects = append(handler.objects, catalog.Object{ID: "client_account.a", Version: objects.Version(i), Spec: []byte(`{}`)})
 	}
 	dialer, address, _ := start(t, handler)
 	ctx := t.Context()
--- a/peer/server.go
+++ b/peer/server.go
@@ -28,8 +28,8 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -46,9 +46,30 @@
 type Beat struct {
 	Name        string
 	Address     netip.AddrPort
-	Version     platform.Version
+	Version     objects.Version
 	PlatformAge time.Duration
 	Heard       []PeerAge
+	// Boot tells the sender's process from earlier ones of its VM.
+	Boot     string
+	Spending []Spending
+	Targets  []TargetNews
+}
+
+// Spending is one account's tokens at a VM since its process started.
+type Spending struct {
+	Account string
+	// Spent was admitted; Wanted was asked for, whether admitted or not.
+	Spent  float64
+	Wanted float64
+}
+
+// TargetNews is what a VM learned of a target before the platform's list tells
+// it: the weights version that it has, and whether it takes new ones.
+type TargetNews struct {
+	Target  string
+	Model   string
+	Weights uint64
+	Rolling bool
 }
 
 // PeerAge tells how long ago a VM was heard.
@@ -67,6 +88,7 @@
 type Notice struct {
 	Objects []catalog.Object
 	Charges []Charge
+	Targets []TargetNews
 }
 
 // Handler is what a VM does for others.
@@ -75,7 +97,7 @@
 	Lend(right int, share quota.Share, least, want float64) quota.Grant
 	TakeBack(right int, share quota.Share, tokens float64)
 	Notified(notice Notice)
-	Objects() ([]catalog.Object, platform.Version)
+	Objects() ([]catalog.Object, objects.Version)
 }
 
 // Server serves other VMs. The exported fields are set before Run.
@@ -134,7 +156,7 @@
 
 // Notify implements peerpb.PeerServer.
 func (service *service) Notify(_ context.Context, request *peerpb.Notice) (*peerpb.NoticeReply, error) {
-	notice := Notice{Objects: decodeObjects(request.GetObjects())}
+	notice := Notice{Objects: decodeObjects(request.GetObjects()), Targets: decodeTargets(request.GetTargets())}
 	for _, charge := range request.GetCharges() {
 		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
 	}
@@ -167,6 +189,11 @@
 	for _, heard := range beat.Heard {
 		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: heard.Name, AgeMs: uint32(heard.Age.Milliseconds())})
 	}
+	encoded.Boot = beat.Boot
+	for _, spending := range beat.Spending {
+		encoded.Spending = append(encoded.Spending, &peerpb.Spending{Account: spending.Account, Spent: spending.Spent, Wanted: spending.Wanted})
+	}
+	encoded.Targets = encodeTargets(beat.Targets)
 	return encoded
 }
 
@@ -175,15 +202,36 @@
 	beat := Beat{
 		Name:        encoded.GetName(),
 		Address:     address,
-		Version:     platform.Version(encoded.GetVersion()),
+		Version:     objects.Version(encoded.GetVersion()),
 		PlatformAge: time.Duration(encoded.GetPlatformAgeMs()) * time.Millisecond,
 	}
 	for _, heard := range encoded.GetHeard() {
 		beat.Heard = append(beat.Heard, PeerAge{Name: heard.GetName(), Age: time.Duration(heard.GetAgeMs()) * time.Millisecond})
 	}
+	beat.Boot = encoded.GetBoot()
+	for _, spending := range encoded.GetSpending() {
+		beat.Spending = append(beat.Spending, Spending{Account: spending.GetAccount(), Spent: spending.GetSpent(), Wanted: spending.GetWanted()})
+	}
+	beat.Targets = decodeTargets(encoded.GetTargets())
 	return beat
 }
 
+func encodeTargets(targets []TargetNews) []*peerpb.TargetNews {
+	encoded := make([]*peerpb.TargetNews, len(targets))
+	for i, news := range targets {
+		encoded[i] = &peerpb.TargetNews{Target: news.Target, Model: news.Model, Weights: news.Weights, Rolling: news.Rolling}
+	}
+	return encoded
+}
+
+func decodeTargets(encoded []*peerpb.TargetNews) []TargetNews {
+	decoded := make([]TargetNews, len(encoded))
+	for i, news := range encoded {
+		decoded[i] = TargetNews{Target: news.GetTarget(), Model: news.GetModel(), Weights: news.GetWeights(), Rolling: news.GetRolling()}
+	}
+	return decoded
+}
+
 func encodeObjects(objects []catalog.Object) []*peerpb.Object {
 	encoded := make([]*peerpb.Object, len(objects))
 	for i, object := range objects {
@@ -193,14 +241,14 @@
 }
 
 func decodeObjects(encoded []*peerpb.Object) []catalog.Object {
-	objects := make([]catalog.Object, len(encoded))
+	decoded := make([]catalog.Object, len(encoded))
 	for i, object := range encoded {
-		objects[i] = catalog.Object{
+		decoded[i] = catalog.Object{
 			ID:      object.GetId(),
-			Version: platform.Version(object.GetVersion()),
+			Version: objects.Version(object.GetVersion()),
 			Deleted: object.GetDeleted(),
 			Spec:    object.GetSpec(),
 		}
 	}
-	return objects
+	return decoded
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -24,7 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -102,8 +102,8 @@
 
 // Ground is an object version that a plan rests on.
 type Ground struct {
-	ID      string           `json:"id"`
-	Version platform.Version `json:"version"`
+	ID      string          `json:"id"`
+	Version objects.Version `json:"version"`
 }
 
 // Plan is the stored object.
--- a/plan/runner.go
+++ b/plan/runner.go
@@ -12,7 +12,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 const (
@@ -53,9 +53,9 @@
 	Catalog() *catalog.Store
 	// Change writes a configuration object on condition of its version and
 	// makes it known.
-	Change(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) error
+	Change(ctx context.Context, kind catalog.Kind, name string, version objects.Version, spec any) error
 	// Delete removes an object on condition of its version.
-	Delete(ctx context.Context, kind catalog.Kind, name string, version platform.Version) error
+	Delete(ctx context.Context, kind catalog.Kind, name string, version objects.Version) error
 	// LoadWeights orders an engine to load; it returns when it has.
 	LoadWeights(ctx context.Context, target, weights string, token uint64, deadline time.Time) error
 	// Status asks a target.
@@ -117,7 +117,7 @@
 // stored is a plan with the version of its object.
 type stored struct {
 	Plan
-	version platform.Version
+	version objects.Version
 }
 
 // active returns the plans to carry out, the oldest first.
@@ -299,7 +299,7 @@
 				break
 			}
 			err := runner.Fleet.Delete(ctx, catalog.KindTarget, name, object.Version)
-			if err == nil || errors.Is(err, platform.ErrNotFound) {
+			if err == nil || errors.Is(err, objects.ErrNotFound) {
 				break
 			}
 			pause(ctx, nil, true)
--- a/router/chores.go
+++ b/router/chores.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quarantine"
 )
 
@@ -44,7 +44,7 @@
 func (router *Router) keepQuarantine(ctx context.Context, digest quarantine.Digest) {
 	entry := catalog.Quarantine{Digest: string(digest), Until: router.suspects.Until(digest).UTC().Round(time.Second)}
 	router.metrics.PlatformCalls.Add(1)
-	object, err := router.platform.Create(ctx, platform.Configs, catalog.ID(catalog.KindQuarantine, string(digest)), entry)
+	object, err := router.platform.Create(ctx, objects.Configs, catalog.ID(catalog.KindQuarantine, string(digest)), entry)
 	if err == nil {
 		router.Publish(ctx, catalog.FromPlatform(object))
 	}
--- a/router/config.go
+++ b/router/config.go
@@ -10,7 +10,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/retry"
 )
 
@@ -51,7 +51,7 @@
 		if time.Since(began) > quietAfter {
 			attempt, down = 0, false // it worked for a while
 		}
-		if !down && !errors.Is(err, platform.ErrGone) {
+		if !down && !errors.Is(err, objects.ErrGone) {
 			down = true
 			router.Log.Emit(event.PlatformDown, event.Err(err))
 		}
@@ -115,7 +115,7 @@
 	from := router.store.Snapshot().Version
 	router.metrics.PlatformCalls.Add(1)
 	heard := false
-	err := router.platform.Watch(ctx, platform.Configs, from, func(change platform.WatchEvent) error {
+	err := router.platform.Watch(ctx, objects.Configs, from, func(change objects.WatchEvent) error {
 		if !heard {
 			heard = true
 			router.Log.Emit(event.PlatformUp)
@@ -123,7 +123,7 @@
 		router.take(change)
 		return nil
 	})
-	if errors.Is(err, platform.ErrGone) {
+	if errors.Is(err, objects.ErrGone) {
 		router.Log.Emit(event.WatchGone)
 		return errors.CombineErrors(router.list(ctx), err)
 	}
@@ -132,7 +132,7 @@
 
 func (router *Router) list(ctx context.Context) error {
 	router.metrics.PlatformCalls.Add(1)
-	list, err := router.platform.List(ctx, platform.Configs)
+	list, err := router.platform.List(ctx, objects.Configs)
 	if err != nil {
 		return err
 	}
@@ -148,12 +148,12 @@
 }
 
 // take applies one watch event.
-func (router *Router) take(change platform.WatchEvent) {
+func (router *Router) take(change objects.WatchEvent) {
 	router.members.PlatformAnswered(0, time.Now())
 	switch change.Type {
-	case platform.Bookmark:
+	case objects.Bookmark:
 		router.store.Advance(change.Object.Metadata.ResourceVersion)
-	case platform.Deleted:
+	case objects.Deleted:
 		object := catalog.FromPlatform(change.Object)
 		object.Deleted = true
 		router.store.Apply(object)
@@ -181,21 +181,21 @@
 
 func (router *Router) readVMs(ctx context.Context) {
 	router.metrics.PlatformCalls.Add(1)
-	list, err := router.platform.List(ctx, platform.VMs)
+	list, err := router.platform.List(ctx, objects.VMs)
 	now := time.Now()
 	router.metrics.PlatformSilence.Set(router.members.PlatformAge(now).Milliseconds())
 	if err != nil {
 		return
 	}
-	vms := make([]platform.VM, 0, len(list.Items))
+	vms := make([]objects.VM, 0, len(list.Items))
 	leaving := map[string]bool{}
 	for _, item := range list.Items {
-		var vm platform.VM
+		var vm objects.VM
 		if json.Unmarshal(item.Spec, &vm) != nil {
 			continue
 		}
 		vms = append(vms, vm)
-		if vm.Role == platform.RoleTarget && vm.State == platform.Leaving {
+		if vm.Role == objects.RoleTarget && vm.State == objects.Leaving {
 			leaving[vm.Name] = true
 		}
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -9,8 +9,8 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 )
@@ -134,7 +134,7 @@
 }
 
 // Objects implements peer.Handler.
-func (router *Router) Objects() ([]catalog.Object, platform.Version) {
+func (router *Router) Objects() ([]catalog.Object, objects.Version) {
 	return router.store.Objects()
 }
 
--- a/router/plans.go
+++ b/router/plans.go
@@ -10,8 +10,8 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/lease"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/plan"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/target"
 )
 
@@ -42,23 +42,23 @@
 }
 
 // Change implements plan.Fleet and operator.Fleet.
-func (router *Router) Change(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) error {
+func (router *Router) Change(ctx context.Context, kind catalog.Kind, name string, version objects.Version, spec any) error {
 	_, err := router.Write(ctx, kind, name, version, spec)
 	return err
 }
 
 // Write creates an object when the version is 0, or updates it on condition of
 // its version, and puts it in force.
-func (router *Router) Write(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any) (catalog.Object, error) {
+func (router *Router) Write(ctx context.Context, kind catalog.Kind, name string, version objects.Version, spec any) (catalog.Object, error) {
 	router.metrics.PlatformCalls.Add(1)
-	var written platform.Object
+	var written objects.Object
 	var err error
 	if version == 0 {
-		written, err = router.platform.Create(ctx, platform.Configs, catalog.ID(kind, name), spec)
+		written, err = router.platform.Create(ctx, objects.Configs, catalog.ID(kind, name), spec)
 	} else {
-		written, err = router.platform.Update(ctx, platform.Configs, catalog.ID(kind, name), version, spec)
+		written, err = router.platform.Update(ctx, objects.Configs, catalog.ID(kind, name), version, spec)
 	}
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objects.ErrUnknown) {
 		written, err = router.readBack(ctx, kind, name, version, spec, err)
 	}
 	if err != nil {
@@ -71,29 +71,29 @@
 
 // readBack settles a write whose answer was lost: it took effect when the
 // object has the new content at a later version.
-func (router *Router) readBack(ctx context.Context, kind catalog.Kind, name string, version platform.Version, spec any, lost error) (platform.Object, error) {
+func (router *Router) readBack(ctx context.Context, kind catalog.Kind, name string, version objects.Version, spec any, lost error) (objects.Object, error) {
 	router.metrics.PlatformCalls.Add(1)
-	object, err := router.platform.Get(ctx, platform.Configs, catalog.ID(kind, name))
+	object, err := router.platform.Get(ctx, objects.Configs, catalog.ID(kind, name))
 	if err != nil {
-		return platform.Object{}, lost
+		return objects.Object{}, lost
 	}
 	want, err := json.Marshal(spec)
 	if err != nil {
-		return platform.Object{}, lost
+		return objects.Object{}, lost
 	}
 	if object.Metadata.ResourceVersion > version && string(object.Spec) == string(want) {
 		return object, nil
 	}
 	if object.Metadata.ResourceVersion == version {
-		return platform.Object{}, lost
+		return objects.Object{}, lost
 	}
-	return platform.Object{}, platform.ErrConflict
+	return objects.Object{}, objects.ErrConflict
 }
 
 // Delete implements plan.Fleet and operator.Fleet.
-func (router *Router) Delete(ctx context.Context, kind catalog.Kind, name string, version platform.Version) error {
+func (router *Router) Delete(ctx context.Context, kind catalog.Kind, name string, version objects.Version) error {
 	router.metrics.PlatformCalls.Add(1)
-	return router.platform.Delete(ctx, platform.Configs, catalog.ID(kind, name), version)
+	return router.platform.Delete(ctx, objects.Configs, catalog.ID(kind, name), version)
 }
 
 // order is the body of an order to an engine.
--- a/router/rights.go
+++ b/router/rights.go
@@ -9,7 +9,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -93,7 +93,7 @@
 
 // freeRight is since when a right was seen without a holder.
 type freeRight struct {
-	version platform.Version
+	version objects.Version
 	since   time.Time
 }
 
@@ -164,12 +164,12 @@
 func (router *Router) recordRight(ctx context.Context, index int, held catalog.HeldRight, right catalog.Right) bool {
 	name := catalog.ID(catalog.KindRight, fmt.Sprintf("%02d", index))
 	router.metrics.PlatformCalls.Add(1)
-	var object platform.Object
+	var object objects.Object
 	var err error
 	if held.Right == nil {
-		object, err = router.platform.Create(ctx, platform.Configs, name, right)
+		object, err = router.platform.Create(ctx, objects.Configs, name, right)
 	} else {
-		object, err = router.platform.Update(ctx, platform.Configs, name, held.Version, right)
+		object, err = router.platform.Update(ctx, objects.Configs, name, held.Version, right)
 	}
 	if err != nil {
 		return false
--- a/router/router.go
+++ b/router/router.go
@@ -32,10 +32,10 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/metric"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/operator"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/placement"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/report"
@@ -56,7 +56,7 @@
 	store      *catalog.Store
 	members    *membership.Table
 	mint       *quota.Mint
-	platform   *platform.Client
+	platform   *objects.Client
 	dialer     *peer.Dialer
 	metrics    *metric.Set
 	suspects   *quarantine.Book
@@ -109,7 +109,7 @@
 	router.store.OnFault = func(err error) { router.Log.Emit(event.ConfigRejected, event.Err(err)) }
 	router.members = membership.NewTable(vm.Name, vm.Peers, router.started)
 	router.mint = quota.NewMint()
-	router.platform = platform.New(vm.Platform)
+	router.platform = objects.New(vm.Platform)
 	router.metrics = metric.New(vm.Name)
 	router.suspects = quarantine.NewBook()
 	router.burn = report.NewRecorder()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/settings"
 	"github.com/bramleygw/bramleygw/standin"
 )
@@ -39,9 +39,9 @@
 	for router.Catalog().Snapshot().Account("a") == nil {
 		if router.Ready() && !made {
 			made = true
-			client := platform.New(door.Addr())
+			client := objects.New(door.Addr())
 			defer client.Close()
-			if _, err := client.Create(ctx, platform.Configs, catalog.ID(catalog.KindAccount, "a"), catalog.Account{Name: "a", Rate: 1, Burst: 4}); err != nil {
+			if _, err := client.Create(ctx, objects.Configs, catalog.ID(catalog.KindAccount, "a"), catalog.Account{Name: "a", Rate: 1, Burst: 4}); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/router/status.go
+++ b/router/status.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/operator"
 	"github.com/bramleygw/bramleygw/peer"
-	"github.com/bramleygw/bramleygw/platform"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
@@ -87,7 +87,7 @@
 func (router *Router) Withdraw(ctx context.Context, name string) (bool, error) {
 	object, ok := router.store.Object(catalog.KindKey, name)
 	if !ok {
-		return false, platform.ErrNotFound
+		return false, objects.ErrNotFound
 	}
 	var key catalog.Key
 	if err := json.Unmarshal(object.Spec, &key); err != nil {
@@ -99,10 +99,10 @@
 		if err == nil {
 			return true, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objects.ErrConflict) {
 			return false, router.withdrawWithoutPlatform(ctx, object, key)
 		}
-		stored, err := router.platform.Get(ctx, platform.Configs, object.ID)
+		stored, err := router.platform.Get(ctx, objects.Configs, object.ID)
 		if err != nil {
 			return false, router.withdrawWithoutPlatform(ctx, object, key)
 		}
@@ -129,13 +129,13 @@
 
 // recordWithdrawal writes a withdrawal that was made while the platform was
 // down; it queues itself again until that succeeds.
-func (router *Router) recordWithdrawal(ctx context.Context, key catalog.Key, version platform.Version) {
+func (router *Router) recordWithdrawal(ctx context.Context, key catalog.Key, version objects.Version) {
 	_, err := router.Write(ctx, catalog.KindKey, key.Name, version, key)
 	if err == nil {
 		return
 	}
-	if errors.Is(err, platform.ErrConflict) {
-		stored, err := router.platform.Get(ctx, platform.Configs, catalog.ID(catalog.KindKey, key.Name))
+	if errors.Is(err, objects.ErrConflict) {
+		stored, err := router.platform.Get(ctx, objects.Configs, catalog.ID(catalog.KindKey, key.Name))
 		if err == nil {
 			var known catalog.Key
 			if json.Unmarshal(stored.Spec, &known) == nil && known.Withdrawn {
@@ -179,13 +179,13 @@
 	}
 	counts := burnObject{VM: router.Settings.Name, Slots: slots}
 	router.metrics.PlatformCalls.Add(1)
-	stored, err := router.platform.Get(ctx, platform.Status, router.burnName())
-	if errors.Is(err, platform.ErrNotFound) {
-		_, _ = router.platform.Create(ctx, platform.Status, router.burnName(), counts) // the next write makes up for a lost one
+	stored, err := router.platform.Get(ctx, objects.Status, router.burnName())
+	if errors.Is(err, objects.ErrNotFound) {
+		_, _ = router.platform.Create(ctx, objects.Status, router.burnName(), counts) // the next write makes up for a lost one
 		return
 	}
 	if err == nil {
-		_, _ = router.platform.Update(ctx, platform.Status, router.burnName(), stored.Metadata.ResourceVersion, counts)
+		_, _ = router.platform.Update(ctx, objects.Status, router.burnName(), stored.Metadata.ResourceVersion, counts)
 	}
 }
 
@@ -193,7 +193,7 @@
 // the others' as they wrote them last.
 func (router *Router) Slots(ctx context.Context) ([]report.Slot, error) {
 	slots := router.burn.Slots()
-	list, err := router.platform.List(ctx, platform.Status)
+	list, err := router.platform.List(ctx, objects.Status)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/door.go
+++ b/standin/door.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 // Door is one address of the API with faults of its own, so that a test can
@@ -31,7 +31,7 @@
 func (standin *Platform) Start(address netip.AddrPort) (*Door, error) {
 	standin.mu.Lock()
 	if standin.objects == nil {
-		standin.objects = map[platform.Collection]map[string]platform.Object{}
+		standin.objects = map[objects.Collection]map[string]objects.Object{}
 		standin.changed = make(chan struct{})
 	}
 	standin.mu.Unlock()
@@ -87,7 +87,7 @@
 		standin.control(ctx, path)
 		return
 	}
-	rest, ok := strings.CutPrefix(path, platform.APIPath)
+	rest, ok := strings.CutPrefix(path, objects.APIPath)
 	if !ok {
 		fail(ctx, fasthttp.StatusNotFound, "NotFound")
 		return
@@ -102,7 +102,7 @@
 		drop(ctx)
 		return
 	}
-	standin.dispatch(ctx, door, platform.Collection(collection), name)
+	standin.dispatch(ctx, door, objects.Collection(collection), name)
 	if write && take(&door.LoseAnswers) {
 		drop(ctx)
 	}
@@ -122,7 +122,7 @@
 
 // control lets another process list VMs.
 func (standin *Platform) control(ctx *fasthttp.RequestCtx, path string) {
-	var vm platform.VM
+	var vm objects.VM
 	if path != "/standin/vms" || json.Unmarshal(ctx.PostBody(), &vm) != nil {
 		fail(ctx, fasthttp.StatusBadRequest, "BadRequest")
 		return
@@ -149,9 +149,9 @@
 	return standin.ReadsPerSecond > 0 && standin.reads > standin.ReadsPerSecond
 }
 
-func (standin *Platform) dispatch(ctx *fasthttp.RequestCtx, door *Door, collection platform.Collection, name string) {
+func (standin *Platform) dispatch(ctx *fasthttp.RequestCtx, door *Door, collection objects.Collection, name string) {
 	switch {
-	case ctx.IsGet() && collection == platform.VMs:
+	case ctx.IsGet() && collection == objects.VMs:
 		standin.listVMs(ctx)
 	case ctx.IsGet() && ctx.QueryArgs().GetBool("watch"):
 		standin.watch(ctx, door, collection)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 )
 
 const (
@@ -28,10 +28,10 @@
 	VMLag time.Duration
 
 	mu          sync.Mutex // guards the fields below
-	version     platform.Version
-	objects     map[platform.Collection]map[string]platform.Object
+	version     objects.Version
+	objects     map[objects.Collection]map[string]objects.Object
 	history     []change
-	compacted   platform.Version // history begins after it
+	compacted   objects.Version // history begins after it
 	changed     chan struct{}
 	vms         []vmChange
 	windowStart time.Time
@@ -43,13 +43,13 @@
 }
 
 type change struct {
-	collection platform.Collection
-	event      platform.WatchEvent
+	collection objects.Collection
+	event      objects.WatchEvent
 }
 
 type vmChange struct {
 	visible time.Time
-	vm      platform.VM
+	vm      objects.VM
 	gone    bool
 }
 
@@ -59,13 +59,13 @@
 }
 
 // SetVM lists a VM, visible after the lag.
-func (standin *Platform) SetVM(vm platform.VM) {
+func (standin *Platform) SetVM(vm objects.VM) {
 	standin.changeVM(vmChange{vm: vm})
 }
 
 // RemoveVM takes a VM off the list, visible after the lag.
 func (standin *Platform) RemoveVM(name string) {
-	standin.changeVM(vmChange{vm: platform.VM{Name: name}, gone: true})
+	standin.changeVM(vmChange{vm: objects.VM{Name: name}, gone: true})
 }
 
 func (standin *Platform) changeVM(change vmChange) {
@@ -86,7 +86,7 @@
 
 func (standin *Platform) listVMs(ctx *fasthttp.RequestCtx) {
 	standin.mu.Lock()
-	current := map[string]platform.VM{}
+	current := map[string]objects.VM{}
 	now := time.Now()
 	for _, change := range standin.vms {
 		if change.visible.After(now) {
@@ -98,19 +98,19 @@
 			current[change.vm.Name] = change.vm
 		}
 	}
-	list := platform.List{Metadata: platform.ListMetadata{ResourceVersion: platform.Version(len(standin.vms))}}
+	list := objects.List{Metadata: objects.ListMetadata{ResourceVersion: objects.Version(len(standin.vms))}}
 	standin.mu.Unlock()
 	for name, vm := range current {
 		spec, _ := json.Marshal(vm)
-		list.Items = append(list.Items, platform.Object{Metadata: platform.Metadata{Name: name}, Spec: spec})
+		list.Items = append(list.Items, objects.Object{Metadata: objects.Metadata{Name: name}, Spec: spec})
 	}
 	sortItems(list.Items)
 	reply(ctx, fasthttp.StatusOK, list)
 }
 
-func (standin *Platform) list(ctx *fasthttp.RequestCtx, collection platform.Collection) {
+func (standin *Platform) list(ctx *fasthttp.RequestCtx, collection objects.Collection) {
 	standin.mu.Lock()
-	list := platform.List{Metadata: platform.ListMetadata{ResourceVersion: standin.version}}
+	list := objects.List{Metadata: objects.ListMetadata{ResourceVersion: standin.version}}
 	for _, object := range standin.objects[collection] {
 		list.Items = append(list.Items, object)
 	}
@@ -119,11 +119,11 @@
 	reply(ctx, fasthttp.StatusOK, list)
 }
 
-func sortItems(items []platform.Object) {
+func sortItems(items []objects.Object) {
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
 }
 
-func (standin *Platform) get(ctx *fasthttp.RequestCtx, collection platform.Collection, name string) {
+func (standin *Platform) get(ctx *fasthttp.RequestCtx, collection objects.Collection, name string) {
 	standin.mu.Lock()
 	object, ok := standin.objects[collection][name]
 	standin.mu.Unlock()
@@ -134,8 +134,8 @@
 	reply(ctx, fasthttp.StatusOK, object)
 }
 
-func (standin *Platform) write(ctx *fasthttp.RequestCtx, collection platform.Collection, name string) {
-	var sent platform.Object
+func (standin *Platform) write(ctx *fasthttp.RequestCtx, collection objects.Collection, name string) {
+	var sent objects.Object
 	if !ctx.IsDelete() {
 		if err := json.Unmarshal(ctx.PostBody(), &sent); err != nil {
 			fail(ctx, fasthttp.StatusBadRequest, "BadRequest")
@@ -145,7 +145,7 @@
 	standin.mu.Lock()
 	defer standin.mu.Unlock()
 	if standin.objects[collection] == nil {
-		standin.objects[collection] = map[string]platform.Object{}
+		standin.objects[collection] = map[string]objects.Object{}
 	}
 	switch {
 	case ctx.IsPost():
@@ -159,18 +159,18 @@
 	}
 }
 
-func (standin *Platform) create(ctx *fasthttp.RequestCtx, collection platform.Collection, sent platform.Object) {
+func (standin *Platform) create(ctx *fasthttp.RequestCtx, collection objects.Collection, sent objects.Object) {
 	name := sent.Metadata.Name
 	if _, ok := standin.objects[collection][name]; ok {
 		fail(ctx, fasthttp.StatusConflict, "AlreadyExists")
 		return
 	}
 	sent.Metadata.CreationTimestamp = time.Now().UTC()
-	object := standin.record(collection, platform.Added, sent)
+	object := standin.record(collection, objects.Added, sent)
 	reply(ctx, fasthttp.StatusCreated, object)
 }
 
-func (standin *Platform) update(ctx *fasthttp.RequestCtx, collection platform.Collection, name string, sent platform.Object) {
+func (standin *Platform) update(ctx *fasthttp.RequestCtx, collection objects.Collection, name string, sent objects.Object) {
 	known, ok := standin.objects[collection][name]
 	if !ok {
 		fail(ctx, fasthttp.StatusNotFound, "NotFound")
@@ -181,10 +181,10 @@
 		return
 	}
 	known.Spec = sent.Spec
-	reply(ctx, fasthttp.StatusOK, standin.record(collection, platform.Modified, known))
+	reply(ctx, fasthttp.StatusOK, standin.record(collection, objects.Modified, known))
 }
 
-func (standin *Platform) remove(ctx *fasthttp.RequestCtx, collection platform.Collection, name string) {
+func (standin *Platform) remove(ctx *fasthttp.RequestCtx, collection objects.Collection, name string) {
 	known, ok := standin.objects[collection][name]
 	if !ok {
 		fail(ctx, fasthttp.StatusNotFound, "NotFound")
@@ -195,19 +195,19 @@
 		fail(ctx, fasthttp.StatusConflict, "Conflict")
 		return
 	}
-	reply(ctx, fasthttp.StatusOK, standin.record(collection, platform.Deleted, known))
+	reply(ctx, fasthttp.StatusOK, standin.record(collection, objects.Deleted, known))
 }
 
 // record stores a change and wakes the watches. The caller holds mu.
-func (standin *Platform) record(collection platform.Collection, kind platform.EventType, object platform.Object) platform.Object {
+func (standin *Platform) record(collection objects.Collection, kind objects.EventType, object objects.Object) objects.Object {
 	standin.version++
 	object.Metadata.ResourceVersion = standin.version
-	if kind == platform.Deleted {
+	if kind == objects.Deleted {
 		delete(standin.objects[collection], object.Metadata.Name)
 	} else {
 		standin.objects[collection][object.Metadata.Name] = object
 	}
-	standin.history = append(standin.history, change{collection, platform.WatchEvent{Type: kind, Object: object}})
+	standin.history = append(standin.history, change{collection, objects.WatchEvent{Type: kind, Object: object}})
 	if len(standin.history) > historyLength {
 		standin.compacted = standin.history[0].event.Object.Metadata.ResourceVersion
 		standin.history = standin.history[1:]
@@ -221,8 +221,8 @@
 	standin.changed = make(chan struct{})
 }
 
-func (standin *Platform) watch(ctx *fasthttp.RequestCtx, door *Door, collection platform.Collection) {
-	var from platform.Version
+func (standin *Platform) watch(ctx *fasthttp.RequestCtx, door *Door, collection objects.Collection) {
+	var from objects.Version
 	quoted := `"` + string(ctx.QueryArgs().Peek("resourceVersion")) + `"`
 	if json.Unmarshal([]byte(quoted), &from) != nil {
 		fail(ctx, fasthttp.StatusBadRequest, "BadRequest")
@@ -238,7 +238,7 @@
 			for _, event := range events {
 				_ = encoder.Encode(event) // a broken connection shows at the flush
 			}
-			if writer.Flush() != nil || len(events) > 0 && events[len(events)-1].Type == platform.Error {
+			if writer.Flush() != nil || len(events) > 0 && events[len(events)-1].Type == objects.Error {
 				return
 			}
 			select {
@@ -250,13 +250,13 @@
 }
 
 // since returns the events after a version, ended by a bookmark.
-func (standin *Platform) since(collection platform.Collection, from platform.Version) ([]platform.WatchEvent, platform.Version, <-chan struct{}) {
+func (standin *Platform) since(collection objects.Collection, from objects.Version) ([]objects.WatchEvent, objects.Version, <-chan struct{}) {
 	standin.mu.Lock()
 	defer standin.mu.Unlock()
 	if from < standin.compacted {
-		return []platform.WatchEvent{{Type: platform.Error}}, from, standin.changed
+		return []objects.WatchEvent{{Type: objects.Error}}, from, standin.changed
 	}
-	var events []platform.WatchEvent
+	var events []objects.WatchEvent
 	first := sort.Search(len(standin.history), func(i int) bool {
 		return standin.history[i].event.Object.Metadata.ResourceVersion > from
 	})
@@ -265,7 +265,7 @@
 			events = append(events, change.event)
 		}
 	}
-	bookmark := platform.Object{Metadata: platform.Metadata{ResourceVersion: standin.version}}
-	events = append(events, platform.WatchEvent{Type: platform.Bookmark, Object: bookmark})
+	bookmark := objects.Object{Metadata: objects.Metadata{ResourceVersion: standin.version}}
+	events = append(events, objects.WatchEvent{Type: objects.Bookmark, Object: bookmark})
 	return events, standin.version, standin.changed
 }
--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/bramleygw/bramleygw/bench"
-	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/test/harness"
 )
@@ -49,7 +49,7 @@
 		leave func(*testing.T, *bench.Fleet)
 	}{
 		{"listed as leaving by the platform", func(_ *testing.T, fleet *bench.Fleet) {
-			fleet.Platform.SetVM(platform.VM{Name: fleet.Engines[0].Name, Role: platform.RoleTarget, State: platform.Leaving})
+			fleet.Platform.SetVM(objects.VM{Name: fleet.Engines[0].Name, Role: objects.RoleTarget, State: objects.Leaving})
 		}},
 		{"drained by the operator", func(t *testing.T, fleet *bench.Fleet) {
 			client := fleet.Operator(fleet.VMs[0])
