Let targets be spoken to in another dialect, and pass answers on unchanged

Cause: the users' engines spell requests and answers in their own way, and their bodies are opaque; target.Client knew one spelling and parsed each event. Change: a Dialect fills requests and reads heads; Forward passes a stream on event by event and any other answer once it is whole; a connection on which the other end sent unasked bytes, or whose stated idle time is nearly over, is not used again; dead connections are noticed by keep-alive probes and a limit on unacknowledged bytes.

--- a/connection/closed.go
+++ b/connection/closed.go
@@ -9,6 +9,26 @@
 // reading what it sent. Connections that are not TCP underneath are never
 // reported.
 func Closed(conn net.Conn) bool {
+	return look(conn) == ended
+}
+
+// Quiet reports whether the other end has neither closed the connection nor
+// sent anything that is not read yet. Connections that are not TCP underneath
+// are always quiet.
+func Quiet(conn net.Conn) bool {
+	return look(conn) == nothing
+}
+
+// sight is what can be seen on a connection without reading.
+type sight int
+
+const (
+	nothing sight = iota
+	bytesWaiting
+	ended
+)
+
+func look(conn net.Conn) sight {
 	for {
 		wrapped, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -18,21 +38,24 @@
 	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return false
+		return nothing
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return true
+		return ended
 	}
-	closed := false
+	seen := nothing
 	err = raw.Read(func(fd uintptr) bool {
-		closed = peekClosed(int(fd))
+		seen = peek(int(fd))
 		return true
 	})
-	return closed || err != nil
+	if err != nil {
+		return ended
+	}
+	return seen
 }
 
-func peekClosed(fd int) bool {
+func peek(fd int) sight {
 	var buffer [1]byte
 	for {
 		count, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -40,10 +63,10 @@
 		case err == syscall.EINTR:
 			continue
 		case err == syscall.EAGAIN:
-			return false
-		case err != nil:
-			return true
+			return nothing
+		case err != nil || count == 0:
+			return ended
 		}
-		return count == 0
+		return bytesWaiting
 	}
 }
--- a/connection/connection.go
+++ b/connection/connection.go
@@ -21,20 +21,48 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // ErrDial marks errors from before any byte of the request was sent.
 var ErrDial = errors.New("could not connect")
 
 const (
-	dialTimeout    = time.Second
-	readBufferSize = 16 << 10
+	// dialTimeout is many round trips between availability zones.
+	dialTimeout    = 500 * time.Millisecond
+	readBufferSize = 16 << 10 // bytes
+	// A connection that lost its other end without a reset is given up after
+	// silenceBeforeProbe and probes times probeInterval, whole seconds both.
+	silenceBeforeProbe = time.Second
+	probeInterval      = time.Second
+	probes             = 2
+	// unacknowledgedLimit is how long sent bytes may stay unacknowledged.
+	unacknowledgedLimit = 2500 * time.Millisecond
 )
 
+// Dialer returns the dialer for connections to other processes. It notices
+// within a few seconds that the other end is gone without a reset.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silenceBeforeProbe, Interval: probeInterval, Count: probes},
+		Control:         limitUnacknowledged,
+	}
+}
+
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedLimit.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
 // Client is one connection and the HTTP codec on top of it. Methods other
 // than SetDeadline and Abort must not be called concurrently.
 type Client struct {
@@ -60,6 +88,7 @@
 		MaxResponseBodySize:           readBufferSize, // larger bodies are streamed
 		ReadBufferSize:                readBufferSize,
 		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
 		DisableHeaderNamesNormalizing: false,
 	}
 	return client
@@ -74,7 +103,7 @@
 		// The library found its connection closed and wants another one.
 		return nil, errors.Mark(errors.New("connection was closed"), ErrDial)
 	}
-	inner, err := net.DialTimeout("tcp", address, dialTimeout)
+	inner, err := Dialer().Dial("tcp", address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrDial)
 	}
@@ -88,9 +117,10 @@
 	return client.used
 }
 
-// Stale reports whether the other end has closed the idle connection.
+// Stale reports whether the idle connection must not be used again: the other
+// end has closed it or has sent bytes that nobody asked for.
 func (client *Client) Stale() bool {
-	return client.used && Closed(client.conn.inner())
+	return client.used && !Quiet(client.conn.inner())
 }
 
 // SetDeadline bounds each read and write from now on; a zero time lifts the
--- a/operator/server.go
+++ b/operator/server.go
@@ -77,7 +77,7 @@
 		IdleTimeout:           callTime,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                connection.Quiet{},
+		Logger:                connection.Silent{},
 	}
 	listener := server.Listener
 	if server.TLS != nil {
--- /dev/null
+++ b/roster/choose.go
@@ -0,0 +1,177 @@
+package roster
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleygw/bramleygw/prefix"
+)
+
+// The costs below are in microseconds of a caller's waiting.
+const (
+	// readCost is the time to read one token of a prompt.
+	readCost = 12
+	// runningCost is what one running request adds to a new one's wait.
+	runningCost = 2_000
+	// awayCost is what a request costs more away from the home of its prefix:
+	// the transfer of the prefix, and memory for a second copy.
+	awayCost = 40_000
+	// zoneCost is the way to another availability zone and back.
+	zoneCost = 2_000
+	// oldWeightsCost is what answers on replaced weights cost.
+	oldWeightsCost = 60_000
+	// waitingCost is what one request in a target's queue adds.
+	waitingCost = 15_000
+)
+
+// Ask is what a request wants of a target.
+type Ask struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Newest is the version that is being rolled out; targets with older ones
+	// are avoided, and not used at all when Strict is set.
+	Newest uint64
+	Strict bool
+	// Prefix identifies the shared part of the prompt; 0 when there is none.
+	Prefix uint64
+	// Tokens is the size of the prompt that no cache can hold.
+	Tokens int
+	// Repeatable requests may try a target that failed.
+	Repeatable bool
+	// Tried are the targets that had the request.
+	Tried []string
+}
+
+// Choose returns the place where the request should go, and counts it there. It
+// returns false when no target is usable.
+func (roster *Roster) Choose(ask Ask, now time.Time) (*Seat, bool) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	targets := roster.services[ask.Service]
+	home := roster.home(targets, ask, now)
+	best := roster.best(targets, ask, home, now)
+	if best == nil {
+		return nil, false
+	}
+	seat := &Seat{
+		ID: best.entry.ID, Service: best.entry.Service, Address: best.entry.Address, Zone: best.entry.Zone,
+		roster: roster, target: best, tokens: ask.Tokens, reading: true,
+	}
+	seat.Weights, _ = best.weights(ask.Model)
+	if home != nil && home != best {
+		seat.Home = home.entry.Address
+	}
+	best.begin(ask.Tokens, now)
+	return seat, true
+}
+
+// begin counts a request.
+func (target *Target) begin(tokens int, now time.Time) {
+	if target.inFlight == 0 {
+		target.heard = now
+	}
+	target.inFlight++
+	target.sinceLoad++
+	target.prefill += tokens
+	if target.suspect() {
+		target.restUntil = now.Add(lastRest)
+	}
+}
+
+// suspect reports whether the target failed lately and was not heard since.
+func (target *Target) suspect() bool {
+	return target.failures > 0 || target.failed > greyShare
+}
+
+// home returns the target that should hold the prefix: the first in rendezvous
+// order of those that work, or nil.
+func (roster *Roster) home(targets []*Target, ask Ask, now time.Time) *Target {
+	if ask.Prefix == 0 {
+		return nil
+	}
+	var home *Target
+	var most uint64
+	for _, target := range targets {
+		if !target.usable(now) || now.Before(target.restUntil) || target.suspect() {
+			continue
+		}
+		if score := prefix.Mix(ask.Prefix ^ target.seed); home == nil || score > most {
+			home, most = target, score
+		}
+	}
+	return home
+}
+
+// best returns the target with the least cost, or nil.
+func (roster *Roster) best(targets []*Target, ask Ask, home *Target, now time.Time) *Target {
+	var best *Target
+	least := 0
+	roster.turn++
+	for i := range targets {
+		target := targets[(i+int(roster.turn))%len(targets)]
+		if !target.allowed(ask, now) {
+			continue
+		}
+		cost := roster.cost(target, ask, home, now)
+		if best == nil || cost < least {
+			best, least = target, cost
+		}
+	}
+	return best
+}
+
+// allowed reports whether the target may get the request.
+func (target *Target) allowed(ask Ask, now time.Time) bool {
+	if !target.usable(now) || now.Before(target.restUntil) {
+		return false
+	}
+	if target.suspect() && (!ask.Repeatable || target.inFlight > 0) {
+		return false
+	}
+	if ask.Strict {
+		if weights, ok := target.weights(ask.Model); ok && weights < ask.Newest {
+			return false
+		}
+	}
+	for _, tried := range ask.Tried {
+		if tried == target.entry.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// cost estimates the time to the first token, and what else the choice costs.
+func (roster *Roster) cost(target *Target, ask Ask, home *Target, now time.Time) int {
+	cost := target.busy(now) * runningCost
+	if now.Sub(target.loadAt) <= loadTime {
+		cost += target.load.Waiting * waitingCost
+	}
+	if target.entry.Zone != roster.zone {
+		cost += zoneCost
+	}
+	if ask.Model == "" {
+		return cost
+	}
+	cost += target.prefill * readCost
+	if home != nil && target != home {
+		cost += awayCost
+	}
+	if weights, ok := target.weights(ask.Model); ok && weights < ask.Newest {
+		cost += oldWeightsCost
+	}
+	return cost
+}
+
+// Alive reports whether a target with the address is believed to answer.
+func (roster *Roster) Alive(address netip.AddrPort, now time.Time) bool {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	for _, target := range roster.targets {
+		if target.entry.Address == address {
+			return target.usable(now) && !target.suspect()
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/roster/target.go
@@ -0,0 +1,231 @@
+package roster
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// firstRest is how long a target rests after a failure; it doubles with each
+	// further one up to lastRest.
+	firstRest = 250 * time.Millisecond
+	lastRest  = 2 * time.Second
+	// maxDoublings bounds the exponent of the rest.
+	maxDoublings = 8
+	// outcomeWeight is how much one outcome moves the failure share: about
+	// sixteen requests count.
+	outcomeWeight = 1.0 / 16
+	// greyShare is the failure share from which on a target is ejected.
+	greyShare = 0.25
+	// greyRest is how long an ejected target rests before one request tries it.
+	greyRest = time.Second
+	// loadTime is how long a load report counts in full.
+	loadTime = 250 * time.Millisecond
+)
+
+// Load is what a target says of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Target is one target. All fields are guarded by the roster's lock.
+type Target struct {
+	entry Entry
+	seed  uint64
+
+	removed      bool
+	lapsed       time.Time // until when a lapsed registration may come back
+	rollingUntil time.Time
+
+	inFlight int
+	// prefill is the prompt tokens sent and not yet read.
+	prefill int
+
+	load   Load
+	loadAt time.Time
+	// sinceLoad is the requests begun since the load was reported.
+	sinceLoad int
+
+	failures  int
+	restUntil time.Time
+	// failed is the share of recent requests that failed.
+	failed float64
+	// heard is when the target last sent a byte.
+	heard time.Time
+}
+
+func newTarget(entry Entry) *Target {
+	return &Target{entry: entry, seed: seed(entry.ID)}
+}
+
+// take notes what a registration says, keeping newer weights versions.
+func (target *Target) take(entry Entry, now time.Time) {
+	known := target.entry.Models
+	draining := target.entry.Draining
+	target.entry = entry
+	target.entry.Models = append([]Model(nil), entry.Models...)
+	target.entry.Draining = entry.Draining || draining
+	for _, model := range known {
+		target.learn(model.Name, model.Weights)
+	}
+	if target.heard.IsZero() {
+		target.heard = now
+	}
+}
+
+// learn notes a weights version; versions only grow.
+func (target *Target) learn(model string, weights uint64) {
+	for i := range target.entry.Models {
+		known := &target.entry.Models[i]
+		if known.Name != model || known.Weights >= weights {
+			continue
+		}
+		known.Weights = weights
+		target.rollingUntil = time.Time{}
+	}
+}
+
+// weights returns the version that the target has of a model.
+func (target *Target) weights(model string) (uint64, bool) {
+	for _, known := range target.entry.Models {
+		if known.Name == model {
+			return known.Weights, true
+		}
+	}
+	return 0, false
+}
+
+// rest keeps new work away after a failure.
+func (target *Target) rest(now time.Time) {
+	target.failures++
+	pause := firstRest << min(target.failures-1, maxDoublings)
+	target.restUntil = now.Add(min(pause, lastRest))
+}
+
+// outcome counts how a request ended.
+func (target *Target) outcome(failed bool, now time.Time) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	target.failed += (value - target.failed) * outcomeWeight
+	if failed && target.failed > greyShare {
+		target.restUntil = now.Add(greyRest)
+	}
+}
+
+// usable reports whether the target may get new work, but for its rest.
+func (target *Target) usable(now time.Time) bool {
+	return !target.removed && !target.entry.Draining && !now.Before(target.rollingUntil)
+}
+
+// busy estimates the requests at the target, of all VMs.
+func (target *Target) busy(now time.Time) int {
+	if now.Sub(target.loadAt) > loadTime {
+		return target.inFlight
+	}
+	return max(target.inFlight, target.load.Running+target.load.Waiting+target.sinceLoad)
+}
+
+// Seat is a request's place at a target.
+type Seat struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	// Weights is the version of the model that the target has; 0 for services.
+	Weights uint64
+	// Home is the target that should hold the prompt's prefix; the zero value
+	// when it is this one.
+	Home netip.AddrPort
+
+	roster  *Roster
+	target  *Target
+	tokens  int
+	reading bool
+	ended   bool
+}
+
+// Read notes that the target has read the prompt.
+func (seat *Seat) Read(now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.read()
+	seat.target.heard = now
+}
+
+func (seat *Seat) read() {
+	if seat.reading {
+		seat.reading = false
+		seat.target.prefill -= seat.tokens
+	}
+}
+
+// Heard notes that the target sent something.
+func (seat *Seat) Heard(now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.target.heard = now
+}
+
+// Answered notes an answer, its load report and the weights that made it.
+func (seat *Seat) Answered(load Load, loaded bool, now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	target := seat.target
+	target.heard = now
+	target.failures = 0
+	if target.failed <= greyShare {
+		target.restUntil = time.Time{}
+	}
+	if loaded {
+		target.load, target.loadAt, target.sinceLoad = load, now, 0
+	}
+}
+
+// Succeeded counts a good outcome.
+func (seat *Seat) Succeeded(now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.target.outcome(false, now)
+}
+
+// Failed counts a failure; unreachable ones keep new work away at once.
+func (seat *Seat) Failed(unreachable bool, now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.target.outcome(true, now)
+	if unreachable {
+		seat.target.rest(now)
+	}
+}
+
+// Moved notes that another target answered at the address, or that the target's
+// weights are not those that were expected: it rests until the platform tells
+// more.
+func (seat *Seat) Moved(now time.Time) {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.target.restUntil = now.Add(firstRest)
+}
+
+// Silent reports for how long the target has sent nothing to any request.
+func (seat *Seat) Silent(now time.Time) time.Duration {
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	return now.Sub(seat.target.heard)
+}
+
+// End gives the place back. It may be called more than once.
+func (seat *Seat) End() {
+	if seat.ended {
+		return
+	}
+	seat.ended = true
+	seat.roster.mu.Lock()
+	defer seat.roster.mu.Unlock()
+	seat.read()
+	seat.target.inFlight--
+}
--- a/target/target.go
+++ b/target/target.go
@@ -55,40 +55,6 @@
 	orderTimeout = 10 * time.Second
 )
 
-// Head is what the head of an answer tells of the target.
-type Head struct {
-	Status      int
-	ContentType string
-	Incarnation string
-	Weights     string
-	Draining    bool
-	// Load is valid when Loaded is set.
-	Loaded bool
-	Load   Load
-}
-
-// Call is one request to a target.
-type Call struct {
-	Method    string
-	Path      string
-	Body      []byte
-	RequestID string
-	// Weights is the version that must run the request; empty for services.
-	Weights     string
-	ContentType string
-	// After is the id of the last event received; empty for a new stream.
-	After string
-	// Deadline bounds the whole call.
-	Deadline time.Time
-	// Fresh calls are sent on a new connection, so that one that the target
-	// closed meanwhile cannot leave their outcome unknown.
-	Fresh bool
-	// Silence returns the deadline for the next byte.
-	Silence func(now time.Time) time.Time
-	// OnHead, if set, is told of the answer's head before its body.
-	OnHead func(Head)
-}
-
 // Event is one event of a stream.
 type Event struct {
 	ID   string
@@ -99,15 +65,32 @@
 type Client struct {
 	address netip.AddrPort
 	tls     *tls.Config
+	dialect Dialect
 
 	mu     sync.Mutex // guards idle and closed
-	idle   []*connection.Client
+	idle   []idleConnection
 	closed bool
 }
 
-// New returns a client; a nil tlsConfig means plain TCP.
+// idleConnection is a connection that waits for its next request.
+type idleConnection struct {
+	conn  *connection.Client
+	since time.Time
+	// until is when the target may close it; zero when it did not say.
+	until time.Time
+}
+
+// New returns a client that speaks the product's own dialect; a nil tlsConfig
+// means plain TCP.
 func New(address netip.AddrPort, tlsConfig *tls.Config) *Client {
-	return &Client{address: address, tls: tlsConfig}
+	client := NewWith(address, &ownDialect{address: address.String(), tls: tlsConfig != nil})
+	client.tls = tlsConfig
+	return client
+}
+
+// NewWith returns a client that speaks another dialect, over plain TCP.
+func NewWith(address netip.AddrPort, dialect Dialect) *Client {
+	return &Client{address: address, dialect: dialect}
 }
 
 // Address returns the target's address.
@@ -121,46 +104,47 @@
 	defer client.mu.Unlock()
 	client.closed = true
 	for _, idle := range client.idle {
-		idle.Close()
+		idle.conn.Close()
 	}
 	client.idle = nil
 }
 
-func (client *Client) acquire(fresh bool) *connection.Client {
-	for !fresh {
-		conn := client.pop()
-		if conn == nil {
+func (client *Client) acquire(call Call) *connection.Client {
+	for !call.Fresh {
+		idle, ok := client.pop()
+		if !ok {
 			break
 		}
-		if !conn.Stale() {
-			return conn
+		expired := !idle.until.IsZero() && !time.Now().Before(idle.until)
+		if !expired && !idle.since.Before(call.UsedSince) && !idle.conn.Stale() {
+			return idle.conn
 		}
-		conn.Close()
+		idle.conn.Close()
 	}
 	return connection.New(client.address, client.tls)
 }
 
-// pop returns the idle connection that was used last, or nil.
-func (client *Client) pop() *connection.Client {
+// pop returns the idle connection that was used last.
+func (client *Client) pop() (idleConnection, bool) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	last := len(client.idle) - 1
 	if last < 0 {
-		return nil
+		return idleConnection{}, false
 	}
-	conn := client.idle[last]
+	idle := client.idle[last]
 	client.idle = client.idle[:last]
-	return conn
+	return idle, true
 }
 
-func (client *Client) release(conn *connection.Client) {
+func (client *Client) release(conn *connection.Client, until time.Time) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	if client.closed || len(client.idle) >= maxIdle {
 		conn.Close()
 		return
 	}
-	client.idle = append(client.idle, conn)
+	client.idle = append(client.idle, idleConnection{conn: conn, since: time.Now(), until: until})
 }
 
 // Whole sends a request and returns its whole answer, whatever the status. The
@@ -224,7 +208,14 @@
 // exchange sends a request and lets read consume the answer. The connection is
 // kept only when the answer was this request's and was read to its end.
 func (client *Client) exchange(ctx context.Context, call Call, read func(*fasthttp.Response, io.Reader) error) (Head, error) {
-	conn := client.acquire(call.Fresh)
+	return client.exchangeHead(ctx, call, func(_ Head, response *fasthttp.Response, body io.Reader) error {
+		return read(response, body)
+	})
+}
+
+// exchangeHead is exchange for a reader that needs the head.
+func (client *Client) exchangeHead(ctx context.Context, call Call, read func(Head, *fasthttp.Response, io.Reader) error) (Head, error) {
+	conn := client.acquire(call)
 	reused := conn.Used()
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
@@ -232,35 +223,35 @@
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	client.fill(request, call)
+	client.dialect.Fill(request, &call)
 	body := &watchedBody{conn: conn, call: &call}
 	body.extend()
 	if err := conn.Do(request, response); err != nil {
 		conn.Close()
 		return Head{}, classify(ctx, err, reused, true)
 	}
-	head := headOf(response)
+	head := client.dialect.Head(response)
 	if call.OnHead != nil {
 		call.OnHead(head)
 	}
-	err := client.consume(response, call, body, read)
+	err := client.consume(head, response, call, body, read)
 	if err != nil || !stop() {
 		conn.Close()
 		return head, classify(ctx, err, reused, false)
 	}
-	client.release(conn)
+	client.release(conn, head.IdleUntil)
 	return head, nil
 }
 
-func (client *Client) consume(response *fasthttp.Response, call Call, body *watchedBody, read func(*fasthttp.Response, io.Reader) error) error {
-	if !ownAnswer(response, call.RequestID) {
+func (client *Client) consume(head Head, response *fasthttp.Response, call Call, body *watchedBody, read func(Head, *fasthttp.Response, io.Reader) error) error {
+	if head.RequestID != "" && head.RequestID != call.RequestID {
 		return ErrCrossed
 	}
 	if !response.IsBodyStream() {
-		return read(response, nil)
+		return read(head, response, nil)
 	}
 	body.reader = response.BodyStream()
-	if err := read(response, body); err != nil {
+	if err := read(head, response, body); err != nil {
 		if body.err != nil { // the cause of an incomplete stream
 			return body.err
 		}
@@ -269,46 +260,6 @@
 	return response.CloseBodyStream()
 }
 
-// ownAnswer reports whether the answer names this request, or none at all.
-func ownAnswer(response *fasthttp.Response, id string) bool {
-	named := response.Header.Peek("X-Request-Id")
-	return len(named) == 0 || string(named) == id
-}
-
-func (client *Client) fill(request *fasthttp.Request, call Call) {
-	request.Header.SetMethod(call.Method)
-	request.SetRequestURI(call.Path)
-	request.Header.SetHost(client.address.String())
-	request.Header.Set("X-Request-Id", call.RequestID)
-	if client.tls != nil {
-		request.URI().SetScheme("https")
-	}
-	if call.ContentType != "" {
-		request.Header.SetContentType(call.ContentType)
-	}
-	if call.Weights != "" {
-		request.Header.Set("X-Weights-Version", call.Weights)
-	}
-	if call.After != "" {
-		request.Header.Set("Last-Event-Id", call.After)
-	}
-	if call.Body != nil {
-		request.SetBodyRaw(call.Body)
-	}
-}
-
-func headOf(response *fasthttp.Response) Head {
-	head := Head{
-		Status:      response.StatusCode(),
-		ContentType: string(response.Header.ContentType()),
-		Incarnation: string(response.Header.Peek("X-Incarnation")),
-		Weights:     string(response.Header.Peek("X-Weights-Version")),
-		Draining:    string(response.Header.Peek("X-Draining")) == "true",
-	}
-	head.Load, head.Loaded = parseLoad(string(response.Header.Peek("Endpoint-Load-Metrics")))
-	return head
-}
-
 // watchedBody moves the connection's deadline on before each read.
 type watchedBody struct {
 	reader io.Reader
