Take a target back into use when it has its new weights, however that is learned

Cause: a target that is given weights was kept out of use until the VM that gave the order told of them; when the registration's watch told first, the later news changed nothing and the target stayed out for 2.5 s. And a roll waited for ever for targets that had loaded a version which was replaced meanwhile. Ruled out: slow loading (nine orders took 1.2 to 1.7 s in the trace). Change: what keeps a target out is the version that it is being given.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -214,7 +214,7 @@
 	now := time.Now()
 	for _, told := range news {
 		if told.Rolling {
-			gateway.roster.Rolling(told.Target, now.Add(rollingTime))
+			gateway.roster.Rolling(told.Target, told.Model, told.Weights, now.Add(rollingTime))
 			continue
 		}
 		gateway.roster.Weights(told.Target, told.Model, told.Weights)
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -186,8 +186,8 @@
 	gateway := orders.gateway
 	var news []peer.TargetNews
 	for _, step := range given {
-		gateway.roster.Rolling(step.Target, time.Now().Add(rollingTime))
-		news = append(news, peer.TargetNews{Target: step.Target, Model: step.Model, Rolling: true})
+		gateway.roster.Rolling(step.Target, step.Model, step.Version, time.Now().Add(rollingTime))
+		news = append(news, peer.TargetNews{Target: step.Target, Model: step.Model, Weights: step.Version, Rolling: true})
 	}
 	gateway.notify(ctx, peer.Notice{Targets: news})
 	gateway.metrics.PlatformCalls.Add(1)
@@ -197,7 +197,7 @@
 	gateway.Log.Emit(event.LeaseLost, event.F("token", orders.lease.Token()))
 	orders.held = false
 	for _, step := range given {
-		gateway.roster.Rolling(step.Target, time.Time{})
+		gateway.roster.Rolling(step.Target, step.Model, step.Version, time.Time{})
 	}
 	return false
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -64,7 +64,7 @@
 }
 
 // TargetNews is what a VM learned of a target before the platform's list tells
-// it: the weights version that it has, and whether it takes new ones.
+// it: the weights version that it has or, when Rolling is set, is being given.
 type TargetNews struct {
 	Target  string
 	Model   string
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -128,8 +128,13 @@
 	// smallRoll is the number of targets that may always load at once: beyond
 	// it loading takes longer.
 	smallRoll = 2
-	// rollShare is the part of the targets that may load at once.
+	// rollShare is the part of the targets that may load at once, and outShare the
+	// part that may be without work at once: those that finish what runs, load,
+	// or have loaded and not told it yet.
 	rollShare = 5
+	outShare  = 2
+	// loadTime is how long an order is taken to load; reports tell it later.
+	loadTime = 400 * time.Millisecond
 )
 
 // phase is where a target stands in a roll.
@@ -177,14 +182,9 @@
 func (roll *Roll) Next(targets []Target, named []Named, now time.Time) []Step {
 	roll.forget(targets, named)
 	var behind []*Target
-	loading := 0
 	for i := range targets {
-		if _, ok := wanted(&targets[i], named); !ok {
-			continue
-		}
-		behind = append(behind, &targets[i])
-		if known, ok := roll.phases[targets[i].ID]; ok && !known.ordered.IsZero() {
-			loading++
+		if _, ok := wanted(&targets[i], named); ok {
+			behind = append(behind, &targets[i])
 		}
 	}
 	sort.Slice(behind, func(i, j int) bool {
@@ -193,7 +193,7 @@
 		}
 		return behind[i].ID < behind[j].ID
 	})
-	free := max(smallRoll, len(targets)/rollShare) - loading
+	free := roll.free(len(targets), now)
 	var steps []Step
 	for _, target := range behind {
 		weights, _ := wanted(target, named)
@@ -204,21 +204,38 @@
 	return steps
 }
 
+// free returns how many of a number of targets may begin.
+func (roll *Roll) free(targets int, now time.Time) int {
+	loading, out := 0, 0
+	for _, known := range roll.phases {
+		if known.ordered.IsZero() {
+			continue
+		}
+		out++
+		if now.Sub(known.ordered) < loadTime {
+			loading++
+		}
+	}
+	return min(max(smallRoll, targets/rollShare)-loading, max(smallRoll, targets/outShare)-out)
+}
+
 // step returns what to do with a target that lacks weights. free is the number
 // of targets that may begin.
 func (roll *Roll) step(target *Target, weights Named, free *int, now time.Time) (Step, bool) {
 	known, ok := roll.phases[target.ID]
-	if !ok || known.wanted != weights.Weights {
-		if *free <= 0 {
-			return Step{}, false
-		}
+	switch {
+	case !ok && *free <= 0:
+		return Step{}, false
+	case !ok:
 		known = &phase{wanted: weights.Weights}
 		roll.phases[target.ID] = known
+	case known.ordered.IsZero():
+		known.wanted = weights.Weights // newer ones may have been named
 	}
 	if now.Before(known.rest) {
 		return Step{}, false
 	}
-	step := Step{Target: target.ID, Weights: weights.Weights}
+	step := Step{Target: target.ID, Weights: known.wanted}
 	if known.ordered.IsZero() {
 		if *free <= 0 {
 			return Step{}, false
@@ -286,6 +303,7 @@
 	}
 	for _, weights := range report.Models {
 		if weights.Model == known.wanted.Model && weights.Version >= known.wanted.Version {
+			delete(roll.phases, id)
 			return true
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -228,13 +228,13 @@
 	}
 }
 
-// Rolling notes whether a target takes new weights; it gets no new work until
-// the deadline.
-func (roster *Roster) Rolling(id string, until time.Time) {
+// Rolling notes that a target is being given weights: it gets no new work until
+// it is known to have them, or the deadline.
+func (roster *Roster) Rolling(id, model string, weights uint64, until time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	if target, ok := roster.targets[id]; ok {
-		target.rollingUntil = until
+		target.rolling = rolling{model: model, weights: weights, until: until}
 	}
 }
 
--- a/roster/target.go
+++ b/roster/target.go
@@ -30,14 +30,21 @@
 	Slots   int
 }
 
+// rolling is the weights that a target is being given.
+type rolling struct {
+	model   string
+	weights uint64
+	until   time.Time
+}
+
 // Target is one target. All fields are guarded by the roster's lock.
 type Target struct {
 	entry Entry
 	seed  uint64
 
-	removed      bool
-	lapsed       time.Time // until when a lapsed registration may come back
-	rollingUntil time.Time
+	removed bool
+	lapsed  time.Time // until when a lapsed registration may come back
+	rolling rolling
 
 	inFlight int
 	// prefill is the prompt tokens sent and not yet read.
@@ -83,7 +90,6 @@
 			continue
 		}
 		known.Weights = weights
-		target.rollingUntil = time.Time{}
 	}
 }
 
@@ -118,7 +124,17 @@
 
 // usable reports whether the target may get new work, but for its rest.
 func (target *Target) usable(now time.Time) bool {
-	return !target.removed && !target.entry.Draining && !now.Before(target.rollingUntil)
+	return !target.removed && !target.entry.Draining && !target.takesWeights(now)
+}
+
+// takesWeights reports whether the target is being given weights that it is not
+// known to have yet.
+func (target *Target) takesWeights(now time.Time) bool {
+	if !now.Before(target.rolling.until) {
+		return false
+	}
+	weights, ok := target.weights(target.rolling.model)
+	return ok && weights < target.rolling.weights
 }
 
 // busy estimates the requests at the target, of all VMs.
