Judge targets by the first version that replaced theirs; share limits from the start

Ruled out: slow rolls (all targets were loading in the traces); heartbeats lost. Change: named versions are remembered with their times; a VM that starts assumes the listed VMs, or eight, and shares less than half of the burst.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -34,6 +34,11 @@
 	relistTime = 2 * time.Second
 	// aliveTime is how old a VM's last heartbeat may be while it counts as alive.
 	aliveTime = 1200 * time.Millisecond
+	// startTime is how long after its start a VM takes the VMs that the store
+	// lists for present, and unknownVMs how many it assumes when none is known:
+	// the size of the users' fleets of today.
+	startTime  = 3 * time.Second
+	unknownVMs = 8
 	// presentTime is how long a VM that is not heard counts for shares.
 	presentTime = 10 * time.Second
 )
@@ -111,12 +116,22 @@
 
 // vms returns the number of VMs that share the limits, this one included.
 func (gateway *Gateway) vms() int {
-	count := 1
-	for _, view := range gateway.members.Views(time.Now()) {
-		if view.Name != gateway.Settings.Name && view.HeardMS >= 0 && view.HeardMS < presentTime.Milliseconds() {
+	now := time.Now()
+	starting := now.Sub(gateway.started) < startTime
+	count, known := 1, false
+	for _, view := range gateway.members.Views(now) {
+		if view.Name == gateway.Settings.Name {
+			continue
+		}
+		heard := view.HeardMS >= 0 && view.HeardMS < presentTime.Milliseconds()
+		if heard || starting && view.Listed {
 			count++
+			known = true
 		}
 	}
+	if starting && !known {
+		return unknownVMs
+	}
 	return count
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,7 +140,7 @@
 	gateway.mirror = mirror.New()
 	gateway.roster = roster.New(vm.AvailabilityZone)
 	gateway.weights = newWeights()
-	gateway.limits = quota.NewFleet(vm.Name)
+	gateway.limits = quota.NewFleet(vm.Name, unknownVMs)
 	gateway.members = membership.NewTable(vm.Name, vm.Seeds, gateway.started)
 	gateway.suspects = quarantine.NewBook()
 	gateway.clients = relay.NewClients(gateway.Dialect)
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -16,6 +16,9 @@
 	// plenty is the part of the burst above which the fleet's bucket need not be
 	// shared out.
 	plenty = 0.5
+	// startShare is the part of the burst that VMs which start together may spend
+	// before they hear of each other: what was spent just before is not known.
+	startShare = 0.45
 	// minShare keeps a VM without demand able to serve its first requests.
 	minShare = 0.02
 )
@@ -63,9 +66,10 @@
 	at     time.Time
 }
 
-// NewFleet returns the fleet's limits as the named VM sees them.
-func NewFleet(self string) *Fleet {
-	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]time.Time{}, expected: 1}
+// NewFleet returns the fleet's limits as the named VM sees them; vms is how many
+// VMs there may be.
+func NewFleet(self string, vms int) *Fleet {
+	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]time.Time{}, expected: max(1, vms)}
 }
 
 // Expect notes how many VMs there are, heard or not.
@@ -178,8 +182,8 @@
 		fleet.accounts[limit.Name] = account
 	}
 	if account.limit.Burst == 0 && account.limit.Rate == 0 {
-		account.level += limit.Burst
-		account.own += limit.Burst * fleet.share(account, now)
+		account.level += startShare * limit.Burst
+		account.own += startShare * limit.Burst * fleet.share(account, now)
 		account.updated = now
 	}
 	account.limit = limit
--- a/relay/job.go
+++ b/relay/job.go
@@ -142,11 +142,10 @@
 	ask.Model = prompt.Model
 	ask.Prefix = prompt.shared(job.wall())
 	ask.Tokens = prompt.own()
-	newest, learned := job.relay.Weights.Newest(prompt.Model)
-	if age := now.Sub(learned); newest > 0 && age > weightsGrace {
-		ask.Newest = newest
-		ask.Strict = now.After(job.relay.Bounds.Weights.After(learned).Add(-weightsMargin))
-	}
+	ask.Newest = job.relay.Weights.Named(prompt.Model, now.Add(-weightsGrace))
+	// The bound counts from the first version that replaced what a target has.
+	replaced := now.Add(weightsMargin).Add(-job.relay.Bounds.Weights.After(now).Sub(now))
+	ask.Required = job.relay.Weights.Named(prompt.Model, replaced)
 	return ask
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,9 +44,9 @@
 
 // Weights knows the versions of weights that operators named.
 type Weights interface {
-	// Newest returns the version that a model should have and when it was
-	// learned; 0 when none was named.
-	Newest(model string) (version uint64, learned time.Time)
+	// Named returns the newest version of a model that was known at a time; 0 when
+	// none was.
+	Named(model string, at time.Time) uint64
 }
 
 // Charger tells the other VMs that a target died under a request.
@@ -84,8 +84,8 @@
 	// request: about the time in which a target is replaced in the lists.
 	comeBack = 300 * time.Millisecond
 	// weightsMargin is how much earlier than the platform's bound requests stop
-	// going to targets with replaced weights.
-	weightsMargin = 700 * time.Millisecond
+	// going to targets with replaced weights: they may wait there for a while.
+	weightsMargin = time.Second
 	// weightsGrace is how long after new weights were named the former ones cost
 	// nothing; the users' rules say 1.5 s.
 	weightsGrace = 1200 * time.Millisecond
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -187,7 +187,11 @@
 			behind = append(behind, &targets[i])
 		}
 	}
+	// Those that are furthest behind first: their time runs out first.
 	sort.Slice(behind, func(i, j int) bool {
+		if first, second := oldest(behind[i], named), oldest(behind[j], named); first != second {
+			return first < second
+		}
 		if behind[i].Running != behind[j].Running {
 			return behind[i].Running < behind[j].Running
 		}
@@ -204,6 +208,13 @@
 	return steps
 }
 
+// oldest returns the version of the model for which a target is behind.
+func oldest(target *Target, named []Named) uint64 {
+	weights, _ := wanted(target, named)
+	version, _ := target.version(weights.Model)
+	return version
+}
+
 // free returns how many of a number of targets may begin.
 func (roll *Roll) free(targets int, now time.Time) int {
 	loading, out := 0, 0
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -29,10 +29,10 @@
 	Service string
 	// Model is empty for plain services.
 	Model string
-	// Newest is the version that is being rolled out; targets with older ones
-	// are avoided, and not used at all when Strict is set.
-	Newest uint64
-	Strict bool
+	// Newest is the version that is being rolled out; targets with older ones are
+	// avoided. Targets with versions below Required are not used at all.
+	Newest   uint64
+	Required uint64
 	// Prefix identifies the shared part of the prompt; 0 when there is none.
 	Prefix uint64
 	// Tokens is the size of the prompt that no cache can hold.
@@ -129,10 +129,8 @@
 	if target.suspect() && (!ask.Repeatable || target.inFlight > 0) {
 		return false
 	}
-	if ask.Strict {
-		if weights, ok := target.weights(ask.Model); ok && weights < ask.Newest {
-			return false
-		}
+	if weights, ok := target.weights(ask.Model); ok && weights < ask.Required {
+		return false
 	}
 	for _, tried := range ask.Tried {
 		if tried == target.entry.ID {
