--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -227,7 +227,8 @@
 }
 
 // share returns this VM's part of an account's rate: its part of the demand.
-// VMs that are not heard keep the demand that they told last.
+// VMs that are not heard any more keep the demand that they told last; those
+// that were never heard are taken to have as much as the others.
 func (fleet *Fleet) share(account *fleetAccount, now time.Time) float64 {
 	equal := 1 / float64(fleet.expected)
 	total, own := 0.0, 0.0
@@ -247,9 +248,24 @@
 	if total <= 0 {
 		return equal
 	}
+	if known := fleet.known(now); known < fleet.expected {
+		total *= float64(fleet.expected) / float64(known) // strangers are taken for the same
+	}
 	return min(1, max(own/total, min(minShare, equal)))
 }
 
+// known returns the number of VMs whose counts were told not long ago, this one
+// included.
+func (fleet *Fleet) known(now time.Time) int {
+	known := 1
+	for _, at := range fleet.heard {
+		if now.Sub(at) <= forgetTime {
+			known++
+		}
+	}
+	return known
+}
+
 // alone reports whether VMs that should be there are not heard: then what they
 // spend is not known.
 func (fleet *Fleet) alone(now time.Time) bool {
