--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,8 +131,11 @@
 	_, _ = rand.Read(boot) // never fails
 	gateway.boot = hex.EncodeToString(boot)
 	gateway.started = time.Now()
+	if err := gateway.listen(); err != nil {
+		return err
+	}
 	gateway.build()
-	return gateway.listen()
+	return nil
 }
 
 func (gateway *Gateway) build() {
@@ -154,35 +157,43 @@
 		Stores: gateway.stores, Suspect: gateway.suspects, Charger: gateway, Clients: gateway.clients,
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.vms), Metrics: gateway.metrics, Log: gateway.Log,
 	}
+	gateway.callers.Relay = gateway.relay
 }
 
+// listen opens the listeners. Port 0 stands for a free one; the settings hold
+// the addresses in use afterwards.
 func (gateway *Gateway) listen() error {
-	callers, err := listen(gateway.Settings.Caller)
+	vm := &gateway.Settings
+	callers, err := listen(&vm.Caller)
 	if err != nil {
 		return errors.Wrap(err, "caller")
 	}
-	ready, err := listen(gateway.Settings.Ready)
+	ready, err := listen(&vm.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
-	peers, err := listen(gateway.Settings.Peer)
+	peers, err := listen(&vm.Peer)
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	gateway.callers = &front.Server{Listener: callers, Dialect: gateway.Front, Relay: gateway.relay}
-	gateway.ready = &readiness{listener: ready, ready: gateway.isReady}
+	gateway.callers = &front.Server{Listener: callers, Dialect: gateway.Front}
+	gateway.ready = &readiness{listener: ready, ready: gateway.Ready}
 	gateway.peers = &peer.Server{Listener: peers, Handler: gateway}
 	return nil
 }
 
-func listen(address netip.AddrPort) (net.Listener, error) {
+func listen(address *netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
-	return listener, errors.Wrap(err, "listen; choose an address of this VM that is free")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen; choose an address of this VM that is free")
+	}
+	*address = listener.Addr().(*net.TCPAddr).AddrPort()
+	return listener, nil
 }
 
-// isReady reports whether the VM can serve: it stays, and knows routes and
+// Ready reports whether the VM can serve: it stays, and knows routes and
 // targets.
-func (gateway *Gateway) isReady() bool {
+func (gateway *Gateway) Ready() bool {
 	return !gateway.callers.Draining() && gateway.relay.Table() != nil && gateway.roster.Size() > 0
 }
 
