Let VMs tell each other when weights were named

Change: heartbeats carry named versions with their ages; the first list counts as 2 s old until then.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -33,6 +33,9 @@
 	// relistTime is how long after its start a VM reads the list of VMs again, for
 	// those whose registration came late.
 	relistTime = 2 * time.Second
+	// tellNamed is how long named weights are told to other VMs: longer than
+	// targets may begin work on the former ones.
+	tellNamed = 10 * time.Second
 	// aliveTime is how old a VM's last heartbeat may be while it counts as alive.
 	aliveTime = 1200 * time.Millisecond
 	// startTime is how long after its start a VM takes the VMs that the store
@@ -203,6 +206,9 @@
 	for _, count := range gateway.limits.Counts() {
 		beat.Spending = append(beat.Spending, peer.Spending{Account: count.Account, Spent: count.Spent, Wanted: count.Wanted})
 	}
+	for _, named := range gateway.weights.recent(now.Add(-tellNamed)) {
+		beat.Named = append(beat.Named, peer.NamedWeights{Model: named.Model, Version: named.Version, Age: now.Sub(named.Learned)})
+	}
 	for _, backlog := range gateway.roster.Backlogs() {
 		beat.Backlogs = append(beat.Backlogs, peer.Backlog{Target: backlog.Target, Tokens: backlog.Tokens})
 	}
@@ -219,6 +225,9 @@
 		counts[i] = quota.Count{Account: spending.Account, Spent: spending.Spent, Wanted: spending.Wanted}
 	}
 	gateway.limits.Heard(beat.Name, beat.Boot, counts, now)
+	for _, named := range beat.Named {
+		gateway.weights.name(named.Model, named.Version, now.Add(-named.Age))
+	}
 	backlogs := make([]roster.Backlog, len(beat.Backlogs))
 	for i, told := range beat.Backlogs {
 		backlogs[i] = roster.Backlog{Target: told.Target, Tokens: told.Tokens}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,6 +24,10 @@
 	otherWait = 6 * time.Second
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
+	// unknownAge is how long ago weights are taken to have been named that a VM
+	// finds in its first list, until another VM tells better: about the time in which a
+	// process is started again.
+	unknownAge = 2 * time.Second
 	// failuresToLose is the number of calls in a row that fail until the store is
 	// taken for lost: a single one may be a watch that was cut.
 	failuresToLose = 2
@@ -121,7 +125,11 @@
 		return err
 	}
 	gateway.storeAnswered()
-	gateway.apply(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion))
+	learned := time.Now()
+	if _, listed := gateway.mirror.At(collection); !listed {
+		learned = learned.Add(-unknownAge)
+	}
+	gateway.apply(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), learned)
 	return nil
 }
 
@@ -133,7 +141,7 @@
 		return err
 	}
 	gateway.storeAnswered()
-	gateway.apply(gateway.mirror.Apply(collection, events, at))
+	gateway.apply(gateway.mirror.Apply(collection, events, at), time.Now())
 	return nil
 }
 
@@ -154,8 +162,8 @@
 	}
 }
 
-// apply puts changes in force.
-func (gateway *Gateway) apply(changes []mirror.Change) {
+// apply puts changes in force. Named weights are taken for learned at the time.
+func (gateway *Gateway) apply(changes []mirror.Change, learned time.Time) {
 	now := time.Now()
 	for _, change := range changes {
 		switch change.Collection {
@@ -164,7 +172,7 @@
 		case objects.Targets:
 			gateway.applyTarget(change, now)
 		case objects.Weights:
-			gateway.applyWeights(change, now)
+			gateway.applyWeights(change, learned)
 		}
 	}
 }
@@ -212,7 +220,7 @@
 	gateway.roster.Put(entry, now)
 }
 
-func (gateway *Gateway) applyWeights(change mirror.Change, now time.Time) {
+func (gateway *Gateway) applyWeights(change mirror.Change, learned time.Time) {
 	if change.Removed {
 		return // what was named stays named
 	}
@@ -221,7 +229,7 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	if gateway.weights.name(model, version, now) {
+	if gateway.weights.name(model, version, learned) {
 		gateway.Log.Emit(event.WeightsNamed, event.F("model", model), event.F("weights", version))
 	}
 }
@@ -247,5 +255,5 @@
 	}
 	changes := gateway.mirror.Merge(told)
 	gateway.Log.Emit(event.ConfigFromPeer, event.F("version", uint64(version)), event.F("from", address.String()), event.F("changes", len(changes)))
-	gateway.apply(changes)
+	gateway.apply(changes, time.Now())
 }
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -23,21 +23,49 @@
 	return &weights{named: map[string][]rollout.Named{}, changed: make(chan struct{})}
 }
 
-// name notes a version; false when it is not newer than what was named.
-func (weights *weights) name(model string, version uint64, now time.Time) bool {
+// name notes that a version was named at a time or before. It returns false when
+// nothing new was learned.
+func (weights *weights) name(model string, version uint64, at time.Time) bool {
 	weights.mu.Lock()
 	defer weights.mu.Unlock()
 	known := weights.named[model]
-	if len(known) > 0 && known[len(known)-1].Version >= version {
+	for i := range known {
+		if known[i].Version != version {
+			continue
+		}
+		if earlier := at.Before(known[i].Learned); !earlier {
+			return false
+		}
+		known[i].Learned = at
 		return false
 	}
-	for len(known) > 1 && now.Sub(known[1].Learned) > keepNamed {
+	newest := len(known) == 0 || known[len(known)-1].Version < version
+	known = append(known, rollout.Named{Weights: rollout.Weights{Model: model, Version: version}, Learned: at})
+	sort.Slice(known, func(i, j int) bool { return known[i].Version < known[j].Version })
+	for len(known) > 1 && at.Sub(known[1].Learned) > keepNamed {
 		known = known[1:]
 	}
-	weights.named[model] = append(known, rollout.Named{Weights: rollout.Weights{Model: model, Version: version}, Learned: now})
-	close(weights.changed)
-	weights.changed = make(chan struct{})
-	return true
+	weights.named[model] = known
+	if newest {
+		close(weights.changed)
+		weights.changed = make(chan struct{})
+	}
+	return newest
+}
+
+// recent returns what was named after a time, for other VMs.
+func (weights *weights) recent(after time.Time) []rollout.Named {
+	weights.mu.Lock()
+	defer weights.mu.Unlock()
+	var recent []rollout.Named
+	for _, known := range weights.named {
+		for _, named := range known {
+			if named.Learned.After(after) {
+				recent = append(recent, named)
+			}
+		}
+	}
+	return recent
 }
 
 // Named implements relay.Weights.
@@ -47,7 +75,7 @@
 	version := uint64(0)
 	for _, named := range weights.named[model] {
 		if !named.Learned.After(at) {
-			version = named.Version
+			version = max(version, named.Version)
 		}
 	}
 	return version
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,6 +54,15 @@
 	Spending []Spending
 	Targets  []TargetNews
 	Backlogs []Backlog
+	Named    []NamedWeights
+}
+
+// NamedWeights is a version of weights that operators named lately.
+type NamedWeights struct {
+	Model   string
+	Version uint64
+	// Age is since the first VM learned of it, as far as the sender knows.
+	Age time.Duration
 }
 
 // Backlog is the prompt tokens of a VM that a target has to read.
@@ -202,6 +211,9 @@
 		encoded.Spending = append(encoded.Spending, &peerpb.Spending{Account: spending.Account, Spent: spending.Spent, Wanted: spending.Wanted})
 	}
 	encoded.Targets = encodeTargets(beat.Targets)
+	for _, named := range beat.Named {
+		encoded.Named = append(encoded.Named, &peerpb.NamedWeights{Model: named.Model, Version: named.Version, AgeMs: uint32(named.Age.Milliseconds())})
+	}
 	for _, backlog := range beat.Backlogs {
 		encoded.Backlogs = append(encoded.Backlogs, &peerpb.Backlog{Target: backlog.Target, Tokens: uint32(backlog.Tokens)})
 	}
@@ -224,6 +236,10 @@
 		beat.Spending = append(beat.Spending, Spending{Account: spending.GetAccount(), Spent: spending.GetSpent(), Wanted: spending.GetWanted()})
 	}
 	beat.Targets = decodeTargets(encoded.GetTargets())
+	for _, named := range encoded.GetNamed() {
+		age := time.Duration(named.GetAgeMs()) * time.Millisecond
+		beat.Named = append(beat.Named, NamedWeights{Model: named.GetModel(), Version: named.GetVersion(), Age: age})
+	}
 	for _, backlog := range encoded.GetBacklogs() {
 		beat.Backlogs = append(beat.Backlogs, Backlog{Target: backlog.GetTarget(), Tokens: int(backlog.GetTokens())})
 	}
