--- a/relay/job.go
+++ b/relay/job.go
@@ -121,6 +121,10 @@
 		if !ok {
 			return job.exhausted()
 		}
+		if refused := job.tooBusy(seat); refused != nil {
+			seat.End()
+			return refused
+		}
 		result := job.send(ctx, seat)
 		seat.End()
 		job.tried = append(job.tried, seat.ID)
@@ -131,6 +135,23 @@
 	}
 }
 
+// tooBusy refuses a request that would wait longer at its target than requests
+// of its service may: then all that come after it would be late too, and late
+// work would be done in place of work that can be in time.
+func (job *job) tooBusy(seat *roster.Seat) error {
+	patience := job.route.Patience
+	if job.request.Prompt == nil || patience <= 0 || job.runs > 0 {
+		return nil
+	}
+	now := time.Now()
+	if limit := patience.After(now); now.Add(seat.Wait).Before(limit) {
+		return nil
+	}
+	// What waits now is read by then.
+	pause := seat.Wait + rand.N(comeBack)
+	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").At(now.Add(pause))
+}
+
 // ask says what the request wants of a target.
 func (job *job) ask(now time.Time) roster.Ask {
 	ask := roster.Ask{
@@ -283,3 +304,11 @@
 	}
 	return strconv.FormatUint(weights, 10)
 }
+
+// tokens returns the tokens of the prompt that no other request shares.
+func (job *job) tokens() int {
+	if job.request.Prompt == nil {
+		return 0
+	}
+	return job.request.Prompt.own()
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,7 +198,7 @@
 	head := job.attempt.head
 	fields := append(job.fields(), event.F("request", request.ID), event.F("status", head.Status),
 		event.F("first_ms", job.firstAt.Sub(request.Arrived).Milliseconds()), event.F("after_ms", time.Since(request.Arrived).Milliseconds()),
-		event.F("running", head.Load.Running), event.F("waiting", head.Load.Waiting), event.F("weights", head.Weights),
+		event.F("wait_ms", job.attempt.seat.Wait.Milliseconds()), event.F("tokens", job.tokens()), event.F("running", head.Load.Running), event.F("waiting", head.Load.Waiting), event.F("weights", head.Weights),
 		event.F("home", !job.attempt.seat.Home.IsValid()))
 	relay.Log.Emit(event.RequestAnswered, fields...)
 }
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -10,23 +10,20 @@
 // The costs below are in microseconds of a caller's waiting.
 const (
 	// readCost is the time to read one token of a prompt beside others' answers.
-	readCost = 12
-	// usualPrompt is the tokens to be read for a request that a target reports to
-	// be waiting.
-	usualPrompt = 2500
+	readCost = 18
 	// runningCost is what one running request adds to a new one's wait at a plain
 	// service, and batchedCost in a batch.
 	runningCost = 2_000
 	batchedCost = 300
 	// awayCost is what a request costs more away from the home of its prefix:
 	// the transfer of the prefix, and memory for a second copy.
-	awayCost = 40_000
+	awayCost = 100_000
 	// zoneCost is the way to another availability zone and back.
 	zoneCost = 2_000
 	// oldWeightsCost is what answers on replaced weights cost.
 	oldWeightsCost = 60_000
-	// waitingCost is what one request in a plain service's queue adds.
-	waitingCost = 15_000
+	// waitingCost is what one request in a target's queue adds.
+	waitingCost = 45_000
 )
 
 // Ask is what a request wants of a target.
@@ -64,6 +61,7 @@
 		roster: roster, target: best, tokens: ask.Tokens, reading: true,
 	}
 	seat.Weights, _ = best.weights(ask.Model)
+	seat.Wait = time.Duration(best.wait(now)) * time.Microsecond
 	if home != nil && home != best {
 		seat.Home = home.entry.Address
 	}
@@ -154,7 +152,7 @@
 	if ask.Model == "" {
 		return cost + target.serviceCost(now)
 	}
-	cost += target.unread(now)*readCost + target.busy(now)*batchedCost
+	cost += target.wait(now) + target.busy(now)*batchedCost
 	if home != nil && target != home {
 		cost += awayCost
 	}
--- a/roster/target.go
+++ b/roster/target.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -32,6 +33,10 @@
 	greyRest = time.Second
 	// loadTime is how long a load report counts in full.
 	loadTime = 250 * time.Millisecond
+	// loadFades is the time constant with which a reported queue is forgotten: it
+	// lasts while as much comes as is done. After forgetLoad it counts no more.
+	loadFades  = time.Second
+	forgetLoad = 5 * time.Second
 )
 
 // Load is what a target says of itself in an answer.
@@ -160,15 +165,19 @@
 	return ok && weights < target.rolling.weights
 }
 
-// unread estimates the prompt tokens that the target has to read before those
-// of a new request: what all VMs sent, or what it reports itself.
-func (target *Target) unread(now time.Time) int {
+// wait estimates, in microseconds, how long the target reads other prompts before
+// a new one: what all VMs sent, or what it reports itself.
+func (target *Target) wait(now time.Time) int {
 	tokens := target.prefill
 	for _, told := range target.told {
 		tokens += told.left(now)
 	}
-	reported := backlog{tokens: target.load.Waiting * usualPrompt, at: target.loadAt}
-	return max(tokens, reported.left(now))
+	age := now.Sub(target.loadAt)
+	reported := 0.0
+	if age < forgetLoad {
+		reported = float64(target.load.Waiting*waitingCost) * math.Exp(-age.Seconds()/loadFades.Seconds())
+	}
+	return max(tokens*readCost, int(reported))
 }
 
 // busy estimates the requests at the target, of all VMs.
@@ -187,6 +196,8 @@
 	Zone    string
 	// Weights is the version of the model that the target has; 0 for services.
 	Weights uint64
+	// Wait estimates how long the target reads other prompts first.
+	Wait time.Duration
 	// Home is the target that should hold the prompt's prefix; the zero value
 	// when it is this one.
 	Home netip.AddrPort
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -79,6 +79,10 @@
 	Priority int
 	// Open routes need no key.
 	Open bool
+	// Patience is the shortest aim of the routes to the same service that are as
+	// urgent or more so; NewTable sets it. A request that waits longer than that
+	// has requests behind it that cannot be in time any more.
+	Patience settings.Span
 }
 
 // Service returns the service for the request with the given identity. The
@@ -169,6 +173,9 @@
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 	}
+	for i := range config.Routes {
+		config.Routes[i].Patience = patience(&config.Routes[i], config.Routes)
+	}
 	for _, routes := range table.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -189,6 +196,30 @@
 	return table
 }
 
+// patience returns the shortest aim of the routes that share a service with the
+// route and are as urgent or more so.
+func patience(route *Route, routes []Route) settings.Span {
+	shortest := route.Aim
+	for i := range routes {
+		other := &routes[i]
+		if other.Aim > 0 && other.Aim < shortest && other.Priority <= route.Priority && sharesService(route, other) {
+			shortest = other.Aim
+		}
+	}
+	return shortest
+}
+
+func sharesService(first, second *Route) bool {
+	for _, one := range first.Splits {
+		for _, other := range second.Splits {
+			if one.Service == other.Service {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Match returns the route of a host and path, or nil. A port in the host is
 // ignored.
 func (table *Table) Match(host, path string) *Route {
