Let changes of registrations gather before the next watch

Change: after changes of registrations the next watch begins half a second later, after those of the configuration 150 ms later.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -22,6 +22,12 @@
 	configWait = 2 * time.Second
 	// otherWait is how long the other watches wait; each call has its price.
 	otherWait = 6 * time.Second
+	// gatherTargets is how long changes of registrations are left to gather after
+	// some came, so that a roll of weights, which changes each registration, does
+	// not make a call each: small beside the time in which a leaving target may
+	// get new work. gatherConfigs does so for quick successions of configurations.
+	gatherTargets = 500 * time.Millisecond
+	gatherConfigs = 150 * time.Millisecond
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
 	// unknownAge is how long ago weights are taken to have been named that a VM
@@ -72,31 +78,39 @@
 
 // runConfigs follows the operators' configuration.
 func (gateway *Gateway) runConfigs(ctx context.Context) error {
-	gateway.follow(ctx, objects.Configs, configWait)
+	gateway.follow(ctx, following{objects.Configs, configWait, gatherConfigs})
 	return nil
 }
 
 // runTargets follows the registrations.
 func (gateway *Gateway) runTargets(ctx context.Context) error {
-	gateway.follow(ctx, objects.Targets, otherWait)
+	gateway.follow(ctx, following{objects.Targets, otherWait, gatherTargets})
 	return nil
 }
 
 // runWeights follows the named versions of weights.
 func (gateway *Gateway) runWeights(ctx context.Context) error {
-	gateway.follow(ctx, objects.Weights, otherWait)
+	gateway.follow(ctx, following{objects.Weights, otherWait, 0})
 	return nil
 }
 
+// following is how a collection is followed.
+type following struct {
+	collection objects.Collection
+	wait       time.Duration // of one watch
+	gather     time.Duration // the pause after changes came
+}
+
 // follow keeps a collection's copy in step until the context ends.
-func (gateway *Gateway) follow(ctx context.Context, collection objects.Collection, wait time.Duration) {
+func (gateway *Gateway) follow(ctx context.Context, following following) {
+	collection := following.collection
 	relist := true
 	for failures := 0; ctx.Err() == nil; {
 		var err error
 		if relist {
 			err = gateway.list(ctx, collection)
 		} else {
-			err = gateway.watch(ctx, collection, wait)
+			err = gateway.watch(ctx, following)
 		}
 		if ctx.Err() != nil {
 			return
@@ -133,15 +147,19 @@
 	return nil
 }
 
-func (gateway *Gateway) watch(ctx context.Context, collection objects.Collection, wait time.Duration) error {
+func (gateway *Gateway) watch(ctx context.Context, following following) error {
+	collection := following.collection
 	from, _ := gateway.mirror.At(collection)
 	gateway.metrics.PlatformCalls.Add(1)
-	events, at, err := gateway.Store.Changes(ctx, collection, from, time.Now().Add(wait))
+	events, at, err := gateway.Store.Changes(ctx, collection, from, time.Now().Add(following.wait))
 	if err != nil {
 		return err
 	}
 	gateway.storeAnswered()
 	gateway.apply(gateway.mirror.Apply(collection, events, at), time.Now())
+	if len(events) > 0 {
+		sleepUntil(ctx, time.Now().Add(following.gather))
+	}
 	return nil
 }
 
