Do not take a caller for gone when the read deadline has passed

A request that had no event when its connection went silent is sent again after 10 s; the look whether the caller is still there used the connection's Read, which fails once the 10 s for reading the request's head have passed, and that was taken for the caller's end.

--- /dev/null
+++ b/command/cmd_explain.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleygw/bramleygw/explain"
+)
+
+var cmdExplain = &cli.Command{
+	Name:        "explain",
+	Usage:       "tell the story of one request from logs on standard input",
+	ArgsUsage:   "ID",
+	Description: "Reads the logs of all VMs, one line each, and puts those that name the request in order.",
+	Action: func(_ context.Context, command *cli.Command) error {
+		if command.Args().Len() != 1 {
+			return usage("explain needs the id of one request: bramleygw explain ID < logs")
+		}
+		story, err := explain.Read(os.Stdin, command.Args().First())
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprint(output, story)
+		return err
+	},
+}
--- a/command/cmd_gateway.go
+++ b/command/cmd_gateway.go
@@ -19,9 +19,10 @@
 	Name:        "gateway",
 	Usage:       "run one VM's process on the users' platform",
 	Description: "Reads the settings file that " + platform.SettingsVariable + " names, serves until SIGTERM, then stops gracefully.",
-	Action: func(ctx context.Context, _ *cli.Command) error {
+	Flags:       []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and start nothing"}},
+	Action: func(ctx context.Context, command *cli.Command) error {
 		vm, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
-		if err != nil {
+		if err != nil || command.Bool("check") {
 			return err
 		}
 		buffer := event.NewBuffer(os.Stdout)
--- a/command/command.go
+++ b/command/command.go
@@ -41,7 +41,7 @@
 	return []*cli.Command{
 		cmdServe, cmdGateway, cmdSettings, cmdDemo, cmdStandin, cmdBench, cmdLoad,
 		cmdAccount, cmdKey, cmdModel, cmdRoute, cmdTarget, cmdObjective,
-		cmdPlan, cmdStatus, cmdReport, cmdAudit, cmdEvents,
+		cmdPlan, cmdStatus, cmdReport, cmdAudit, cmdEvents, cmdExplain,
 	}
 }
 
--- a/connection/closed.go
+++ b/connection/closed.go
@@ -45,11 +45,8 @@
 		return ended
 	}
 	seen := nothing
-	err = raw.Read(func(fd uintptr) bool {
-		seen = peek(int(fd))
-		return true
-	})
-	if err != nil {
+	// Control, unlike Read, does not fail once the read deadline has passed.
+	if err := raw.Control(func(fd uintptr) { seen = peek(int(fd)) }); err != nil {
 		return ended
 	}
 	return seen
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,43 @@
+package explain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const logs = `   2.100 edge-b {"event":901,"event_name":"request_refused","level":"info","msg":"ended","request":"r1","code":"target_failed","runs":2,"time":"t3","vm":"edge-b"}
+not a log line that names r1
+   1.900 edge-a {"event":301,"event_name":"platform_down","level":"warning","msg":"down","time":"t2","vm":"edge-a"}
+   1.500 edge-a {"event":902,"event_name":"attempt_failed","level":"info","msg":"failed","request":"r1","target":"i-7","time":"t1","vm":"edge-a"}
+   1.600 edge-a {"event":902,"event_name":"attempt_failed","level":"info","msg":"failed","request":"r11","time":"t1","vm":"edge-a"}
+{"broken":"r1"
+`
+
+func TestLinesOfARequestComeInOrder(t *testing.T) {
+	story, err := Read(strings.NewReader(logs), "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(story) != 2 || story[0].Event != "attempt_failed" || story[1].VM != "edge-b" {
+		t.Fatalf("got %+v, want the two lines of r1 in order", story)
+	}
+	const want = "1.500  edge-a  attempt_failed: failed\n        target=i-7\n2.100  edge-b  request_refused: ended\n        code=target_failed  runs=2\n"
+	if got := story.String(); got != want {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
+}
+
+func TestUnknownRequestIsAnError(t *testing.T) {
+	if _, err := Read(strings.NewReader(logs), "r2"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("got %v, want %v", err, ErrNotFound)
+	}
+}
+
+func TestLinesWithoutPrefixAreOrderedByTime(t *testing.T) {
+	const plain = `{"event_name":"b","request":"r","time":"2026-01-02T00:00:02Z"}` + "\n" + `{"event_name":"a","request":"r","time":"2026-01-02T00:00:01Z"}` + "\n"
+	story, err := Read(strings.NewReader(plain), "r")
+	if err != nil || story[0].Event != "a" {
+		t.Errorf("got %+v, %v, want the earlier line first", story, err)
+	}
+}
--- a/relay/budgets.go
+++ b/relay/budgets.go
@@ -16,7 +16,7 @@
 	vms    func() int
 
 	mu      sync.Mutex // guards budgets
-	budgets map[string]*retry.Budget
+	budgets map[string]*retry.Window
 }
 
 // retryMargin is the part of the platform's bound that is used: arrivals are
@@ -25,7 +25,7 @@
 
 // NewBudgets returns full budgets; vms tells how many VMs share the bound.
 func NewBudgets(bounds settings.Bounds, vms func() int) *Budgets {
-	return &Budgets{bounds: bounds, vms: vms, budgets: map[string]*retry.Budget{}}
+	return &Budgets{bounds: bounds, vms: vms, budgets: map[string]*retry.Window{}}
 }
 
 // Request notes a request for a service.
@@ -38,18 +38,13 @@
 	return budgets.get(service, now).Allow(now)
 }
 
-func (budgets *Budgets) get(service string, now time.Time) *retry.Budget {
+func (budgets *Budgets) get(service string, now time.Time) *retry.Window {
 	budgets.mu.Lock()
 	defer budgets.mu.Unlock()
 	budget, ok := budgets.budgets[service]
 	if !ok {
 		reserve := budgets.bounds.RetryReserve * retryMargin / float64(max(1, budgets.vms()))
-		window := budgets.bounds.RetryWindow.After(now).Sub(now).Seconds()
-		budget = retry.NewBudgetOf(retry.Limits{
-			Share:   budgets.bounds.RetryShare * retryMargin,
-			Reserve: reserve / 2,
-			Trickle: reserve / 2 / max(1, window),
-		}, now)
+		budget = retry.NewWindow(budgets.bounds.RetryShare*retryMargin, reserve, now, budgets.bounds.RetryWindow.After(now))
 		budgets.budgets[service] = budget
 	}
 	return budget
--- a/relay/job.go
+++ b/relay/job.go
@@ -64,9 +64,8 @@
 
 // attempt is what belongs to the current target alone.
 type attempt struct {
-	seat    *roster.Seat
-	head    target.Head
-	crossed bool
+	seat *roster.Seat
+	head target.Head
 }
 
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -28,21 +28,9 @@
 	trickle = 5
 )
 
-// Limits says how much a budget allows.
-type Limits struct {
-	// Share is the part of requests that may be tried again.
-	Share float64
-	// Reserve is the retries that may come at once.
-	Reserve float64
-	// Trickle is the retries a second that are always allowed.
-	Trickle float64
-}
-
 // Budget is a token bucket that requests fill and retries empty. It is safe
 // for concurrent use.
 type Budget struct {
-	limits Limits
-
 	mu      sync.Mutex // guards level and updated
 	level   float64
 	updated time.Time
@@ -50,19 +38,14 @@
 
 // NewBudget returns a full budget.
 func NewBudget(now time.Time) *Budget {
-	return NewBudgetOf(Limits{Share: share, Reserve: reserve, Trickle: trickle}, now)
-}
-
-// NewBudgetOf returns a full budget with the limits.
-func NewBudgetOf(limits Limits, now time.Time) *Budget {
-	return &Budget{limits: limits, level: limits.Reserve, updated: now}
+	return &Budget{level: reserve, updated: now}
 }
 
 // Request notes a first try.
 func (budget *Budget) Request(now time.Time) {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	budget.fill(budget.limits.Share, now)
+	budget.fill(share, now)
 }
 
 // Allow takes a retry out of the budget; false when it is empty.
@@ -80,10 +63,10 @@
 // fill adds to the level. The caller holds mu.
 func (budget *Budget) fill(amount float64, now time.Time) {
 	if elapsed := now.Sub(budget.updated).Seconds(); elapsed > 0 {
-		amount += elapsed * budget.limits.Trickle
+		amount += elapsed * trickle
 		budget.updated = now
 	}
-	budget.level = min(budget.limits.Reserve, budget.level+amount)
+	budget.level = min(reserve, budget.level+amount)
 }
 
 // Backoff doubles the pause between tries, with full jitter.
--- a/target/forward.go
+++ b/target/forward.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ErrTooLong: an answer is longer than this VM keeps at once.
+// ErrTooLong marks an answer that is longer than this VM keeps at once.
 var ErrTooLong = errors.New("the target's answer is too long")
 
 // Receiver takes an answer piece by piece, as bytes.
