Correct estimated waits by those observed lately

Change: each VM scales its estimate by observed over estimated waits, fading with 2 s, before it decides to refuse.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -148,6 +148,9 @@
 		}
 		job.started, job.firstAt = true, now
 		job.relay.Metrics.FirstToken(now.Sub(job.request.Arrived))
+		if prompt := job.request.Prompt; prompt != nil && len(job.tried) == 0 {
+			job.relay.waits.note(job.attempt.seat.Wait, now.Sub(job.request.Arrived), prompt.own(), now)
+		}
 	}
 	if err := job.answer.Write(text); err != nil {
 		return errors.Mark(err, errCallerGone)
--- a/relay/job.go
+++ b/relay/job.go
@@ -187,11 +187,12 @@
 		return nil
 	}
 	now := time.Now()
-	if limit := patience.After(now); now.Add(seat.Wait).Before(limit) {
+	wait := job.relay.waits.corrected(seat.Wait, now)
+	if limit := patience.After(now); now.Add(wait).Before(limit) {
 		return nil
 	}
 	// What waits now is read by then.
-	pause := seat.Wait + rand.N(comeBack)
+	pause := wait + rand.N(comeBack)
 	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").At(now.Add(pause))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,7 @@
 	running atomic.Int64
 	// answered bounds the lines about requests that were answered.
 	answered event.Sampler
+	waits    waits
 }
 
 const (
