Look at the home and thirteen targets among many

Cause: choosing among 600 targets took 58 us, each target's cost being computed. Change: up to 32 targets all costs are computed, among more those of the home and of thirteen in turn; the home's search asks the cheaper question first.

--- a/roster/choose.go
+++ b/roster/choose.go
@@ -96,34 +96,63 @@
 	var home *Target
 	var most uint64
 	for _, target := range targets {
-		if !target.usable(now) || now.Before(target.restUntil) || target.suspect() {
-			continue
+		score := prefix.Mix(ask.Prefix ^ target.seed)
+		if home != nil && score <= most {
+			continue // the cheaper question first: most targets end here
 		}
-		if score := prefix.Mix(ask.Prefix ^ target.seed); home == nil || score > most {
+		if target.usable(now) && !now.Before(target.restUntil) && !target.suspect() {
 			home, most = target, score
 		}
 	}
 	return home
 }
 
-// best returns the target with the least cost, or nil.
+// best returns the target with the least cost, or nil. Among many targets it
+// looks at the home and at some in turn, and at all only when none of those may
+// have the request.
 func (roster *Roster) best(targets []*Target, ask Ask, home *Target, now time.Time) *Target {
+	if len(targets) == 0 {
+		return nil
+	}
+	if len(targets) <= lookAtAll {
+		roster.turn++
+		return roster.cheapest(targets, ask, home, int(roster.turn%uint64(len(targets))), len(targets), now)
+	}
+	roster.turn += sample
+	from := int(roster.turn % uint64(len(targets)))
+	if found := roster.cheapest(targets, ask, home, from, sample, now); found != nil {
+		return found
+	}
+	return roster.cheapest(targets, ask, home, from, len(targets), now)
+}
+
+// cheapest returns the target with the least cost among the home and a number of
+// targets, or nil.
+func (roster *Roster) cheapest(targets []*Target, ask Ask, home *Target, from, number int, now time.Time) *Target {
 	var best *Target
 	least := 0
-	roster.turn++
-	for i := range targets {
-		target := targets[(i+int(roster.turn))%len(targets)]
-		if !target.allowed(ask, now) {
+	if home != nil && home.allowed(ask, now) {
+		best, least = home, roster.cost(home, ask, home, now)
+	}
+	for i := range number {
+		target := targets[(from+i)%len(targets)]
+		if target == home || !target.allowed(ask, now) {
 			continue
 		}
-		cost := roster.cost(target, ask, home, now)
-		if best == nil || cost < least {
+		if cost := roster.cost(target, ask, home, now); best == nil || cost < least {
 			best, least = target, cost
 		}
 	}
 	return best
 }
 
+const (
+	// lookAtAll is the number of targets up to which each one's cost is computed.
+	lookAtAll = 32
+	// sample is the number of targets that are looked at among more.
+	sample = 13
+)
+
 // allowed reports whether the target may get the request.
 func (target *Target) allowed(ask Ask, now time.Time) bool {
 	if !target.usable(now) || now.Before(target.restUntil) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -286,6 +287,35 @@
 	}
 }
 
+// Among many targets only some are looked at: none may be left without work, and
+// the home of a prefix is always among them.
+func TestManyTargetsAllGetWorkAndHomesAreKept(t *testing.T) {
+	roster := New("a")
+	for i := range 100 {
+		entry := engine("e1", "a", 1)
+		entry.ID = fmt.Sprintf("e%03d", i)
+		roster.Put(entry, start)
+	}
+	got := map[string]int{}
+	for range 3000 {
+		seat := choose(t, roster, Ask{Model: "m", Tokens: 10}, start)
+		got[seat.ID]++
+		seat.End()
+	}
+	if len(got) != 100 {
+		t.Errorf("got work at %d of 100 targets, want at all", len(got))
+	}
+	homes := map[string]bool{}
+	for range 50 {
+		seat := choose(t, roster, Ask{Model: "m", Prefix: 7, Tokens: 10}, start)
+		homes[seat.ID] = true
+		seat.End()
+	}
+	if len(homes) != 1 {
+		t.Errorf("got %d homes of one prefix, want 1", len(homes))
+	}
+}
+
 func BenchmarkChoose600(b *testing.B) {
 	roster := New("a")
 	for i := range 600 {
