Never eject the last targets; take a store for down only when no connection can be made

Their own 500 answers (14 of 100) had by chance taken each one's failure share over 0.25, all three were ejected, and requests that run once may not try an ejected target. Ruled out: registrations, unreachable targets (no such event), weights. Also seen there: 59 refusals for the rate in the 2 s after all VMs were started again, since each began with a sixth of a part of the burst; and the store of KV cache taken for down for 250 ms each time it closed an idle connection. Change: ejection from 0.4 on, and only while others are left; a VM starts with three tenths of the starting part; the connection to the store is made anew at once.

--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -87,25 +87,47 @@
 	return missing
 }
 
-// runConnection keeps one connection until its end.
+// runConnection keeps a connection open. The store may close an idle one: it is
+// taken for down only when no other can be made at once.
 func (stores *cacheStores) runConnection(ctx context.Context, address netip.AddrPort) {
-	conn, err := connection.Dialer().DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return // the next look tries again
+	up := false
+	for {
+		conn, err := connection.Dialer().DialContext(ctx, "tcp", address.String())
+		if err != nil || !stores.hold(address, conn, up) {
+			break
+		}
+		up = true
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read below
+		_, _ = io.Copy(io.Discard, conn)                            // returns when the connection has ended
+		stop()
+		_ = conn.Close() // nothing was sent
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	if up {
+		stores.lose(address)
 	}
+}
+
+// hold notes a connection; false when the store is not named any more or has
+// another one.
+func (stores *cacheStores) hold(address netip.AddrPort, conn net.Conn, again bool) bool {
 	stores.mu.Lock()
-	if known, ok := stores.conns[address]; !ok || known != nil {
-		stores.mu.Unlock()
+	defer stores.mu.Unlock()
+	known, ok := stores.conns[address]
+	if !ok || known != nil && !again {
 		_ = conn.Close() // nothing was sent
-		return
+		return false
 	}
 	stores.conns[address] = conn
-	stores.mu.Unlock()
-	stores.log.Emit(event.CacheStoreUp, event.F("address", address.String()))
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read below
-	defer stop()
-	_, _ = io.Copy(io.Discard, conn) // returns when the store is gone
-	_ = conn.Close()
+	if !again {
+		stores.log.Emit(event.CacheStoreUp, event.F("address", address.String()))
+	}
+	return true
+}
+
+func (stores *cacheStores) lose(address netip.AddrPort) {
 	stores.mu.Lock()
 	defer stores.mu.Unlock()
 	if _, ok := stores.conns[address]; ok {
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -187,7 +187,7 @@
 	}
 	if account.limit.Burst == 0 && account.limit.Rate == 0 {
 		account.level += startShare * limit.Burst
-		account.own += startShare * limit.Burst * fleet.share(account, now)
+		account.own += startShare * limit.Burst * max(fleet.share(account, now), savedShare)
 		account.updated = now
 	}
 	account.limit = limit
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -78,7 +78,7 @@
 	target.sinceLoad++
 	target.prefill += tokens
 	if target.suspect() {
-		target.restUntil = now.Add(trialPause)
+		target.greyUntil = now.Add(trialPause)
 	}
 }
 
@@ -107,39 +107,59 @@
 	return home
 }
 
-// best returns the target with the least cost, or nil. Among many targets it
-// looks at the home and at some in turn, and at all only when none of those may
-// have the request.
+// best returns the target with the least cost, or nil. Targets that failed too
+// many requests are ejected while others are left. Among many targets it looks at
+// the home and at some in turn, and at all only when none of those may have the
+// request.
 func (roster *Roster) best(targets []*Target, ask Ask, home *Target, now time.Time) *Target {
 	if len(targets) == 0 {
 		return nil
 	}
-	if len(targets) <= lookAtAll {
-		roster.turn++
-		return roster.cheapest(targets, ask, home, int(roster.turn%uint64(len(targets))), len(targets), now)
+	few := search{ask: ask, home: home, now: now, number: len(targets)}
+	roster.turn++
+	if len(targets) > lookAtAll {
+		roster.turn += sample - 1
+		few.number = sample
 	}
-	roster.turn += sample
-	from := int(roster.turn % uint64(len(targets)))
-	if found := roster.cheapest(targets, ask, home, from, sample, now); found != nil {
-		return found
+	few.from = int(roster.turn % uint64(len(targets)))
+	all := few
+	all.number = len(targets)
+	ejected := all
+	ejected.ejected = true
+	for _, search := range []search{few, all, ejected} {
+		if found := roster.cheapest(targets, search); found != nil {
+			return found
+		}
 	}
-	return roster.cheapest(targets, ask, home, from, len(targets), now)
+	return nil
+}
+
+// search is which targets are looked at.
+type search struct {
+	ask  Ask
+	home *Target
+	now  time.Time
+	// from is the first target and number how many follow it.
+	from   int
+	number int
+	// ejected is set when those that failed too many may have the request too.
+	ejected bool
 }
 
-// cheapest returns the target with the least cost among the home and a number of
-// targets, or nil.
-func (roster *Roster) cheapest(targets []*Target, ask Ask, home *Target, from, number int, now time.Time) *Target {
+// cheapest returns the target with the least cost among the home and those that
+// are looked at, or nil.
+func (roster *Roster) cheapest(targets []*Target, search search) *Target {
 	var best *Target
 	least := 0
-	if home != nil && home.allowed(ask, now) {
-		best, least = home, roster.cost(home, ask, home, now)
+	if search.home != nil && search.home.allowed(search) {
+		best, least = search.home, roster.cost(search.home, search.ask, search.home, search.now)
 	}
-	for i := range number {
-		target := targets[(from+i)%len(targets)]
-		if target == home || !target.allowed(ask, now) {
+	for i := range search.number {
+		target := targets[(search.from+i)%len(targets)]
+		if target == search.home || !target.allowed(search) {
 			continue
 		}
-		if cost := roster.cost(target, ask, home, now); best == nil || cost < least {
+		if cost := roster.cost(target, search.ask, search.home, search.now); best == nil || cost < least {
 			best, least = target, cost
 		}
 	}
@@ -154,11 +174,12 @@
 )
 
 // allowed reports whether the target may get the request.
-func (target *Target) allowed(ask Ask, now time.Time) bool {
+func (target *Target) allowed(search search) bool {
+	ask, now := search.ask, search.now
 	if !target.usable(now) || now.Before(target.restUntil) {
 		return false
 	}
-	if target.suspect() && (!ask.Repeatable || target.inFlight > 0) {
+	if !search.ejected && target.suspect() && (!ask.Repeatable || target.inFlight > 0 || now.Before(target.greyUntil)) {
 		return false
 	}
 	if weights, ok := target.weights(ask.Model); ok && weights < ask.Required {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -274,6 +274,25 @@
 	}
 }
 
+// A service may answer a part of its requests with failures of its own: the last
+// targets are never ejected, so that requests that run once have a place too.
+func TestTargetsThatAllFailStayInUse(t *testing.T) {
+	roster := New("a")
+	for _, id := range []string{"e1", "e2", "e3"} {
+		roster.Put(engine(id, "a", 1), start)
+	}
+	now := start
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		seat, ok := roster.Choose(Ask{Service: "notes", Repeatable: i%4 == 0}, now)
+		if !ok {
+			t.Fatalf("got no target for request %d, want one", i)
+		}
+		seat.Failed(false, now)
+		seat.End()
+	}
+}
+
 func TestRemovedTargetKeepsItsRequestsAndThenGoes(t *testing.T) {
 	roster := New("a")
 	roster.Put(engine("e1", "a", 1), start)
--- a/roster/target.go
+++ b/roster/target.go
@@ -27,8 +27,9 @@
 	// outcomeWeight is how much one outcome moves the failure share: about
 	// sixteen requests count.
 	outcomeWeight = 1.0 / 16
-	// greyShare is the failure share from which on a target is ejected.
-	greyShare = 0.25
+	// greyShare is the failure share from which on a target is ejected, unless no
+	// other is left: well above what a service's own failures reach by chance.
+	greyShare = 0.4
 	// greyRest is how long an ejected target rests before one request tries it.
 	greyRest = time.Second
 	// loadTime is how long a load report counts in full.
@@ -92,7 +93,8 @@
 	misses      int  // probes in a row that failed
 	doubtful    bool // its weights or its instance are not the expected ones
 	probeAt     time.Time
-	restUntil   time.Time
+	restUntil   time.Time // of a doubtful target
+	greyUntil   time.Time // of one that failed too many
 	// failed is the share of recent requests that failed.
 	failed float64
 	// heard is when the target last sent a byte.
@@ -147,7 +149,7 @@
 	}
 	target.failed += (value - target.failed) * outcomeWeight
 	if failed && target.failed > greyShare {
-		target.restUntil = now.Add(greyRest)
+		target.greyUntil = now.Add(greyRest)
 	}
 }
 
