Correct estimated waits only where much was observed

While nothing waits the estimates sum up to nothing, and first tokens that come a little late made the correction its largest, fourfold. Change: a second of waiting is taken to have been estimated rightly.

--- a/relay/waits.go
+++ b/relay/waits.go
@@ -9,8 +9,11 @@
 const (
 	// waitsFade is the time constant with which observed waits are forgotten.
 	waitsFade = 2 * time.Second
-	// mostOff bounds the correction of an estimate.
+	// mostOff bounds the correction of an estimate, and prior, in seconds, is what
+	// is taken to have been estimated rightly: while little waits, what is observed
+	// says nothing of the estimates.
 	mostOff = 4
+	prior   = 1.0
 	// usualRead is the time to a first token of a prompt that waits for nothing,
 	// beside the reading of its own tokens, which takes ownRead a token.
 	usualRead = 25 * time.Millisecond
@@ -42,10 +45,7 @@
 	waits.mu.Lock()
 	defer waits.mu.Unlock()
 	waits.fade(now)
-	if waits.estimated <= 0 {
-		return estimated
-	}
-	off := min(mostOff, max(1, waits.observed/waits.estimated))
+	off := min(mostOff, max(1, (waits.observed+prior)/(waits.estimated+prior)))
 	return time.Duration(float64(estimated) * off)
 }
 
