--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"time"
@@ -12,8 +13,11 @@
 // readyTime bounds one readiness check.
 const readyTime = time.Second
 
-// readiness answers the balancer, whatever the path: it has an address of its
-// own.
+// metricsPath is where the counters are shown, beside the readiness checks.
+const metricsPath = "/metrics"
+
+// readiness answers the balancer, whatever the path but for the metrics': it has
+// an address of its own.
 type readiness struct {
 	listener net.Listener
 	ready    func() bool
@@ -32,7 +36,11 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (readiness *readiness) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+func (readiness *readiness) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == metricsPath {
+		expvar.Handler().ServeHTTP(writer, request)
+		return
+	}
 	if !readiness.ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
