--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 )
 
@@ -61,7 +62,7 @@
 		} else if time.Since(gateway.started) > relistTime {
 			return nil
 		}
-		if !sleepUntil(ctx, next) {
+		if !retry.Wait(ctx, next) {
 			return nil
 		}
 	}
@@ -149,7 +150,7 @@
 		for _, address := range gateway.heartbeatTargets(time.Now()) {
 			go gateway.runHeartbeat(ctx, address)
 		}
-		if !sleepUntil(ctx, next.Add(heartbeatInterval)) {
+		if !retry.Wait(ctx, next.Add(heartbeatInterval)) {
 			return nil
 		}
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -31,8 +31,8 @@
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
 	// unknownAge is how long ago weights are taken to have been named that a VM
-	// finds in its first list, until another VM tells better: about the time in which a
-	// process is started again.
+	// finds in its first list, until another VM tells better: about the time in
+	// which a process is started again.
 	unknownAge = 2 * time.Second
 	// failuresToLose is the number of calls in a row that fail until the store is
 	// taken for lost: a single one may be a watch that was cut.
@@ -125,7 +125,7 @@
 			continue
 		}
 		gateway.storeFailed(err)
-		if !sleepUntil(ctx, storeBackoff.Next(failures, time.Now())) {
+		if !retry.Wait(ctx, storeBackoff.Next(failures, time.Now())) {
 			return
 		}
 		failures++
@@ -158,7 +158,7 @@
 	gateway.storeAnswered()
 	gateway.apply(gateway.mirror.Apply(collection, events, at), time.Now())
 	if len(events) > 0 {
-		sleepUntil(ctx, time.Now().Add(following.gather))
+		retry.Wait(ctx, time.Now().Add(following.gather))
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/rollout"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/routing"
@@ -264,18 +265,6 @@
 	return err
 }
 
-// sleepUntil waits for a time; false when the context ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // runReloads notes that the settings file has changed.
 func (gateway *Gateway) runReloads(ctx context.Context) error {
 	for {
@@ -293,7 +282,7 @@
 
 // runSweep drops what has lapsed.
 func (gateway *Gateway) runSweep(ctx context.Context) error {
-	for sleepUntil(ctx, time.Now().Add(sweepInterval)) {
+	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
 		now := time.Now()
 		gateway.roster.Sweep(now)
 		gateway.limits.Expect(gateway.vms())
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
@@ -20,7 +21,7 @@
 
 // runProbes asks targets that went quiet whether they accept connections.
 func (gateway *Gateway) runProbes(ctx context.Context) error {
-	for sleepUntil(ctx, time.Now().Add(probeTick)) {
+	for retry.Wait(ctx, time.Now().Add(probeTick)) {
 		for _, probe := range gateway.roster.Probes(time.Now()) {
 			go gateway.runProbe(ctx, probe)
 		}
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/retry"
 )
 
 // storeLook is how often the connections to the stores of KV cache are looked
@@ -69,7 +70,7 @@
 		for _, address := range stores.missing() {
 			go stores.runConnection(ctx, address)
 		}
-		if !sleepUntil(ctx, time.Now().Add(storeLook)) {
+		if !retry.Wait(ctx, time.Now().Add(storeLook)) {
 			return nil
 		}
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -36,7 +36,6 @@
 	service *routing.Service // nil when the route's service is not configured
 
 	digest   quarantine.Digest
-	suspect  bool
 	deadline time.Time
 	charged  float64 // tokens taken of the account
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -172,14 +172,10 @@
 }
 
 func (relay *Relay) checkQuarantine(job *job) error {
-	now := job.request.Arrived
-	switch relay.Suspect.Standing(job.digest, now) {
-	case quarantine.Barred:
-		return refusal.New(refusal.Quarantined, "targets died while this request ran; change the request")
-	case quarantine.Suspect:
-		job.suspect = true
+	if relay.Suspect.Standing(job.digest, job.request.Arrived) != quarantine.Barred {
+		return nil
 	}
-	return nil
+	return refusal.New(refusal.Quarantined, "targets died while this request ran; change the request")
 }
 
 func (relay *Relay) checkLimit(job *job) error {
--- /dev/null
+++ b/retry/wait.go
@@ -0,0 +1,18 @@
+package retry
+
+import (
+	"context"
+	"time"
+)
+
+// Wait returns at a time; false when the context ended first.
+func Wait(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/router/chores.go
+++ b/router/chores.go
@@ -7,6 +7,7 @@
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quarantine"
+	"github.com/bramleygw/bramleygw/retry"
 )
 
 const (
@@ -52,7 +53,7 @@
 
 // runBurn writes this VM's finished counts into the platform.
 func (router *Router) runBurn(ctx context.Context) error {
-	for sleepUntil(ctx, time.Now().Add(burnInterval)) {
+	for retry.Wait(ctx, time.Now().Add(burnInterval)) {
 		router.writeBurn(ctx)
 	}
 	return nil
--- a/router/config.go
+++ b/router/config.go
@@ -25,18 +25,6 @@
 
 var reconnect = retry.Backoff{First: 100 * time.Millisecond, Last: 2 * time.Second}
 
-// sleepUntil waits for a time; false when the context ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // runConfig follows the configuration: from another VM at the start, then by
 // the platform's watch.
 func (router *Router) runConfig(ctx context.Context) error {
@@ -59,7 +47,7 @@
 			router.Log.Emit(event.NotReady)
 			router.fetchFromSeeds(ctx)
 		}
-		if !sleepUntil(ctx, reconnect.Next(attempt, time.Now())) {
+		if !retry.Wait(ctx, reconnect.Next(attempt, time.Now())) {
 			return nil
 		}
 	}
@@ -173,7 +161,7 @@
 func (router *Router) runVMs(ctx context.Context) error {
 	for {
 		router.readVMs(ctx)
-		if !sleepUntil(ctx, time.Now().Add(vmInterval)) {
+		if !retry.Wait(ctx, time.Now().Add(vmInterval)) {
 			return nil
 		}
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/retry"
 )
 
 const (
@@ -47,7 +48,7 @@
 		_ = group.Wait() // each reports for itself
 		isolated = router.noteIsolation(isolated)
 		router.noteSilent(silent)
-		if !sleepUntil(ctx, now.Add(heartbeatInterval)) {
+		if !retry.Wait(ctx, now.Add(heartbeatInterval)) {
 			return nil
 		}
 	}
--- a/router/rights.go
+++ b/router/rights.go
@@ -11,6 +11,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/retry"
 )
 
 const (
@@ -41,7 +42,7 @@
 		select {
 		case <-ticker.C:
 		case <-changed: // a right may have been released to this VM
-			if !sleepUntil(ctx, time.Now().Add(rightsPause)) {
+			if !retry.Wait(ctx, time.Now().Add(rightsPause)) {
 				return nil
 			}
 		case <-ctx.Done():
--- a/router/status.go
+++ b/router/status.go
@@ -15,6 +15,7 @@
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/report"
+	"github.com/bramleygw/bramleygw/retry"
 )
 
 // FleetStatus implements operator.Fleet.
@@ -144,7 +145,7 @@
 			version = stored.Metadata.ResourceVersion
 		}
 	}
-	if sleepUntil(ctx, time.Now().Add(time.Second)) {
+	if retry.Wait(ctx, time.Now().Add(time.Second)) {
 		router.later(func(ctx context.Context) { router.recordWithdrawal(ctx, key, version) })
 	}
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -22,8 +22,6 @@
 
 // Bounds are the platform's figures for what the fleet must keep.
 type Bounds struct {
-	// Drain is how long after a target began to leave it may get new work.
-	Drain Span
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace Span
 	// Lease is the least time between orders of two holders.
@@ -35,9 +33,4 @@
 	RetryShare   float64
 	RetryReserve float64
 	RetryWindow  Span
-	// QuotaSlack is the tokens that an account may exceed its limit by in any
-	// QuotaWindow, beside the share QuotaOverage.
-	QuotaWindow  Span
-	QuotaOverage float64
-	QuotaSlack   float64
 }
