Renew the lease before telling other VMs of a roll

Ruled out: telling later as a loss; the orders follow within a round trip, in which about 0.03 requests of all VMs are sent. Change: the lease is renewed first.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -212,25 +212,24 @@
 	}
 }
 
-// prepare keeps new work away from the targets and renews the lease.
+// prepare renews the lease and then keeps new work away from the targets. Other
+// VMs hear of it only once the lease is sure, so that none keeps a target out of
+// use for an order that never comes.
 func (orders *orders) prepare(ctx context.Context, given []rollout.Step) bool {
 	gateway := orders.gateway
+	gateway.metrics.PlatformCalls.Add(1)
+	if !orders.lease.Renew(ctx) {
+		gateway.Log.Emit(event.LeaseLost, event.F("token", orders.lease.Token()))
+		orders.held = false
+		return false
+	}
 	var news []peer.TargetNews
 	for _, step := range given {
 		gateway.roster.Rolling(step.Target, step.Model, step.Version, time.Now().Add(rollingTime))
 		news = append(news, peer.TargetNews{Target: step.Target, Model: step.Model, Weights: step.Version, Rolling: true})
 	}
 	go gateway.runNotify(ctx, peer.Notice{Targets: news})
-	gateway.metrics.PlatformCalls.Add(1)
-	if orders.lease.Renew(ctx) {
-		return true
-	}
-	gateway.Log.Emit(event.LeaseLost, event.F("token", orders.lease.Token()))
-	orders.held = false
-	for _, step := range given {
-		gateway.roster.Rolling(step.Target, step.Model, step.Version, time.Time{})
-	}
-	return false
+	return true
 }
 
 func (orders *orders) runAsk(ctx context.Context, step rollout.Step) {
