Log VMs that are lost and heard again on the users' platform too

Cause: the gateway logged each lost and regained store and target, not other VMs. Change: what the router counted for itself is membership.Silence, used by both.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
@@ -44,6 +45,8 @@
 	// the size of the users' fleets of today.
 	startTime  = 3 * time.Second
 	unknownVMs = 8
+	// silentAfter is when a VM that is not heard is worth a log line.
+	silentAfter = 2 * time.Second
 	// presentTime is how long a VM that is not heard counts for shares.
 	presentTime = 10 * time.Second
 )
@@ -140,6 +143,17 @@
 	return count
 }
 
+// noteSilent logs VMs that are no longer heard, and those that are again.
+func (gateway *Gateway) noteSilent(silence *membership.Silence, now time.Time) {
+	lost, heard := silence.Note(gateway.members.Views(now), now.Add(-silentAfter), now)
+	for _, name := range lost {
+		gateway.Log.Emit(event.PeerLost, event.F("peer", name))
+	}
+	for _, name := range heard {
+		gateway.Log.Emit(event.PeerHeard, event.F("peer", name))
+	}
+}
+
 // runHeartbeats exchanges heartbeats with other VMs. Of two VMs that hear each
 // other only the one with the lower name begins.
 func (gateway *Gateway) runHeartbeats(ctx context.Context) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -282,9 +282,11 @@
 
 // runSweep drops what has lapsed.
 func (gateway *Gateway) runSweep(ctx context.Context) error {
+	var silence membership.Silence
 	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
 		now := time.Now()
 		gateway.roster.Sweep(now)
+		gateway.noteSilent(&silence, now)
 		gateway.limits.Expect(gateway.vms())
 		listed := map[string]bool{}
 		for _, entry := range gateway.roster.Entries() {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
@@ -33,7 +34,7 @@
 // runHeartbeats exchanges heartbeats with other VMs in turn.
 func (router *Router) runHeartbeats(ctx context.Context) error {
 	isolated := false
-	silent := map[string]bool{}
+	var silence membership.Silence
 	for {
 		now := time.Now()
 		var group errgroup.Group
@@ -47,7 +48,7 @@
 		}
 		_ = group.Wait() // each reports for itself
 		isolated = router.noteIsolation(isolated)
-		router.noteSilent(silent)
+		router.noteSilent(&silence)
 		if !retry.Wait(ctx, now.Add(heartbeatInterval)) {
 			return nil
 		}
@@ -55,16 +56,21 @@
 }
 
 // noteSilent logs listed VMs that are no longer heard, and those that are again.
-func (router *Router) noteSilent(silent map[string]bool) {
-	for _, view := range router.members.Views(time.Now()) {
-		lost := view.Listed && view.HeardMS > silentAfter.Milliseconds()
-		switch {
-		case lost && !silent[view.Name]:
-			router.Log.Emit(event.PeerLost, event.F("peer", view.Name))
-		case !lost && silent[view.Name]:
-			router.Log.Emit(event.PeerHeard, event.F("peer", view.Name))
+func (router *Router) noteSilent(silence *membership.Silence) {
+	now := time.Now()
+	views := router.members.Views(now)
+	listed := views[:0]
+	for _, view := range views {
+		if view.Listed {
+			listed = append(listed, view)
 		}
-		silent[view.Name] = lost
+	}
+	lost, heard := silence.Note(listed, now.Add(-silentAfter), now)
+	for _, name := range lost {
+		router.Log.Emit(event.PeerLost, event.F("peer", name))
+	}
+	for _, name := range heard {
+		router.Log.Emit(event.PeerHeard, event.F("peer", name))
 	}
 }
 
