Let the isolation test wait until its VM knows the others

The fleet's first VM has no seeds; when its way to the platform was cut before it had listed the others, it knew of nobody whom it could miss, and a VM that knows itself alone is not isolated. Change: the test waits until the VM lists all others before it cuts it off; what it asserts stays.

--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -124,6 +124,17 @@
 func TestIsolatedVMRefuses(t *testing.T) {
 	fleet, callers := harness.Start(t, bench.Small(1))
 	alone := fleet.VMs[0]
+	// The first VM starts before the others and has no seeds: it can miss only VMs
+	// that it knew.
+	harness.Await(t, "the VM to list all others", func() bool {
+		listed := 0
+		for _, view := range alone.Router.FleetStatus().VMs {
+			if view.Listed {
+				listed++
+			}
+		}
+		return listed == len(fleet.VMs)
+	})
 	alone.Door.Cut()
 	for _, vm := range fleet.VMs[1:] {
 		if err := fleet.Fail(vm); err != nil {
