Keep innocent requests out of the quarantine when targets stop together

Ruled out: two deaths told for one target (deaths carry its incarnation); slow stops of the stand-ins (12 ms at most).

Change: a suspect rests for 300 ms and then uses a new connection; its wait for a target counts from its last attempt; answers without an incarnation at the address of a target that named one rest the target and are no sign of life; withdrawn keys are looked for in a configuration that is read while no request can join; each test process has a loopback address of its own.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -33,8 +33,15 @@
 	"github.com/bramleygw/bramleygw/standin"
 )
 
-// ephemeral lets the system pick a loopback port.
-var ephemeral = netip.MustParseAddrPort("127.0.0.1:0")
+// ephemeral lets the system pick a port at a loopback address of this process:
+// the port of a target that is down cannot go to another process meanwhile.
+var ephemeral = netip.AddrPortFrom(ownLoopback(os.Getpid()), 0)
+
+// ownLoopback spreads processes over 127.64.0.0/10, with room for the process
+// numbers that the system gives (up to 2^22).
+func ownLoopback(process int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(64 | process>>16&63), byte(process >> 8), byte(process)})
+}
 
 const (
 	readyTimeout = 20 * time.Second
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -34,7 +34,7 @@
 // it whole.
 func (job *job) tryTargets(ctx context.Context) error {
 	var last error
-	began := time.Now()
+	began := time.Now() // the wait for a target
 	for attempt := 0; attempt < maxAttempts; {
 		state, release := job.choose()
 		if state == nil {
@@ -46,6 +46,7 @@
 		}
 		err := job.attempt(ctx, state, attempt)
 		release()
+		began = time.Now()
 		if err == nil {
 			return nil
 		}
@@ -85,12 +86,15 @@
 }
 
 // choose returns the next target. A suspect gets one where no other suspect
-// runs, its VM's own ones first, until release is called.
+// runs, its VM's own ones first, until release is called; none while it rests.
 func (job *job) choose() (state *placement.State, release func()) {
 	now := time.Now()
 	if !job.suspect {
 		return job.dispatcher.Policy.Choose(job.pool.Pool, &job.place, now), func() {}
 	}
+	if now.Before(job.dispatcher.Suspect.RestUntil(job.Digest)) {
+		return nil, func() {}
+	}
 	tried := job.place.Tried
 	defer func() { job.place.Tried = tried }()
 	for _, ownOnly := range []bool{true, false} {
@@ -123,6 +127,8 @@
 	job.progress.restart()
 	job.attemptID, job.incarnation = job.ID+"-"+strconv.Itoa(number), ""
 	call := job.call(state)
+	// A kept connection may have broken with a target that died before this.
+	call.Fresh = number > 0 || job.suspect
 	if job.Sink == nil && job.Request.MaxTokens <= shortAnswer {
 		return job.whole(ctx, client, state, call, &flight)
 	}
@@ -151,6 +157,10 @@
 
 // takeHead notes what an answer's head tells of its target.
 func (job *job) takeHead(state *placement.State, head target.Head) {
+	if state.Stranger(head.Incarnation) {
+		state.Failed(time.Now())
+		return
+	}
 	state.Answered()
 	job.incarnation = head.Incarnation
 	if state.Identify(head.Incarnation) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -75,9 +75,10 @@
 	defer ticker.Stop()
 	for {
 		changed := dispatcher.Catalog.Changed()
-		snapshot := dispatcher.Catalog.Snapshot()
-		dispatcher.Targets.update(snapshot, dispatcher.Members.Live())
-		dispatcher.endWithdrawn(snapshot)
+		dispatcher.Targets.update(dispatcher.Catalog.Snapshot(), dispatcher.Members.Live())
+		for range dispatcher.running.endWithdrawn(dispatcher.Catalog.Snapshot) {
+			dispatcher.Log.Emit(event.KeyWithdrawn)
+		}
 		select {
 		case <-changed:
 		case <-ticker.C:
--- a/dispatch/running.go
+++ b/dispatch/running.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/bramleygw/bramleygw/catalog"
-	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -47,17 +46,21 @@
 	return len(running.runs)
 }
 
-// endWithdrawn ends the requests whose keys no longer work.
-func (dispatcher *Dispatcher) endWithdrawn(snapshot *catalog.Snapshot) {
-	dispatcher.running.mu.Lock()
-	defer dispatcher.running.mu.Unlock()
-	for run := range dispatcher.running.runs {
+// endWithdrawn ends the requests whose keys no longer work and returns their
+// number. The configuration is read while no request can join: an older one may
+// lack the key with which a request has just come in.
+func (running *running) endWithdrawn(current func() *catalog.Snapshot) (ended int) {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	snapshot := current()
+	for run := range running.runs {
 		if run.key == "" {
 			continue
 		}
 		if key := snapshot.Key(run.key); key == nil || key.Withdrawn {
 			run.cancel(refusal.New(refusal.KeyWithdrawn, "the key was withdrawn; ask the operator for a new one").With(refusal.Unknown))
-			dispatcher.Log.Emit(event.KeyWithdrawn)
+			ended++
 		}
 	}
+	return ended
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -200,6 +200,27 @@
 	}
 }
 
+// The pattern: a target is gone and its address belongs to another program.
+func TestAnswersOfStrangersAreTold(t *testing.T) {
+	engine, service := newState(1, "engine", "a"), newState(2, "service", "a")
+	engine.Identify("1")
+	for _, test := range []struct {
+		name        string
+		state       *State
+		incarnation string
+		want        bool
+	}{
+		{"the target itself", engine, "1", false},
+		{"the target after a restart", engine, "2", false},
+		{"no incarnation in place of one", engine, "", true},
+		{"a service, which names none", service, "", false},
+	} {
+		if got := test.state.Stranger(test.incarnation); got != test.want {
+			t.Errorf("%s: got stranger %t, want %t", test.name, got, test.want)
+		}
+	}
+}
+
 func TestHotPrefixSpreadsAndReturns(t *testing.T) {
 	pool := poolOf(8)
 	policy := NewPrefixAware(1 << 10)
--- a/placement/state.go
+++ b/placement/state.go
@@ -138,6 +138,12 @@
 	return true
 }
 
+// Stranger reports whether an answer is another program's, which took over the
+// address of a target that is gone: it names no incarnation, and the target did.
+func (state *State) Stranger(incarnation string) bool {
+	return incarnation == "" && state.incarnation.Load() != 0
+}
+
 // Forget drops all belief about the target.
 func (state *State) Forget() {
 	state.epoch.Add(1)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,7 +4,8 @@
 // A suspect that is in flight at a second death is barred everywhere for a
 // while. So that innocent neighbours are not barred with it, a suspect is sent
 // again only to a target where no other suspect runs, and each VM uses its own
-// targets for that.
+// targets for that. It rests for a moment first: a fault that stops several
+// targets together would otherwise stop the next one under it too.
 // docs/design/quarantine.md tells what was weighed.
 //
 // # Usage
@@ -31,6 +32,10 @@
 	barTime = time.Hour
 	// deathsToBar is the number of deaths after which a request is refused.
 	deathsToBar = 2
+	// settleTime is how long a suspect rests after a death: as long as VMs wait
+	// for each other's notices, and longer than a fault takes that stops several
+	// targets together. Otherwise the second of them counts against it.
+	settleTime = 300 * time.Millisecond
 	// maxEntries bounds the book; the entry that lapses first is dropped.
 	maxEntries = 10000
 )
@@ -59,6 +64,7 @@
 
 type entry struct {
 	deaths int
+	last   time.Time // when the last death was counted
 	until  time.Time
 	// seen are the deaths that were counted, so that a notice that arrives
 	// twice counts once.
@@ -108,6 +114,7 @@
 	}
 	found.seen[death] = true
 	found.deaths++
+	found.last = now
 	found.until = now.Add(suspectTime)
 	if found.deaths >= deathsToBar {
 		found.until = now.Add(barTime)
@@ -132,6 +139,17 @@
 	return time.Time{}
 }
 
+// RestUntil returns the time before which a request should not be sent again;
+// zero when nothing is held against it.
+func (book *Book) RestUntil(digest Digest) time.Time {
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	if found, ok := book.entries[digest]; ok {
+		return found.last.Add(settleTime)
+	}
+	return time.Time{}
+}
+
 // Clear forgets a request that a target answered: it does not kill.
 func (book *Book) Clear(digest Digest) {
 	book.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -77,3 +77,26 @@
 		t.Errorf("got %d entries, want at most %d", got, maxEntries)
 	}
 }
+
+// Several targets stop together: a request of the first is not at the next one
+// when that dies too.
+func TestSuspectRestsWhileTargetsStopTogether(t *testing.T) {
+	const together = 250 * time.Millisecond
+	book := NewBook()
+	digest := Of("school", []byte("body"))
+	if got := book.RestUntil(digest); !got.IsZero() {
+		t.Errorf("got rest until %v for a clear request, want none", got)
+	}
+	book.Charge(digest, "e1/1", epoch)
+	got := book.RestUntil(digest)
+	if !got.After(epoch.Add(together)) {
+		t.Errorf("got rest until %v, want past the death of the other targets", got)
+	}
+	if want := epoch.Add(time.Second); got.After(want) {
+		t.Errorf("got rest until %v, want within a second: its caller waits", got)
+	}
+	book.Charge(digest, "e1/1", epoch.Add(together)) // told again by another VM
+	if again := book.RestUntil(digest); !again.Equal(got) {
+		t.Errorf("got rest until %v after a repeated notice, want %v", again, got)
+	}
+}
