Let one loop of attempts serve all kinds of requests

They had drifted apart: in relay a request that ended before anything ran was said to be of unknown outcome, a caller that left during its answer got its tokens back although the request had run, and a failure's answer could have been passed on after a part of a stream.

Ruled out: dispatch as a caller of relay (relay would need a second kind of table, account, queue and belief that the users' platform never uses).

Change: package delivery holds the loop, its decisions and its refusals, without I/O; relay, completions and calls are its carriers. Tests: TestRun (23 courses), TestEnded, TestRequestThatKillsTargetsStops.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/placement"
 	"github.com/bramleygw/bramleygw/prefix"
@@ -30,59 +31,29 @@
 
 var tryBackoff = retry.Backoff{First: 20 * time.Millisecond, Last: 300 * time.Millisecond}
 
-// tryTargets sends the request to one target after another until one answers
-// it whole.
-func (job *job) tryTargets(ctx context.Context) error {
-	var last error
-	began := time.Now() // the wait for a target
-	for attempt := 0; attempt < maxAttempts; {
-		state, release := job.choose()
-		if state == nil {
-			if time.Now().After(job.patience(began)) || !wait(ctx, attempt) {
-				break
-			}
-			job.place.Tried = nil
-			continue
-		}
-		err := job.attempt(ctx, state, attempt)
-		release()
-		began = time.Now()
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return ended(ctx)
+// Choose implements delivery.Carrier. It waits for a target while there is none,
+// a suspect also for its turn.
+func (job *job) Choose(ctx context.Context) (bool, error) {
+	for {
+		if state, leave := job.choose(); state != nil {
+			job.state, job.leave = state, leave
+			return true, nil
 		}
-		if final := job.judge(ctx, state, err); final != nil {
-			return final
-		}
-		last = err
-		if !errors.Is(err, target.ErrNotSent) { // what was not sent was no try
-			attempt++
+		now := time.Now()
+		if now.After(job.patience()) || !retry.Wait(ctx, tryBackoff.Next(job.tries+1, now)) {
+			return false, nil
 		}
+		job.place.Tried = nil
 	}
-	return job.exhausted(ctx, last)
 }
 
 // patience returns until when the request waits for a target. A suspect waits
 // for its turn, since others run alone before it.
-func (job *job) patience(began time.Time) time.Time {
+func (job *job) patience() time.Time {
 	if job.suspect {
-		return job.dispatcher.Limits.QueueDeadline.After(began)
-	}
-	return began.Add(noTargetWait)
-}
-
-func wait(ctx context.Context, attempt int) bool {
-	now := time.Now()
-	timer := time.NewTimer(max(time.Millisecond, tryBackoff.Next(attempt+1, now).Sub(now)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+		return job.dispatcher.Limits.QueueDeadline.After(job.waitFrom)
 	}
+	return job.waitFrom.Add(noTargetWait)
 }
 
 // choose returns the next target. A suspect gets one where no other suspect
@@ -114,8 +85,63 @@
 	return nil, func() {}
 }
 
+// Send implements delivery.Carrier.
+func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
+	state := job.state
+	err := job.attempt(ctx, state)
+	job.leave()
+	job.place.Tried = append(job.place.Tried, state)
+	outcome := outcomeOf(err)
+	if outcome != delivery.NotSent { // what was not sent was no try
+		job.tries++
+		job.waitFrom = time.Now()
+	}
+	if err == nil || ctx.Err() != nil {
+		return outcome, nil
+	}
+	return outcome, job.judge(ctx, state, err)
+}
+
+// outcomeOf returns the outcome of an attempt with the error.
+func outcomeOf(err error) delivery.Outcome {
+	switch {
+	case err == nil:
+		return delivery.Answered
+	case errors.Is(err, errSink):
+		return delivery.CallerGone
+	case errors.Is(err, target.ErrNotSent):
+		return delivery.NotSent
+	case errors.Is(err, target.ErrRefused):
+		return delivery.NotRun
+	}
+	return delivery.Broken
+}
+
+// Allow implements delivery.Carrier. Targets that refuse cost the budget nothing:
+// they are asked a few times at most.
+func (job *job) Allow(outcome delivery.Outcome, now time.Time) bool {
+	if outcome == delivery.NotRun {
+		return job.tries < maxAttempts
+	}
+	if !job.dispatcher.budget.Allow(now) {
+		return false
+	}
+	job.dispatcher.Metrics.Retries.Add(1)
+	return true
+}
+
+// Started implements delivery.Carrier.
+func (job *job) Started() bool {
+	return job.progress.delivered && job.Sink != nil
+}
+
+// Fallback implements delivery.Carrier.
+func (job *job) Fallback() (bool, error) {
+	return false, nil
+}
+
 // attempt runs the request at one target, resuming its stream as needed.
-func (job *job) attempt(ctx context.Context, state *placement.State, number int) error {
+func (job *job) attempt(ctx context.Context, state *placement.State) error {
 	client := job.dispatcher.Targets.Client(state.Name)
 	if client == nil {
 		return target.ErrNotSent
@@ -125,10 +151,10 @@
 	flight := state.Begin(max(0, uncached), now)
 	defer flight.End()
 	job.progress.restart()
-	job.attemptID, job.incarnation = job.ID+"-"+strconv.Itoa(number), ""
+	job.attemptID, job.incarnation = job.ID+"-"+strconv.Itoa(job.tries), ""
 	call := job.call(state)
 	// A kept connection may have broken with a target that died before this.
-	call.Fresh = number > 0 || job.suspect
+	call.Fresh = job.tries > 0 || job.suspect
 	if job.Sink == nil && job.Request.MaxTokens <= shortAnswer {
 		return job.whole(ctx, client, state, call, &flight)
 	}
@@ -179,7 +205,6 @@
 	call.Body = completion.Unstream(call.Body)
 	call.Silence = nil
 	head, body, err := client.Whole(ctx, call, nil)
-	job.noteSent(err)
 	if err != nil {
 		return err
 	}
@@ -223,7 +248,6 @@
 		return err
 	}
 	_, err := client.Stream(ctx, call, handle)
-	job.noteSent(err)
 	for resumes := 0; job.mayResume(ctx, client, state, err) && resumes < maxResumes; resumes++ {
 		job.dispatcher.Metrics.Resumes.Add(1)
 		job.dispatcher.Log.Emit(event.StreamResumed, event.F("target", state.Name), event.F("after", job.progress.lastID))
@@ -255,13 +279,6 @@
 	return errors.Is(err, target.ErrDied) && job.alive(ctx, client, state)
 }
 
-// noteSent remembers that a target may have run the request.
-func (job *job) noteSent(err error) {
-	if err == nil || !errors.IsAny(err, target.ErrNotSent, target.ErrRefused) {
-		job.mayHaveRun = true
-	}
-}
-
 func (job *job) learn(state *placement.State) {
 	cached := 0
 	if job.progress.usage != nil {
@@ -273,16 +290,11 @@
 // judge notes a failed attempt. It returns the refusal with which the request
 // ends, or nil when another target may be tried.
 func (job *job) judge(ctx context.Context, state *placement.State, err error) error {
-	now := time.Now()
-	job.place.Tried = append(job.place.Tried, state)
 	switch {
-	case errors.Is(err, errSink):
-		return refusal.New(refusal.CallerGone, "the caller went away")
 	case errors.Is(err, errDiffers):
-		return job.broken(state, "the stream was cut and cannot be continued; send the request again")
-	case errors.Is(err, target.ErrNotSent):
-		state.Failed(now)
-		return nil // nothing ran: no retry budget is needed
+		return refusal.New(refusal.TargetFailed, "the stream was cut and cannot be continued; send the request again")
+	case errors.Is(err, target.ErrNotSent), errors.Is(err, target.ErrSilent):
+		state.Failed(time.Now())
 	case errors.Is(err, target.ErrRefused):
 		return job.refused(err)
 	case errors.Is(err, target.ErrCrossed):
@@ -290,15 +302,9 @@
 		job.dispatcher.Log.Emit(event.CrossedAnswer, event.F("target", state.Name))
 	case errors.Is(err, target.ErrDied):
 		if job.charge(ctx, state) == quarantine.Barred {
-			return barred().With(refusal.Unknown)
+			return barred()
 		}
-	case errors.Is(err, target.ErrSilent):
-		state.Failed(now)
-	}
-	if !job.dispatcher.budget.Allow(now) {
-		return job.broken(state, "the target failed and too many requests are being tried again; retry later")
 	}
-	job.dispatcher.Metrics.Retries.Add(1)
 	return nil
 }
 
@@ -310,27 +316,3 @@
 	}
 	return nil
 }
-
-func (job *job) broken(state *placement.State, message string) error {
-	if job.progress.delivered && job.Sink != nil {
-		job.dispatcher.Metrics.StreamsBroken.Add(1)
-		job.dispatcher.Log.Emit(event.StreamBroken, event.F("target", state.Name))
-		return refusal.New(refusal.StreamInterrupted, message)
-	}
-	return refusal.New(refusal.TargetFailed, message)
-}
-
-// exhausted returns the refusal of a request that no target answered.
-func (job *job) exhausted(ctx context.Context, last error) error {
-	if ctx.Err() != nil {
-		return ended(ctx)
-	}
-	if last == nil || !job.mayHaveRun {
-		return noTarget()
-	}
-	if job.progress.delivered && job.Sink != nil {
-		job.dispatcher.Metrics.StreamsBroken.Add(1)
-		return refusal.New(refusal.StreamInterrupted, "no target could continue the stream; send the request again")
-	}
-	return refusal.New(refusal.TargetFailed, "the targets failed; retry after the time in Retry-After").At(time.Now().Add(comeBack))
-}
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/delivery"
+	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/placement"
 	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/quarantine"
@@ -64,8 +64,12 @@
 	result     Result
 	suspect    bool
 	leaveQueue func()
-	mayHaveRun bool
+	course     delivery.Delivery
+	tries      int       // attempts that reached a target
+	waitFrom   time.Time // the wait for a target
 	// Of the current attempt:
+	state       *placement.State
+	leave       func()
 	attemptID   string
 	incarnation string
 }
@@ -96,19 +100,14 @@
 	}
 	job.result.Left = reservation.Left
 	err = job.run(ctx)
-	if err != nil && !job.mayHaveRun {
+	if err != nil && job.course.Runs() == 0 {
 		reservation.Cancel(time.Now())
-		return job.result, notRun(err)
+		return job.result, refusal.From(err).With(refusal.NotRun)
 	}
 	reservation.Settle(float64(request.Request.PromptTokens()+job.progress.outputTokens()), time.Now())
 	return job.result, err
 }
 
-// notRun marks a refusal of a request that reached no target.
-func notRun(err error) error {
-	return refusal.From(err).With(refusal.NotRun)
-}
-
 func barred() *refusal.Refusal {
 	return refusal.New(refusal.Quarantined, "targets died while this request ran; change the request")
 }
@@ -152,8 +151,10 @@
 		priority = 0
 	}
 	job.forwarded = job.Request.Forward(completion.Additions{Salt: job.Salt, Priority: priority}, nil)
-	if err := job.tryTargets(ctx); err != nil {
-		return err
+	job.waitFrom = time.Now()
+	job.course = delivery.Delivery{Carrier: job, Repeatable: true, Attempts: maxAttempts}
+	if err := job.course.Run(ctx); err != nil {
+		return job.interrupted(err)
 	}
 	job.finish()
 	return nil
@@ -193,23 +194,18 @@
 		job.leaveQueue()
 	}
 	if ctx.Err() != nil {
-		return ended(ctx)
+		return delivery.Ended(ctx)
 	}
 	return refusal.New(refusal.QueueDeadline, "targets are busy; retry after the time in Retry-After").At(time.Now().Add(comeBack))
 }
 
-// ended returns the refusal of a request whose context ended.
-func ended(ctx context.Context) error {
-	cause := context.Cause(ctx)
-	var refused *refusal.Refusal
-	if errors.As(cause, &refused) {
-		copied := *refused
-		return &copied
-	}
-	if errors.Is(cause, context.DeadlineExceeded) {
-		return refusal.New(refusal.DeadlineExceeded, "the request took longer than allowed; shorten it or lower max_tokens")
+// interrupted notes that a stream broke off.
+func (job *job) interrupted(err error) error {
+	if refusal.From(err).Code == refusal.StreamInterrupted {
+		job.dispatcher.Metrics.StreamsBroken.Add(1)
+		job.dispatcher.Log.Emit(event.StreamBroken, event.F("target", job.state.Name))
 	}
-	return refusal.New(refusal.CallerGone, "the caller went away")
+	return err
 }
 
 func (job *job) firstToken(now time.Time) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,6 +120,9 @@
 		return nil
 	}
 	refused := refusal.From(err)
+	if refused.Code == refusal.TargetFailed && refused.RetryAt.IsZero() {
+		refused.RetryAt = time.Now().Add(comeBack)
+	}
 	dispatcher.Metrics.Refusals.Add(string(refused.Code), 1)
 	return refused
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,7 +44,6 @@
 
 // send makes one attempt at one target.
 func (job *job) send(ctx context.Context, seat *roster.Seat) error {
-	job.attempt = attempt{seat: seat}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := job.watchSilence(seat, cancel)
@@ -95,7 +94,7 @@
 	if !job.route.Kind.Repeatable() {
 		call.UsedSince = time.Now().Add(-recentUse)
 	}
-	call.Fresh = job.runs > 0
+	call.Fresh = job.course.Runs() > 0
 	if request.Prompt != nil && len(job.service.Models) > 0 {
 		job.addCache(&call, seat)
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -8,9 +8,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/refusal"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/target"
@@ -43,12 +45,9 @@
 	// holdUntil is until when the request may wait for a target; zero before it
 	// has to.
 	holdUntil time.Time
-	// runs counts the targets that may have run the request.
-	runs int
-	// rejections counts the targets that said that they did not; full is set once
-	// one of them had no room.
-	rejections int
-	full       bool
+	course    delivery.Delivery
+	// full is set once a target had no room.
+	full bool
 	// started is set once a part of the answer was passed on, first at firstAt.
 	started bool
 	firstAt time.Time
@@ -102,7 +101,7 @@
 
 // fields returns what logs tell of the request.
 func (job *job) fields() []event.Field {
-	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.runs), event.F("rejections", job.rejections)}
+	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.course.Runs()), event.F("rejections", job.course.Rejections())}
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
@@ -116,53 +115,39 @@
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
 	defer cancel()
-	err := job.tryTargets(ctx)
-	if err != nil && job.runs == 0 && job.charged > 0 {
+	job.course = delivery.Delivery{Carrier: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
+	if job.service != nil {
+		job.relay.Budgets.Request(job.service.Name, job.request.Arrived)
+	}
+	err := job.course.Run(ctx)
+	if err == nil {
+		return nil
+	}
+	if job.course.Runs() == 0 && job.charged > 0 {
 		job.relay.Limits.Refund(job.account.Name, job.charged, time.Now())
 	}
+	if refusal.From(err).Code == refusal.StreamInterrupted {
+		job.relay.Metrics.StreamsBroken.Add(1)
+	}
 	return err
 }
 
-func (job *job) tryTargets(ctx context.Context) error {
+// Choose implements delivery.Carrier. A request that ran nowhere and finds no
+// target waits a moment for one that is about to have new weights, to tell which
+// it has, or to be reached again.
+func (job *job) Choose(ctx context.Context) (bool, error) {
 	if job.service == nil {
-		return job.noTarget()
-	}
-	job.relay.Budgets.Request(job.service.Name, job.request.Arrived)
-	for {
-		seat, ok := job.choose(ctx)
-		if !ok {
-			return job.exhausted()
-		}
-		if refused := job.tooBusy(seat); refused != nil {
-			seat.End()
-			return refused
-		}
-		result := job.send(ctx, seat)
-		seat.End()
-		job.tried = append(job.tried, seat.ID)
-		done, err := job.judge(ctx, seat, result)
-		if done || err != nil {
-			return err
-		}
+		return false, nil
 	}
-}
-
-// choose returns a place at a target. A request that ran nowhere and finds none
-// waits a moment for one that is about to have new weights, to tell which it has,
-// or to be reached again.
-func (job *job) choose(ctx context.Context) (*roster.Seat, bool) {
 	for {
 		now := time.Now()
 		seat, ok := job.relay.Roster.Choose(job.ask(now), now)
-		if ok || job.runs > 0 || job.full || !job.hold(now) {
-			return seat, ok
+		if ok {
+			job.attempt = attempt{seat: seat}
+			return true, job.tooBusy(seat)
 		}
-		timer := time.NewTimer(holdLook)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, false
+		if job.course.Runs() > 0 || job.full || !job.hold(now) || !retry.Wait(ctx, now.Add(holdLook)) {
+			return false, nil
 		}
 		job.tried = nil
 	}
@@ -177,12 +162,13 @@
 	return now.Before(job.holdUntil)
 }
 
-// tooBusy refuses a request that would wait longer at its target than requests
-// of its service may: then all that come after it would be late too, and late
-// work would be done in place of work that can be in time.
+// tooBusy refuses a request that would wait longer at its target than requests of
+// its service may, and gives its place back: otherwise all that come after it
+// would be late too, and late work would be done in place of work that can be in
+// time.
 func (job *job) tooBusy(seat *roster.Seat) error {
 	patience := job.route.Patience
-	if job.request.Prompt == nil || patience <= 0 || job.runs > 0 {
+	if job.request.Prompt == nil || patience <= 0 || job.course.Runs() > 0 {
 		return nil
 	}
 	now := time.Now()
@@ -190,6 +176,7 @@
 	if limit := patience.After(now); now.Add(wait).Before(limit) {
 		return nil
 	}
+	seat.End()
 	// What waits now is read by then.
 	pause := wait + rand.N(comeBack)
 	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").At(now.Add(pause))
@@ -214,126 +201,88 @@
 	return ask
 }
 
-// judge decides after an attempt. done means that the answer was passed on; an
-// error ends the request; otherwise another target may have it.
-func (job *job) judge(ctx context.Context, seat *roster.Seat, result error) (done bool, err error) {
+// Send implements delivery.Carrier.
+func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
+	seat := job.attempt.seat
+	result := job.send(ctx, seat)
+	seat.End()
+	job.tried = append(job.tried, seat.ID)
 	now := time.Now()
-	switch {
-	case result == nil:
+	outcome := outcomeOf(result)
+	switch outcome {
+	case delivery.Answered:
 		seat.Succeeded(now)
-		return true, nil
-	case errors.Is(result, errCallerGone):
-		return false, refusal.New(refusal.CallerGone, "the caller went away")
-	case errors.Is(result, target.ErrNotSent):
+		return outcome, nil
+	case delivery.CallerGone:
+		return outcome, nil
+	case delivery.NotSent:
 		seat.Failed(true, now)
-		job.logAttempt(seat, result)
-		return false, job.ended(ctx)
-	case errors.Is(result, errNotRun):
-		return false, job.rejected(ctx, seat, now)
-	}
-	job.runs++
-	job.logAttempt(seat, result)
-	if ended := job.ended(ctx); ended != nil {
-		return false, ended
-	}
-	if errors.Is(result, errFailedAnswer) {
+	case delivery.NotRun:
+		job.rejected(seat, now)
+	case delivery.FailedAnswer:
 		seat.Failed(false, now)
-		return job.afterFailure(now)
-	}
-	seat.Failed(errors.Is(result, target.ErrDied), now)
-	job.judgeDeath(ctx, seat, result)
-	if !job.mayRunAgain(now) {
-		return false, job.broken()
+	case delivery.Broken:
+		if ctx.Err() == nil { // otherwise this VM broke it off
+			seat.Failed(errors.Is(result, target.ErrDied), now)
+			job.judgeDeath(ctx, seat, result)
+		}
 	}
-	job.relay.Metrics.Retries.Add(1)
-	return false, nil
+	job.logAttempt(seat, result)
+	return outcome, nil
 }
 
-// mayRunAgain reports whether another target may have the request after one may
-// have run it, and takes the retry out of the budget.
-func (job *job) mayRunAgain(now time.Time) bool {
-	return job.route.Kind.Repeatable() && job.runs < job.route.Attempts &&
-		job.relay.Suspect.Standing(job.digest, now) != quarantine.Barred &&
-		job.relay.Budgets.Allow(job.service.Name, now)
+// outcomeOf returns the outcome of an attempt with the result.
+func outcomeOf(result error) delivery.Outcome {
+	switch {
+	case result == nil:
+		return delivery.Answered
+	case errors.Is(result, errCallerGone):
+		return delivery.CallerGone
+	case errors.Is(result, target.ErrNotSent):
+		return delivery.NotSent
+	case errors.Is(result, errNotRun):
+		return delivery.NotRun
+	case errors.Is(result, errFailedAnswer):
+		return delivery.FailedAnswer
+	}
+	return delivery.Broken
 }
 
-// rejected handles a target's word that it did not run the request.
-func (job *job) rejected(ctx context.Context, seat *roster.Seat, now time.Time) error {
-	job.rejections++
+// rejected notes a target's word that it did not run the request.
+func (job *job) rejected(seat *roster.Seat, now time.Time) {
 	if job.attempt.head.Status == statusMisdirected {
 		seat.Moved(now)
-	} else {
-		job.full = true
-	}
-	job.logAttempt(seat, errNotRun)
-	if ended := job.ended(ctx); ended != nil {
-		return ended
-	}
-	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		return job.exhausted()
+		return
 	}
-	job.relay.Metrics.Retries.Add(1)
-	return nil
+	job.full = true
 }
 
-// afterFailure tries again after a target's answer that told of a failure, or
-// passes that answer on.
-func (job *job) afterFailure(now time.Time) (done bool, err error) {
-	if job.mayRunAgain(now) {
-		job.relay.Metrics.Retries.Add(1)
-		return false, nil
+// Allow implements delivery.Carrier.
+func (job *job) Allow(outcome delivery.Outcome, now time.Time) bool {
+	if outcome != delivery.NotRun && job.relay.Suspect.Standing(job.digest, now) == quarantine.Barred {
+		return false
 	}
-	return true, job.passFailure()
-}
-
-func (job *job) passFailure() error {
-	if err := job.deliver(*job.failure, job.failureBody); err != nil {
-		return refusal.New(refusal.CallerGone, "the caller went away")
+	if !job.relay.Budgets.Allow(job.service.Name, now) {
+		return false
 	}
-	return nil
+	job.relay.Metrics.Retries.Add(1)
+	return true
 }
 
-// ended returns the refusal of a request whose time is up or whose caller left;
-// nil while it goes on.
-func (job *job) ended(ctx context.Context) error {
-	if ctx.Err() == nil {
-		return nil
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return job.cut(refusal.New(refusal.DeadlineExceeded, "the request took longer than it may; allow more time or shorten it"))
-	}
-	return refusal.New(refusal.CallerGone, "the caller went away")
+// Started implements delivery.Carrier.
+func (job *job) Started() bool {
+	return job.started
 }
 
-// cut turns a refusal into an interrupted stream when a part was passed on.
-func (job *job) cut(refused *refusal.Refusal) *refusal.Refusal {
-	if job.started {
-		job.relay.Metrics.StreamsBroken.Add(1)
-		return refusal.New(refusal.StreamInterrupted, refused.Message)
+// Fallback implements delivery.Carrier.
+func (job *job) Fallback() (bool, error) {
+	if job.failure == nil {
+		return false, nil
 	}
-	return refused
-}
-
-// broken is the end of a request that may have run and was not answered.
-func (job *job) broken() error {
-	return job.cut(refusal.New(refusal.TargetFailed, "the target failed; retry if the request may run twice"))
-}
-
-// exhausted is the end of a request that no further target may have.
-func (job *job) exhausted() error {
-	switch {
-	case job.failure != nil:
-		return job.passFailure()
-	case job.runs > 0:
-		return job.broken()
+	if err := job.deliver(*job.failure, job.failureBody); err != nil {
+		return false, refusal.New(refusal.CallerGone, "the caller went away")
 	}
-	return job.noTarget()
-}
-
-func (job *job) noTarget() error {
-	// Callers that were refused together come back spread over as long again.
-	pause := comeBack + rand.N(comeBack)
-	return job.cut(refusal.New(refusal.NoTarget, "no target can take this now; retry after the time in Retry-After").At(time.Now().Add(pause)))
+	return true, nil
 }
 
 func (job *job) logAttempt(seat *roster.Seat, err error) {
