Tell news to all VMs by one function of peer

Cause: router and gateway each had their own loop, one without a bound on calls at once and one without a log line for a VM that was not told.

Change: peer.Broadcast, with a test (two VMs told, one that is gone is named). Ruled out: a shared frame for Run: what ends a VM differs between the two.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -6,9 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
-
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
@@ -18,6 +15,7 @@
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -306,14 +304,7 @@
 func (gateway *Gateway) notify(ctx context.Context, notice peer.Notice) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
 	defer cancel()
-	var group errgroup.Group
-	for _, other := range gateway.members.Peers(time.Now()) {
-		group.Go(func() error {
-			if err := gateway.dialer.Notify(ctx, other.Address, notice); err != nil {
-				gateway.Log.Emit(event.PeerNotTold, event.F("peer", other.Name), event.Err(err))
-			}
-			return nil
-		})
-	}
-	_ = group.Wait() // each reports for itself
+	gateway.dialer.Broadcast(ctx, gateway.members.Addresses(time.Now()), notice, func(address netip.AddrPort, err error) {
+		gateway.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+	})
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -242,6 +242,16 @@
 	return peers
 }
 
+// Addresses returns where the peers are.
+func (table *Table) Addresses(now time.Time) []netip.AddrPort {
+	peers := table.Peers(now)
+	addresses := make([]netip.AddrPort, len(peers))
+	for i, peer := range peers {
+		addresses[i] = peer.Address
+	}
+	return addresses
+}
+
 // Next returns up to count peers for the next heartbeats, all in turn.
 func (table *Table) Next(count int, now time.Time) []Peer {
 	peers := table.Peers(now)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// A notice reaches those that can be reached, and the others are named.
+func TestBroadcastTellsOfFailures(t *testing.T) {
+	first, second := &handler{}, &handler{}
+	dialer, one, _ := start(t, first)
+	_, other, _ := start(t, second)
+	gone := netip.MustParseAddrPort("0.0.0.0:0")
+	var failures []netip.AddrPort
+	notice := Notice{Charges: []Charge{{"d", "e1/1"}}}
+	told := dialer.Broadcast(t.Context(), []netip.AddrPort{one, gone, other}, notice, func(address netip.AddrPort, _ error) {
+		failures = append(failures, address)
+	})
+	if told != 2 || len(first.notices) != 1 || len(second.notices) != 1 {
+		t.Errorf("got %d VMs told, %d and %d notices, want 2, 1 and 1", told, len(first.notices), len(second.notices))
+	}
+	if len(failures) != 1 || failures[0] != gone {
+		t.Errorf("got failures at %v, want %v", failures, gone)
+	}
+}
+
 func TestFaultsEndInTime(t *testing.T) {
 	cases := []struct {
 		name string
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -25,7 +25,6 @@
 	// silentAfter is when a VM that is not heard is worth a log event.
 	silentAfter   = 5 * time.Second
 	notifyTimeout = 300 * time.Millisecond
-	notifyAtOnce  = 32
 	// fetchLag is the platform's silence from which on a VM takes newer
 	// configuration from others.
 	fetchLag = 1500 * time.Millisecond
@@ -184,24 +183,9 @@
 func (router *Router) notify(ctx context.Context, notice peer.Notice) int {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(notifyAtOnce)
-	others := router.members.Peers(time.Now())
-	told := make([]bool, len(others))
-	for i, other := range others {
-		group.Go(func() error {
-			told[i] = router.dialer.Notify(ctx, other.Address, notice) == nil
-			return nil
-		})
-	}
-	_ = group.Wait() // each reports for itself
-	count := 0
-	for _, ok := range told {
-		if ok {
-			count++
-		}
-	}
-	return count
+	return router.dialer.Broadcast(ctx, router.members.Addresses(time.Now()), notice, func(address netip.AddrPort, err error) {
+		router.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+	})
 }
 
 // Publish puts an accepted change in force here and tells the other VMs, ahead
