Count by route, account and target; say which settings are not read

Cause: metrics had totals alone, so that a person on call could not tell which route, account or target a rise of failures belongs to; a configuration in force was logged at debug level, which the gateway does not write; weights learned from another VM were not logged; fields of the settings file that nobody reads were passed over in silence.

Change: metric.Rows (bounded, histograms by library) by route, account and target; gauges of unreachable and ejected targets, lease, orders, fetches, weights and the time of the configuration; event 107 settings_ignored; config_applied is an info event; weights learned from others are logged. The test that events below the level are not written uses right_taken, which still is a debug event, in place of config_applied: as strict as before.

--- a/command/cmd_gateway.go
+++ b/command/cmd_gateway.go
@@ -27,6 +27,9 @@
 		}
 		buffer := event.NewBuffer(os.Stdout)
 		log := event.New(buffer, vm.Name, event.LevelInfo)
+		if len(vm.Ignored) > 0 {
+			log.Emit(event.SettingsIgnored, event.F("fields", vm.Ignored))
+		}
 		served := &gateway.Gateway{
 			Settings: vm, Store: platform.NewStore(vm.Store), Decoder: platform.Decoder{}, Dialect: platform.Dialect{},
 			Front: platform.Requests{}, Engines: platform.Engines{}, Log: log,
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -43,6 +43,11 @@
 	Broken
 )
 
+// String returns the outcome's name for metrics.
+func (outcome Outcome) String() string {
+	return [...]string{"answered", "caller_gone", "not_sent", "not_run", "failed_answer", "broken"}[outcome]
+}
+
 // comeBack is when a caller should try again while no target can take its
 // request: about the time in which a target is replaced in the lists.
 const comeBack = 300 * time.Millisecond
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -15,12 +15,13 @@
 	Stopped         = register(103, "stopped", LevelInfo, "the process stopped", "none")
 	LinesDropped    = register(106, "lines_dropped", LevelWarn, "log lines were dropped because the output was not read fast enough", "read standard output faster, or log less")
 	SettingsChanged = register(105, "settings_changed", LevelInfo, "the settings file has changed; the process goes on as it started", "restart the process if the change matters to it")
+	SettingsIgnored = register(107, "settings_ignored", LevelInfo, "the settings file has fields that this version does not read", "none, unless one is misspelt")
 	NotReady        = register(104, "not_ready", LevelWarn, "no configuration yet, neither from the platform nor from another VM", "check platform.address and peers in the settings")
 )
 
 // Configuration events.
 var (
-	ConfigApplied  = register(201, "config_applied", LevelDebug, "a configuration version is in force", "none")
+	ConfigApplied  = register(201, "config_applied", LevelInfo, "a configuration version is in force", "none")
 	ConfigRejected = register(202, "config_rejected", LevelError, "a configuration object could not be read; the former one stays in force", "correct the object named in the fields")
 	ConfigFromPeer = register(203, "config_from_peer", LevelInfo, "the configuration was taken from another VM", "none")
 	KeyWithdrawn   = register(204, "key_withdrawn", LevelInfo, "a key was withdrawn; its requests end", "none")
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -31,7 +31,7 @@
 	var output bytes.Buffer
 	log := New(&output, "vm-1", LevelInfo)
 	log.Emit(PlatformDown, F("attempt", 3))
-	log.Emit(ConfigApplied) // below the level
+	log.Emit(RightTaken) // below the level
 	got := output.String()
 	for _, want := range []string{`"event":301`, `"attempt":3`, `"vm":"vm-1"`} {
 		if !strings.Contains(got, want) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -239,7 +239,7 @@
 	}
 	gateway.limits.Heard(beat.Name, beat.Boot, counts, now)
 	for _, named := range beat.Named {
-		gateway.weights.name(named.Model, named.Version, now.Add(-named.Age))
+		gateway.nameWeights(named.Model, named.Version, now.Add(-named.Age))
 	}
 	backlogs := make([]roster.Backlog, len(beat.Backlogs))
 	for i, told := range beat.Backlogs {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/netip"
 	"sync"
 	"time"
@@ -211,6 +212,7 @@
 	gateway.relay.Configure(table)
 	gateway.stores.set(cacheAddresses(table))
 	gateway.metrics.ConfigVersion.Set(config.Version)
+	gateway.metrics.ConfigApplied.Set(time.Now().UnixMilli())
 	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)))
 }
 
@@ -247,9 +249,19 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	if gateway.weights.name(model, version, learned) {
-		gateway.Log.Emit(event.WeightsNamed, event.F("model", model), event.F("weights", version))
+	gateway.nameWeights(model, version, learned)
+}
+
+// nameWeights notes that a version of weights was named at a time or before.
+func (gateway *Gateway) nameWeights(model string, version uint64, at time.Time) {
+	if !gateway.weights.name(model, version, at) {
+		return
 	}
+	named := new(expvar.Int)
+	named.Set(int64(version))
+	gateway.metrics.Weights.Set(model, named)
+	gateway.Log.Emit(event.WeightsNamed, event.F("model", model), event.F("weights", version),
+		event.F("age_ms", time.Since(at).Milliseconds()))
 }
 
 // runFetches takes changes from other VMs that know more.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -288,11 +288,28 @@
 		gateway.roster.Sweep(now)
 		gateway.noteSilent(&silence, now)
 		gateway.limits.Expect(gateway.vms())
-		listed := map[string]bool{}
-		for _, entry := range gateway.roster.Entries() {
-			listed[entry.ID] = true
-		}
+		listed := gateway.countTargets()
 		gateway.clients.Retain(func(id string) bool { return listed[id] })
+		gateway.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
 	}
 	return nil
 }
+
+// countTargets counts the targets that cannot be used and returns the names of
+// all that are listed.
+func (gateway *Gateway) countTargets() map[string]bool {
+	listed := map[string]bool{}
+	unreachable, ejected := int64(0), int64(0)
+	for _, entry := range gateway.roster.Entries() {
+		listed[entry.ID] = true
+		if entry.Unreachable {
+			unreachable++
+		}
+		if entry.Ejected {
+			ejected++
+		}
+	}
+	gateway.metrics.Unreachable.Set(unreachable)
+	gateway.metrics.Ejected.Set(ejected)
+	return listed
+}
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -129,6 +129,7 @@
 	orders.gateway.metrics.PlatformCalls.Add(1)
 	orders.held = orders.lease.Try(ctx)
 	if orders.held {
+		orders.gateway.metrics.Leads.Set(1)
 		orders.gateway.Log.Emit(event.LeaseTaken, event.F("token", orders.lease.Token()))
 	}
 	return orders.held
@@ -220,6 +221,7 @@
 	gateway.metrics.PlatformCalls.Add(1)
 	if !orders.lease.Renew(ctx) {
 		gateway.Log.Emit(event.LeaseLost, event.F("token", orders.lease.Token()))
+		gateway.metrics.Leads.Set(0)
 		orders.held = false
 		return false
 	}
@@ -252,6 +254,7 @@
 		orders.send(ctx, done)
 		return
 	}
+	orders.gateway.metrics.Orders.Add(1)
 	reply, err := orders.gateway.Engines.Order(ctx, client, rollout.Order{
 		Target: step.Target, Weights: step.Weights, Mode: step.Mode, Sequence: step.Sequence,
 		Holder: orders.gateway.Settings.Name, Token: token,
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -32,8 +32,28 @@
 	FirstTokenMS    *expvar.Map // requests by time to first token, upper bound in milliseconds
 	ConfigVersion   expvar.Int
 	PlatformSilence expvar.Int // milliseconds since the platform was last in contact
+
+	// Of the gateway:
+	ConfigApplied expvar.Int  // when the configuration came into force, in Unix milliseconds
+	Weights       *expvar.Map // newest named version by model
+	Leads         expvar.Int  // 1 while this VM gives the orders
+	Orders        expvar.Int  // orders sent
+	Fetches       expvar.Int  // requests that were told to fetch KV cache from another target
+	Unreachable   expvar.Int  // targets that accept no connections
+	Ejected       expvar.Int  // targets that fail too many requests
+	ByRoute       *Rows
+	ByAccount     *Rows
+	ByTarget      *Rows
 }
 
+// The most rows: as many accounts and targets as the largest deployment has, and
+// routes within 4 MB of histograms.
+const (
+	mostRoutes   = 100
+	mostAccounts = 500
+	mostTargets  = 1000
+)
+
 // firstTokenBounds are the buckets of FirstTokenMS, in milliseconds.
 var firstTokenBounds = []struct {
 	bound time.Duration
@@ -46,7 +66,10 @@
 
 // New returns the metrics of a VM, published under its name.
 func New(vm string) *Set {
-	set := &Set{Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init()}
+	set := &Set{
+		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
+		ByRoute: NewRows(mostRoutes), ByAccount: NewRows(mostAccounts), ByTarget: NewRows(mostTargets),
+	}
 	name := "bramleygw." + vm
 	if expvar.Get(name) == nil {
 		expvar.Publish(name, set.vars())
@@ -74,6 +97,10 @@
 		{"platform_calls", &set.PlatformCalls}, {"heartbeats", &set.Heartbeats}, {"borrows", &set.Borrows},
 		{"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
 		{"config_version", &set.ConfigVersion}, {"platform_silence_ms", &set.PlatformSilence},
+		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.Leads},
+		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
+		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
+		{"by_target", set.ByTarget},
 	}
 	for _, entry := range named {
 		vars.Set(entry.name, entry.value)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -115,6 +115,7 @@
 	call.FetchFrom = store
 	if seat.Home.IsValid() {
 		call.FetchFrom = seat.Home
+		job.relay.Metrics.Fetches.Add(1)
 	}
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -209,6 +209,7 @@
 	job.tried = append(job.tried, seat.ID)
 	now := time.Now()
 	outcome := outcomeOf(result)
+	job.relay.Metrics.ByTarget.Count(seat.ID, outcome.String())
 	switch outcome {
 	case delivery.Answered:
 		seat.Succeeded(now)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -125,15 +125,44 @@
 	}
 	if err == nil {
 		relay.Metrics.Answered.Add(1)
+		relay.count(job, answered)
 		relay.logAnswer(request, job)
 		return nil
 	}
 	refused := refusal.From(err)
 	relay.Metrics.Refusals.Add(string(refused.Code), 1)
+	relay.count(job, string(refused.Code))
 	relay.logRefusal(request, job, refused)
 	return refused
 }
 
+// answered is the reason under which whole answers are counted, first and whole
+// those of their times.
+const (
+	answered = "answered"
+	first    = "first"
+	whole    = "whole"
+)
+
+// count counts how a request ended by its route and account; job is nil when it
+// has none.
+func (relay *Relay) count(job *job, reason string) {
+	if job == nil {
+		return
+	}
+	route := job.route.Name
+	relay.Metrics.ByRoute.Count(route, reason)
+	if job.account != nil {
+		relay.Metrics.ByAccount.Count(job.account.Name, reason)
+	}
+	if job.started {
+		relay.Metrics.ByRoute.Took(route, first, job.firstAt.Sub(job.request.Arrived))
+	}
+	if reason == answered {
+		relay.Metrics.ByRoute.Took(route, whole, time.Since(job.request.Arrived))
+	}
+}
+
 // admit finds what the request needs and checks what can be checked without a
 // target.
 func (relay *Relay) admit(request *Request, answer Answer) (*job, error) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,10 +55,12 @@
 	Draining bool
 	// Born tells apart the processes that had the same ID.
 	Born int64
-	// Running is the number of requests there, and Unreachable is set for targets
-	// that accept no connections, as far as this VM knows; Entries sets them.
+	// Running is the number of requests there; Unreachable is set for targets that
+	// accept no connections, and Ejected for those that fail too many requests, as
+	// far as this VM knows. Entries sets them.
 	Running     int
 	Unreachable bool
+	Ejected     bool
 }
 
 // Roster is the targets as one VM knows them. It is safe for concurrent use.
@@ -212,7 +214,7 @@
 		if !target.removed {
 			entry := target.entry
 			entry.Models = append([]Model(nil), entry.Models...)
-			entry.Running, entry.Unreachable = target.busy(time.Now()), target.unreachable
+			entry.Running, entry.Unreachable, entry.Ejected = target.busy(time.Now()), target.unreachable, target.suspect()
 			entries = append(entries, entry)
 		}
 	}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -18,6 +18,8 @@
 	// MemoryBytes is where the platform ends the process; 0 means no bound.
 	MemoryBytes int64
 	Bounds      Bounds
+	// Ignored are the fields that this version does not read.
+	Ignored []string
 }
 
 // Bounds are the platform's figures for what the fleet must keep.
