Explain: what the VM believed, and the estimate that refused a request

Change: refusals for load log the target, the estimated, corrected and allowed wait; explain adds what each VM had last logged of itself before (start, configuration, weights, platform); log times have milliseconds.

Tests: TestBeliefsOfTheVMComeBefore.

--- a/event/event.go
+++ b/event/event.go
@@ -61,12 +61,15 @@
 	entry *logrus.Entry
 }
 
+// timeFormat tells milliseconds: many lines come in one second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a log that writes to w for the VM with the given name.
 func New(w io.Writer, vm string, level Level) *Log {
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Log{entry: logger.WithField("vm", vm)}
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -41,3 +41,25 @@
 		t.Errorf("got %+v, %v, want the earlier line first", story, err)
 	}
 }
+
+// The pattern: a request is refused for what its VM believed, which was logged
+// before it came.
+func TestBeliefsOfTheVMComeBefore(t *testing.T) {
+	const logs = `
+   0.050 edge-a {"event_name":"platform_down","msg":"down","vm":"edge-a"}
+   0.100 edge-a {"event_name":"started","msg":"serves","vm":"edge-a"}
+   0.200 edge-a {"event_name":"config_applied","msg":"in force","version":1,"vm":"edge-a"}
+   0.300 edge-a {"event_name":"config_applied","msg":"in force","version":2,"vm":"edge-a"}
+   0.400 edge-b {"event_name":"config_applied","msg":"in force","version":9,"vm":"edge-b"}
+   0.500 edge-a {"event_name":"request_refused","msg":"ended","request":"r1","vm":"edge-a"}
+   0.600 edge-a {"event_name":"config_applied","msg":"in force","version":3,"vm":"edge-a"}
+`
+	story, err := Read(strings.NewReader(logs), "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "0.100  edge-a  (before) started: serves\n0.300  edge-a  (before) config_applied: in force\n        version=2\n0.500  edge-a  request_refused: ended\n"
+	if got := story.String(); got != want {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -25,9 +25,13 @@
 	otherWait = 6 * time.Second
 	// gatherTargets is how long changes of registrations are left to gather after
 	// some came, so that a roll of weights, which changes each registration, does
-	// not make a call each: small beside the time in which a leaving target may
-	// get new work. gatherConfigs does so for quick successions of configurations.
+	// not make a call each. gatherMost bounds it in large fleets: with a call it
+	// stays under the 2 s in which a leaving target may get new work. gatherEach is
+	// the time for each VM, so that a fleet makes at most 60 such calls a second.
 	gatherTargets = 500 * time.Millisecond
+	gatherMost    = 1200 * time.Millisecond
+	gatherEach    = time.Second / 60
+	// gatherConfigs does so for quick successions of configurations.
 	gatherConfigs = 150 * time.Millisecond
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
@@ -79,27 +83,33 @@
 
 // runConfigs follows the operators' configuration.
 func (gateway *Gateway) runConfigs(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Configs, configWait, gatherConfigs})
+	gateway.follow(ctx, following{objects.Configs, configWait, func() time.Duration { return gatherConfigs }})
 	return nil
 }
 
 // runTargets follows the registrations.
 func (gateway *Gateway) runTargets(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Targets, otherWait, gatherTargets})
+	gateway.follow(ctx, following{objects.Targets, otherWait, func() time.Duration { return gatherFor(gateway.vms()) }})
 	return nil
 }
 
 // runWeights follows the named versions of weights.
 func (gateway *Gateway) runWeights(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Weights, otherWait, 0})
+	gateway.follow(ctx, following{objects.Weights, otherWait, func() time.Duration { return 0 }})
 	return nil
 }
 
+// gatherFor returns for how long one of so many VMs leaves changes of
+// registrations to gather. In between, other VMs tell it of them.
+func gatherFor(vms int) time.Duration {
+	return min(max(gatherTargets, time.Duration(vms)*gatherEach), gatherMost)
+}
+
 // following is how a collection is followed.
 type following struct {
 	collection objects.Collection
-	wait       time.Duration // of one watch
-	gather     time.Duration // the pause after changes came
+	wait       time.Duration        // of one watch
+	gather     func() time.Duration // the pause after changes came
 }
 
 // follow keeps a collection's copy in step until the context ends.
@@ -159,7 +169,7 @@
 	gateway.storeAnswered()
 	gateway.apply(gateway.mirror.Apply(collection, events, at), time.Now())
 	if len(events) > 0 {
-		retry.Wait(ctx, time.Now().Add(following.gather))
+		retry.Wait(ctx, time.Now().Add(following.gather()))
 	}
 	return nil
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -57,6 +57,8 @@
 	failure     *target.Head
 	failureBody []byte
 
+	// wait is the corrected estimate for which the request was refused.
+	wait    time.Duration
 	attempt attempt
 }
 
@@ -105,6 +107,11 @@
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
+	if job.wait > 0 {
+		now := time.Now()
+		fields = append(fields, event.F("target", job.attempt.seat.ID), event.F("estimated_wait_ms", job.attempt.seat.Wait.Milliseconds()),
+			event.F("corrected_wait_ms", job.wait.Milliseconds()), event.F("allowed_wait_ms", job.route.Patience.After(now).Sub(now).Milliseconds()))
+	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
 	}
@@ -177,6 +184,7 @@
 		return nil
 	}
 	seat.End()
+	job.wait = wait
 	// What waits now is read by then.
 	pause := wait + rand.N(comeBack)
 	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").At(now.Add(pause))
