--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -73,11 +73,12 @@
 func (gateway *Gateway) register(ctx context.Context) error {
 	vm := gateway.Settings
 	own := objects.VM{Name: vm.Name, AvailabilityZone: vm.AvailabilityZone, Address: vm.Peer.String(), Role: objects.RoleRouter, State: objects.Live}
-	gateway.metrics.PlatformCalls.Add(1)
+	gateway.calls("create", objects.VMs)
 	_, err := gateway.Store.Create(ctx, objects.VMs, vm.Name, own)
 	if !errors.Is(err, objects.ErrExists) {
 		return err
 	}
+	gateway.calls("get", objects.VMs)
 	object, err := gateway.Store.Get(ctx, objects.VMs, vm.Name)
 	if err != nil {
 		return err
@@ -86,6 +87,7 @@
 	if json.Unmarshal(object.Spec, &known) == nil && known == own {
 		return nil
 	}
+	gateway.calls("update", objects.VMs)
 	_, err = gateway.Store.Update(ctx, objects.VMs, vm.Name, object.Metadata.ResourceVersion, own)
 	return err
 }
@@ -102,7 +104,7 @@
 }
 
 func (gateway *Gateway) listVMs(ctx context.Context) error {
-	gateway.metrics.PlatformCalls.Add(1)
+	gateway.calls("list", objects.VMs)
 	list, err := gateway.Store.List(ctx, objects.VMs)
 	if err != nil {
 		return err
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -144,7 +144,7 @@
 }
 
 func (gateway *Gateway) list(ctx context.Context, collection objects.Collection) error {
-	gateway.metrics.PlatformCalls.Add(1)
+	gateway.calls("list", collection)
 	list, err := gateway.Store.List(ctx, collection)
 	if err != nil {
 		return err
@@ -161,7 +161,7 @@
 func (gateway *Gateway) watch(ctx context.Context, following following) error {
 	collection := following.collection
 	from, _ := gateway.mirror.At(collection)
-	gateway.metrics.PlatformCalls.Add(1)
+	gateway.calls("watch", collection)
 	events, at, err := gateway.Store.Changes(ctx, collection, from, time.Now().Add(following.wait))
 	if err != nil {
 		return err
@@ -174,6 +174,12 @@
 	return nil
 }
 
+// calls counts a call to the store.
+func (gateway *Gateway) calls(verb string, collection objects.Collection) {
+	gateway.metrics.PlatformCalls.Add(1)
+	gateway.metrics.StoreCalls.Add(verb+" "+string(collection), 1)
+}
+
 func (gateway *Gateway) storeAnswered() {
 	now := time.Now()
 	gateway.members.PlatformAnswered(0, now)
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/lease"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/rollout"
@@ -126,7 +127,7 @@
 		return false
 	}
 	orders.tried = now
-	orders.gateway.metrics.PlatformCalls.Add(1)
+	orders.gateway.calls("try", objects.Leases)
 	orders.held = orders.lease.Try(ctx)
 	if orders.held {
 		orders.gateway.metrics.Leads.Set(1)
@@ -218,7 +219,7 @@
 // use for an order that never comes.
 func (orders *orders) prepare(ctx context.Context, given []rollout.Step) bool {
 	gateway := orders.gateway
-	gateway.metrics.PlatformCalls.Add(1)
+	gateway.calls("renew", objects.Leases)
 	if !orders.lease.Renew(ctx) {
 		gateway.Log.Emit(event.LeaseLost, event.F("token", orders.lease.Token()))
 		gateway.metrics.Leads.Set(0)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,7 @@
 	Fetches       expvar.Int  // requests that were told to fetch KV cache from another target
 	Unreachable   expvar.Int  // targets that accept no connections
 	Ejected       expvar.Int  // targets that fail too many requests
+	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	ByRoute       *Rows
 	ByAccount     *Rows
 	ByTarget      *Rows
@@ -68,7 +69,8 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		ByRoute: NewRows(mostRoutes), ByAccount: NewRows(mostAccounts), ByTarget: NewRows(mostTargets),
+		StoreCalls: new(expvar.Map).Init(),
+		ByRoute:    NewRows(mostRoutes), ByAccount: NewRows(mostAccounts), ByTarget: NewRows(mostTargets),
 	}
 	name := "bramleygw." + vm
 	if expvar.Get(name) == nil {
@@ -97,7 +99,7 @@
 		{"platform_calls", &set.PlatformCalls}, {"heartbeats", &set.Heartbeats}, {"borrows", &set.Borrows},
 		{"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
 		{"config_version", &set.ConfigVersion}, {"platform_silence_ms", &set.PlatformSilence},
-		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.Leads},
+		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.Leads}, {"store_calls", set.StoreCalls},
 		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
 		{"by_target", set.ByTarget},
