Remove what was decoded and never used

Slots of targets, services and load reports and the most connections of a service had no reader. The registration's slots are still asked for, as a sign that an entry is a target.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -124,7 +124,7 @@
 	now := time.Now()
 	job.attempt.head = head
 	seat := job.attempt.seat
-	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting, Slots: head.Load.Slots}
+	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting}
 	seat.Answered(load, head.Loaded, now)
 	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" {
 		if weights, err := strconv.ParseUint(head.Weights, 10, 64); err == nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,9 +48,7 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
-	// Slots is the number of requests that the target runs at once.
-	Slots  int
-	Models []Model
+	Models  []Model
 	// Draining targets finish what they run and then leave.
 	Draining bool
 	// Born tells apart the processes that had the same ID.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -15,7 +15,7 @@
 
 func engine(id, zone string, weights uint64) Entry {
 	return Entry{
-		ID: id, Service: "notes", Zone: zone, Slots: 32, Models: []Model{{Name: "m", Weights: weights}},
+		ID: id, Service: "notes", Zone: zone, Models: []Model{{Name: "m", Weights: weights}},
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(id) + int(id[len(id)-1]))}), 80),
 	}
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -44,7 +44,6 @@
 type Load struct {
 	Running int
 	Waiting int
-	Slots   int
 }
 
 // rolling is the weights that a target is being given.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -130,10 +130,6 @@
 	Name string
 	// Models is empty for plain services.
 	Models []string
-	// Slots is the number of requests that a target runs at once.
-	Slots int
-	// MaxConnections is what one target accepts from all callers together.
-	MaxConnections int
 	// CacheStore is the address of a store of KV cache; invalid for targets.
 	CacheStore netip.AddrPort
 	Zone       string
