Ignore removals that are older than what is known

Cause: found by reading, for late watches: a removal counted as newer than whatever was known of the object. A registration that lapses and returns, told by another VM before this VM's watch tells the lapse, was taken for removed, and the return that followed was ignored as older: the target got no work until its next change.

Ruled out: taking a removal's version as it is: the platform may tell the version of the last change before it.

Change: a removal that tells exactly the known version counts one higher; any other compares as it is. Test: TestRemovalThatIsOlderThanWhatIsKnownChangesNothing, three cases, all failed before.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -124,8 +124,8 @@
 	for _, event := range events {
 		removed := event.Type == objects.Deleted
 		version := event.Object.Metadata.ResourceVersion
-		if known, ok := found.entries[event.Object.Metadata.Name]; removed && ok {
-			version = max(version, known.version+1) // a removal may tell the version before it
+		if known, ok := found.entries[event.Object.Metadata.Name]; removed && ok && known.version == version && !known.removed {
+			version++ // it told the version of the last change before it
 		}
 		changes = mirror.put(changes, name, event.Object, version, removed)
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -67,6 +67,32 @@
 	}
 }
 
+// The pattern: a registration lapses and returns, another VM tells of the return,
+// and only then a watch tells the former removal, and perhaps the return.
+func TestRemovalThatIsOlderThanWhatIsKnownChangesNothing(t *testing.T) {
+	back := objects.WatchEvent{Type: objects.Modified, Object: object("a", 12)}
+	for _, test := range []struct {
+		name   string
+		events []objects.WatchEvent
+	}{
+		{"removal alone, at its own version", []objects.WatchEvent{removed("a", 8)}},
+		{"removal alone, at the version before it", []objects.WatchEvent{removed("a", 5)}},
+		{"removal and return", []objects.WatchEvent{removed("a", 5), back}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mirror := New()
+			mirror.Replace(objects.Targets, []objects.Object{object("a", 5)}, 5)
+			mirror.Merge(told("targets/a", 12))
+			if got := names(mirror.Apply(objects.Targets, test.events, 8)); got != "" {
+				t.Errorf("got %q, want no change", got)
+			}
+			if got := len(mirror.Objects(objects.Targets)); got != 1 {
+				t.Errorf("got %d objects, want the one that returned", got)
+			}
+		})
+	}
+}
+
 func TestOtherVMLearnsAllChangesAndRemovals(t *testing.T) {
 	first, second := New(), New()
 	first.Replace(objects.Targets, []objects.Object{object("a", 5), object("b", 6)}, 6)
