In large fleets twelve VMs follow registrations and weights closely

The platform sells answers that may be seconds old for a tenth of the price.

Ruled out: the same for the configuration (its bound leaves no time for news that come late, and longer watches broke it before); longer pauses (they would hold back what a VM that is cut off from the others hears).

Change: a VM with twelve or more VMs before it, of those that it hears and that reach the store, in an order that all compute alike, asks for such answers; one that hears few others follows closely. Fleets of up to twelve VMs are as before. Test: TestSomeVMsFollowCloselyForAll.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -33,6 +33,11 @@
 	gatherEach    = time.Second / 60
 	// gatherConfigs does so for quick successions of configurations.
 	gatherConfigs = 150 * time.Millisecond
+	// closeFollowers is the number of VMs that follow registrations and weights
+	// closely in a large fleet; the others hear it from them, and late from the
+	// store. With so many, some are left in each availability zone when others are
+	// lost.
+	closeFollowers = 12
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
 	// unknownAge is how long ago weights are taken to have been named that a VM
@@ -83,19 +88,19 @@
 
 // runConfigs follows the operators' configuration.
 func (gateway *Gateway) runConfigs(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Configs, configWait, func() time.Duration { return gatherConfigs }})
+	gateway.follow(ctx, following{objects.Configs, configWait, func() time.Duration { return gatherConfigs }, false})
 	return nil
 }
 
 // runTargets follows the registrations.
 func (gateway *Gateway) runTargets(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Targets, otherWait, func() time.Duration { return gatherFor(gateway.vms()) }})
+	gateway.follow(ctx, following{objects.Targets, otherWait, func() time.Duration { return gatherFor(gateway.vms()) }, true})
 	return nil
 }
 
 // runWeights follows the named versions of weights.
 func (gateway *Gateway) runWeights(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Weights, otherWait, func() time.Duration { return 0 }})
+	gateway.follow(ctx, following{objects.Weights, otherWait, func() time.Duration { return 0 }, true})
 	return nil
 }
 
@@ -105,11 +110,19 @@
 	return min(max(gatherTargets, time.Duration(vms)*gatherEach), gatherMost)
 }
 
+// mayHearLate reports whether other VMs tell this one of changes in time: it hears
+// enough of those that follow the store closely.
+func (gateway *Gateway) mayHearLate(now time.Time) bool {
+	return gateway.rank(now) >= closeFollowers
+}
+
 // following is how a collection is followed.
 type following struct {
 	collection objects.Collection
 	wait       time.Duration        // of one watch
 	gather     func() time.Duration // the pause after changes came
+	// shared collections are followed closely by some VMs for all.
+	shared bool
 }
 
 // follow keeps a collection's copy in step until the context ends.
@@ -161,8 +174,10 @@
 func (gateway *Gateway) watch(ctx context.Context, following following) error {
 	collection := following.collection
 	from, _ := gateway.mirror.At(collection)
+	now := time.Now()
+	watch := objects.Watch{Collection: collection, From: from, Until: now.Add(following.wait), Late: following.shared && gateway.mayHearLate(now)}
 	gateway.calls("watch", collection)
-	events, at, err := gateway.Store.Changes(ctx, collection, from, time.Now().Add(following.wait))
+	events, at, err := gateway.Store.Changes(ctx, watch)
 	if err != nil {
 		return err
 	}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -1,8 +1,13 @@
 package gateway
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/bramleygw/bramleygw/membership"
+	"github.com/bramleygw/bramleygw/settings"
 )
 
 // The pattern: a roll of weights changes each registration, and all VMs of a
@@ -24,3 +29,40 @@
 		}
 	}
 }
+
+// The pattern: all VMs of a large fleet follow the registrations, and some are
+// cut off from the others.
+func TestSomeVMsFollowCloselyForAll(t *testing.T) {
+	name := func(i int) string { return fmt.Sprint("vm-", i) }
+	// late returns how many of so many VMs hear late, when each heard all others at
+	// the start and is asked after a time.
+	late := func(vms int, after time.Duration) int {
+		count := 0
+		for i := range vms {
+			gateway := &Gateway{Settings: settings.EntryVM{Name: name(i)}, members: membership.NewTable(name(i), nil, start)}
+			for j := range vms {
+				if j != i {
+					gateway.members.Heard(name(j), netip.AddrPort{}, 0, start)
+				}
+			}
+			if gateway.mayHearLate(start.Add(after)) {
+				count++
+			}
+		}
+		return count
+	}
+	for _, test := range []struct {
+		name  string
+		vms   int
+		after time.Duration
+		want  int
+	}{
+		{"small fleet", closeFollowers, 0, 0},
+		{"large fleet", 78, 0, 78 - closeFollowers},
+		{"large fleet whose VMs are cut off from each other", 78, aliveTime, 0},
+	} {
+		if got := late(test.vms, test.after); got != test.want {
+			t.Errorf("%s: got %d VMs that hear late, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,7 @@
 type Store interface {
 	lease.Objects
 	List(ctx context.Context, collection objects.Collection) (objects.List, error)
-	Changes(ctx context.Context, collection objects.Collection, from objects.Version, until time.Time) ([]objects.WatchEvent, objects.Version, error)
+	Changes(ctx context.Context, watch objects.Watch) ([]objects.WatchEvent, objects.Version, error)
 	Delete(ctx context.Context, collection objects.Collection, name string, version objects.Version) error
 	Close()
 }
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -82,20 +82,20 @@
 }
 
 // Changes implements Store.
-func (store *store) Changes(ctx context.Context, collection objects.Collection, from objects.Version, until time.Time) ([]objects.WatchEvent, objects.Version, error) {
+func (store *store) Changes(ctx context.Context, watch objects.Watch) ([]objects.WatchEvent, objects.Version, error) {
 	if err := store.enter(ctx); err != nil {
 		return nil, 0, err
 	}
-	end := time.NewTimer(time.Until(until))
+	end := time.NewTimer(time.Until(watch.Until))
 	defer end.Stop()
 	for {
 		store.mu.Lock()
-		item, version, changed, forgets := store.items[collection], store.version, store.changed, store.forgets
+		item, version, changed, forgets := store.items[watch.Collection], store.version, store.changed, store.forgets
 		store.mu.Unlock()
 		switch {
-		case forgets && from < version:
+		case forgets && watch.From < version:
 			return nil, 0, objects.ErrGone
-		case item.Metadata.ResourceVersion > from:
+		case item.Metadata.ResourceVersion > watch.From:
 			return []objects.WatchEvent{{Type: objects.Modified, Object: item}}, version, nil
 		}
 		select {
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -123,7 +123,7 @@
 		return true // each order renews the lease first
 	}
 	waited := now.Sub(orders.moved)
-	if waited < time.Duration(orders.rank(now))*rankDelay || now.Sub(orders.tried) < tryInterval {
+	if waited < time.Duration(orders.gateway.rank(now))*rankDelay || now.Sub(orders.tried) < tryInterval {
 		return false
 	}
 	orders.tried = now
@@ -136,10 +136,9 @@
 	return orders.held
 }
 
-// rank returns the number of VMs that should try before this one: those that are
-// alive and reach the store, in rendezvous order.
-func (orders *orders) rank(now time.Time) int {
-	gateway := orders.gateway
+// rank returns the number of VMs that come before this one in an order that all
+// compute alike: of those that are alive and reach the store.
+func (gateway *Gateway) rank(now time.Time) int {
 	var names []string
 	for _, view := range gateway.members.Views(now) {
 		if view.HeardMS >= 0 && view.HeardMS < aliveTime.Milliseconds() && view.PlatformMS == 0 {
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -128,6 +128,17 @@
 	Object Object    `json:"object"`
 }
 
+// Watch asks for changes of a collection after a version, until a deadline at the
+// longest.
+type Watch struct {
+	Collection Collection
+	From       Version
+	Until      time.Time
+	// Late watches may tell changes seconds late, where the platform offers that
+	// more cheaply.
+	Late bool
+}
+
 // VMState tells whether a listed VM is staying.
 type VMState string
 
