Name the wait that refused a request; words and notes for the new parts

Found on reading the change: the time to come back stood in relay and delivery alike; a refusal for load could log two targets.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -48,9 +48,9 @@
 	return [...]string{"answered", "caller_gone", "not_sent", "not_run", "failed_answer", "broken"}[outcome]
 }
 
-// comeBack is when a caller should try again while no target can take its
+// ComeBack is when a caller should try again while no target can take its
 // request: about the time in which a target is replaced in the lists.
-const comeBack = 300 * time.Millisecond
+const ComeBack = 300 * time.Millisecond
 
 // Carrier chooses targets for one request and sends it there.
 type Carrier interface {
@@ -217,6 +217,6 @@
 // noTarget refuses a request that no target can have. Callers that are refused
 // together come back spread over as long again.
 func noTarget(now time.Time) *refusal.Refusal {
-	pause := comeBack + rand.N(comeBack)
+	pause := ComeBack + rand.N(ComeBack)
 	return refusal.New(refusal.NoTarget, "no target can take this now; retry after the time in Retry-After").At(now.Add(pause))
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -57,9 +57,9 @@
 	failure     *target.Head
 	failureBody []byte
 
-	// wait is the corrected estimate for which the request was refused.
-	wait    time.Duration
-	attempt attempt
+	// refusedWait is the corrected estimate for which the request was refused.
+	refusedWait time.Duration
+	attempt     attempt
 }
 
 // attempt is what belongs to the current target alone.
@@ -107,10 +107,8 @@
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
-	if job.wait > 0 {
-		now := time.Now()
-		fields = append(fields, event.F("target", job.attempt.seat.ID), event.F("estimated_wait_ms", job.attempt.seat.Wait.Milliseconds()),
-			event.F("corrected_wait_ms", job.wait.Milliseconds()), event.F("allowed_wait_ms", job.route.Patience.After(now).Sub(now).Milliseconds()))
+	if job.refusedWait > 0 {
+		return append(fields, job.waitFields()...)
 	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
@@ -118,6 +116,18 @@
 	return fields
 }
 
+// waitFields returns what logs tell of a request that was refused since it would
+// have waited too long.
+func (job *job) waitFields() []event.Field {
+	now := time.Now()
+	seat := job.attempt.seat
+	return []event.Field{
+		event.F("target", seat.ID), event.F("estimated_wait_ms", seat.Wait.Milliseconds()),
+		event.F("corrected_wait_ms", job.refusedWait.Milliseconds()),
+		event.F("allowed_wait_ms", job.route.Patience.After(now).Sub(now).Milliseconds()),
+	}
+}
+
 // serve sends the request to one target after another until one answers.
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
@@ -184,9 +194,9 @@
 		return nil
 	}
 	seat.End()
-	job.wait = wait
+	job.refusedWait = wait
 	// What waits now is read by then.
-	pause := wait + rand.N(comeBack)
+	pause := wait + rand.N(delivery.ComeBack)
 	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").At(now.Add(pause))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/metric"
 	"github.com/bramleygw/bramleygw/quarantine"
@@ -86,9 +87,6 @@
 	// answeredLines bounds the log lines about answered requests, a second: a few
 	// milliseconds of processor time.
 	answeredLines = 100
-	// comeBack is when a caller should try again while no target can take its
-	// request: about the time in which a target is replaced in the lists.
-	comeBack = 300 * time.Millisecond
 	// weightsMargin is how much earlier than the platform's bound requests stop
 	// going to targets with replaced weights: they may wait there for a while.
 	weightsMargin = time.Second
@@ -168,7 +166,7 @@
 func (relay *Relay) admit(request *Request, answer Answer) (*job, error) {
 	table := relay.table.Load()
 	if table == nil {
-		return nil, refusal.New(refusal.NotReady, "this VM has no configuration yet; retry after the time in Retry-After").At(request.Arrived.Add(comeBack))
+		return nil, refusal.New(refusal.NotReady, "this VM has no configuration yet; retry after the time in Retry-After").At(request.Arrived.Add(delivery.ComeBack))
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
