Renew watches when the store answers again after a failure

Traced: the store was silent from 15.0 to 19.5 s; the registrations' watch of each VM failed at 19.05 s and the next one began at once, in the silence, with its full wait of 6 s and 1 s of margin. It ended at 26.05 s on all VMs alike, so that no VM could tell the others of the registration that changed at 23.7 s. The configuration's watch had found the store again at 20.3 s.

Ruled out: late watches and longer gathering (8 VMs: neither applies); the removal rule (the registration changed, it was not removed).

Change: an answer after a failure ends the watches that wait, which begin anew; a watch that begins after a failure waits 1 s at most.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -21,6 +21,9 @@
 	// a connection that went silent is noticed within the time in which a change
 	// must be in force.
 	configWait = 2 * time.Second
+	// doubtfulWait is how long any watch waits after a call that failed: the store may
+	// be silent, and other watches tell no sooner that it has returned.
+	doubtfulWait = time.Second
 	// otherWait is how long the other watches wait; each call has its price.
 	otherWait = 6 * time.Second
 	// gatherTargets is how long changes of registrations are left to gather after
@@ -56,17 +59,50 @@
 	mu       sync.Mutex // guards the fields below
 	heard    time.Time
 	failures int
+	// waiting are the watches that wait for changes, with what ends them.
+	waiting map[*context.CancelFunc]bool
 }
 
-// answered notes an answer; true when the store had been lost.
+// answered notes an answer; true when the store had been lost. After a failure it
+// ends the watches that wait: they may do so on connections that stay silent.
 func (health *storeHealth) answered(now time.Time) bool {
 	health.mu.Lock()
 	defer health.mu.Unlock()
 	lost := health.failures >= failuresToLose
+	if health.failures > 0 {
+		for cancel := range health.waiting {
+			(*cancel)()
+		}
+	}
 	health.heard, health.failures = now, 0
 	return lost
 }
 
+// wait notes a watch that waits and returns its context, and what to call once it
+// has ended.
+func (health *storeHealth) wait(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	if health.waiting == nil {
+		health.waiting = map[*context.CancelFunc]bool{}
+	}
+	health.waiting[&cancel] = true
+	return ctx, func() {
+		cancel()
+		health.mu.Lock()
+		defer health.mu.Unlock()
+		delete(health.waiting, &cancel)
+	}
+}
+
+// doubtful reports whether the last call to the store failed.
+func (health *storeHealth) doubtful() bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	return health.failures > 0
+}
+
 // failed notes a failure. It returns when the store was last heard, and whether
 // it is lost from now on.
 func (health *storeHealth) failed() (time.Time, bool) {
@@ -176,8 +212,17 @@
 	from, _ := gateway.mirror.At(collection)
 	now := time.Now()
 	watch := objects.Watch{Collection: collection, From: from, Until: now.Add(following.wait), Late: following.shared && gateway.mayHearLate(now)}
+	if gateway.health.doubtful() {
+		watch.Until = now.Add(min(following.wait, doubtfulWait))
+	}
 	gateway.calls("watch", collection)
-	events, at, err := gateway.Store.Changes(ctx, watch)
+	waiting, done := gateway.health.wait(ctx)
+	events, at, err := gateway.Store.Changes(waiting, watch)
+	renewed := waiting.Err() != nil && ctx.Err() == nil
+	done()
+	if err != nil && renewed {
+		return nil // the next watch takes its place
+	}
 	if err != nil {
 		return err
 	}
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -30,6 +30,10 @@
 	// down is until when calls fail, and slow how long others take.
 	down time.Time
 	slow time.Duration
+	// silentFrom and silentUntil bound a silence: calls that wait or come then get
+	// nothing until their deadline, also after it.
+	silentFrom  time.Time
+	silentUntil time.Time
 	// forgets is set while watches from before the newest change are refused.
 	forgets bool
 }
@@ -88,7 +92,11 @@
 	}
 	end := time.NewTimer(time.Until(watch.Until))
 	defer end.Stop()
+	began := time.Now()
 	for {
+		if store.silent(began, time.Now()) {
+			return nil, 0, hang(ctx, watch.Until.Add(time.Second))
+		}
 		store.mu.Lock()
 		item, version, changed, forgets := store.items[watch.Collection], store.version, store.changed, store.forgets
 		store.mu.Unlock()
@@ -101,6 +109,9 @@
 		select {
 		case <-changed:
 		case <-end.C:
+			if store.silent(began, time.Now()) {
+				return nil, 0, hang(ctx, watch.Until.Add(time.Second))
+			}
 			return nil, version, nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
@@ -108,6 +119,21 @@
 	}
 }
 
+// silent reports whether a call that began at a time met the silence by now.
+func (store *store) silent(began, now time.Time) bool {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return began.Before(store.silentUntil) && !now.Before(store.silentFrom)
+}
+
+// hang waits as a call does on a connection that is silent.
+func hang(ctx context.Context, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	<-ctx.Done()
+	return objects.ErrUnknown
+}
+
 // decoder reads objects that are numbers.
 type decoder struct{}
 
@@ -246,3 +272,39 @@
 		}
 	})
 }
+
+// The pattern: the store falls silent for all VMs at once and comes back; watches
+// that began before stay silent for good, and no other VM knows more. A target that
+// leaves soon afterwards must be known to leave in time.
+func TestWatchesAreRenewedAfterASilence(t *testing.T) {
+	const (
+		silence = 4500 * time.Millisecond
+		contact = 3 * time.Second // after the store's return, by the platform's rules
+		bound   = 2 * time.Second // after the change
+	)
+	for phase := time.Duration(0); phase < 7*time.Second; phase += 500 * time.Millisecond {
+		for _, later := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4200 * time.Millisecond} {
+			t.Run(fmt.Sprint(phase, " then ", later), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					defer stop()
+					store := newStore()
+					store.put(objects.Configs, 1)
+					store.put(objects.Targets, 9000)
+					gateway := boot(ctx, "vm", store)
+					time.Sleep(time.Second + phase)
+					store.mu.Lock()
+					store.silentFrom = time.Now()
+					store.silentUntil = store.silentFrom.Add(silence)
+					store.mu.Unlock()
+					time.Sleep(silence + later)
+					store.put(objects.Targets, 9001)
+					time.Sleep(max(bound, contact-later))
+					if address, _ := gateway.roster.Address(string(objects.Targets)); address.Port() != 9001 {
+						t.Errorf("got the target at %v, want the change that is %v old", address, max(bound, contact-later))
+					}
+				})
+			})
+		}
+	}
+}
