--- a/command/cmd_gateway.go
+++ b/command/cmd_gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,16 +16,21 @@
 	"github.com/bramleygw/bramleygw/platform"
 )
 
+var metricsFlag = &cli.Uint16Flag{Name: "metrics-port", Usage: "serve /metrics at this `PORT` too"}
+
 var cmdGateway = &cli.Command{
 	Name:        "gateway",
 	Usage:       "run one VM's process on the users' platform",
 	Description: "Reads the settings file that " + platform.SettingsVariable + " names, serves until SIGTERM, then stops gracefully.",
-	Flags:       []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and start nothing"}},
+	Flags:       []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and start nothing"}, metricsFlag},
 	Action: func(ctx context.Context, command *cli.Command) error {
 		vm, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 		if err != nil || command.Bool("check") {
 			return err
 		}
+		if port := command.Uint16(metricsFlag.Name); port != 0 {
+			vm.Metrics = netip.AddrPortFrom(vm.Caller.Addr(), port)
+		}
 		buffer := event.NewBuffer(os.Stdout)
 		log := event.New(buffer, vm.Name, event.LevelInfo)
 		if len(vm.Ignored) > 0 {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,13 +10,14 @@
 
 // Process events.
 var (
-	Started         = register(101, "started", LevelInfo, "the process serves", "none")
-	Draining        = register(102, "draining", LevelInfo, "a planned stop began; running requests finish", "none")
-	Stopped         = register(103, "stopped", LevelInfo, "the process stopped", "none")
-	LinesDropped    = register(106, "lines_dropped", LevelWarn, "log lines were dropped because the output was not read fast enough", "read standard output faster, or log less")
-	SettingsChanged = register(105, "settings_changed", LevelInfo, "the settings file has changed; the process goes on as it started", "restart the process if the change matters to it")
-	SettingsIgnored = register(107, "settings_ignored", LevelInfo, "the settings file has fields that this version does not read", "none, unless one is misspelt")
-	NotReady        = register(104, "not_ready", LevelWarn, "no configuration yet, neither from the platform nor from another VM", "check platform.address and peers in the settings")
+	Started          = register(101, "started", LevelInfo, "the process serves", "none")
+	Draining         = register(102, "draining", LevelInfo, "a planned stop began; running requests finish", "none")
+	Stopped          = register(103, "stopped", LevelInfo, "the process stopped", "none")
+	LinesDropped     = register(106, "lines_dropped", LevelWarn, "log lines were dropped because the output was not read fast enough", "read standard output faster, or log less")
+	SettingsChanged  = register(105, "settings_changed", LevelInfo, "the settings file has changed; the process goes on as it started", "restart the process if the change matters to it")
+	MetricsNotServed = register(108, "metrics_not_served", LevelWarn, "the metrics' own address could not be opened; they are served at the readiness address alone", "choose a free port with --metrics-port")
+	SettingsIgnored  = register(107, "settings_ignored", LevelInfo, "the settings file has fields that this version does not read", "none, unless one is misspelt")
+	NotReady         = register(104, "not_ready", LevelWarn, "no configuration yet, neither from the platform nor from another VM", "check platform.address and peers in the settings")
 )
 
 // Configuration events.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,7 @@
 
 	callers *front.Server
 	ready   *readiness
+	shown   *readiness // at the metrics' own address; nil without one
 	peers   *peer.Server
 
 	fetches chan netip.AddrPort
@@ -180,9 +181,23 @@
 	gateway.callers = &front.Server{Listener: callers, Dialect: gateway.Front}
 	gateway.ready = &readiness{listener: ready, ready: gateway.Ready}
 	gateway.peers = &peer.Server{Listener: peers, Handler: gateway}
+	gateway.listenForMetrics()
 	return nil
 }
 
+// listenForMetrics opens the metrics' own address. A VM serves without it too.
+func (gateway *Gateway) listenForMetrics() {
+	if !gateway.Settings.Metrics.IsValid() {
+		return
+	}
+	listener, err := listen(&gateway.Settings.Metrics)
+	if err != nil {
+		gateway.Log.Emit(event.MetricsNotServed, event.F("address", gateway.Settings.Metrics.String()), event.Err(err))
+		return
+	}
+	gateway.shown = &readiness{listener: listener, ready: gateway.Ready}
+}
+
 func listen(address *netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -236,11 +251,15 @@
 }
 
 func (gateway *Gateway) loops() []func(context.Context) error {
-	return []func(context.Context) error{
+	loops := []func(context.Context) error{
 		gateway.peers.Run, gateway.ready.run, gateway.runConfigs, gateway.runTargets, gateway.runWeights,
 		gateway.runRegistration, gateway.runHeartbeats, gateway.runFetches, gateway.runRoll, gateway.runSweep,
 		gateway.stores.run, gateway.runReloads, gateway.runProbes,
 	}
+	if gateway.shown != nil {
+		loops = append(loops, gateway.shown.run)
+	}
+	return loops
 }
 
 func (gateway *Gateway) runCallers(ctx, abort context.Context, done chan<- error) {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -12,6 +12,8 @@
 	Caller netip.AddrPort
 	Ready  netip.AddrPort
 	Peer   netip.AddrPort
+	// Metrics is where metrics are served beside Ready; invalid for nowhere.
+	Metrics netip.AddrPort
 	// Seeds are the addresses of some VMs for the others; they may be stale.
 	Seeds []netip.AddrPort
 	Store netip.AddrPort
