--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -19,6 +19,11 @@
 	"github.com/bramleygw/bramleygw/settings"
 )
 
+// pass lets virtual time pass.
+func pass(duration time.Duration) {
+	<-time.After(duration)
+}
+
 // store is the platform's store in memory and in virtual time.
 type store struct {
 	Store // calls that these tests do not make
@@ -215,7 +220,7 @@
 				for i := range vms {
 					fleet = append(fleet, boot(ctx, fmt.Sprint("vm-", i), store))
 				}
-				time.Sleep(test.outage / 2)
+				pass(test.outage / 2)
 				for _, gateway := range fleet {
 					if test.outage > 0 && gateway.Ready() {
 						t.Error("got a VM that is ready without a configuration, want none")
@@ -224,10 +229,10 @@
 				if test.during != nil {
 					test.during(store)
 				}
-				time.Sleep(time.Until(back.Add(bound)))
+				pass(time.Until(back.Add(bound)))
 				if test.later != nil {
 					test.later(store)
-					time.Sleep(bound)
+					pass(bound)
 				}
 				synctest.Wait()
 				for i, gateway := range fleet {
@@ -257,16 +262,16 @@
 		store.put(objects.Configs, 1)
 		store.put(objects.Targets, 9000)
 		gateway := boot(ctx, "vm", store)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		store.mu.Lock()
 		store.down = time.Now().Add(time.Minute)
 		store.mu.Unlock()
 		store.put(objects.Configs, 2)
-		time.Sleep(59 * time.Second)
+		pass(59 * time.Second)
 		if !gateway.Ready() || gateway.roster.Size() != 1 {
 			t.Errorf("got ready %t and %d targets without the store, want ready with one", gateway.Ready(), gateway.roster.Size())
 		}
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		if got := gateway.relay.Table().Version; got != 2 {
 			t.Errorf("got configuration %d after the store's return, want 2", got)
 		}
@@ -292,14 +297,14 @@
 					store.put(objects.Configs, 1)
 					store.put(objects.Targets, 9000)
 					gateway := boot(ctx, "vm", store)
-					time.Sleep(time.Second + phase)
+					pass(time.Second + phase)
 					store.mu.Lock()
 					store.silentFrom = time.Now()
 					store.silentUntil = store.silentFrom.Add(silence)
 					store.mu.Unlock()
-					time.Sleep(silence + later)
+					pass(silence + later)
 					store.put(objects.Targets, 9001)
-					time.Sleep(max(bound, contact-later))
+					pass(max(bound, contact-later))
 					if address, _ := gateway.roster.Address(string(objects.Targets)); address.Port() != 9001 {
 						t.Errorf("got the target at %v, want the change that is %v old", address, max(bound, contact-later))
 					}
