Simplify what follows an attempt; one way to take a retry in dispatch

Found on reading the change: the loop of attempts had three ways to go on and two ways to be done, and completions and calls took retries out of the budget by the same lines. Behaviour is as before; tests of delivery, dispatch, relay, platform, once and quarantine are green, their assertions unchanged.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -112,8 +112,7 @@
 		if err != nil {
 			return delivery.refuse(err)
 		}
-		done, err := delivery.judge(ctx, outcome)
-		if done || err != nil {
+		if done, err := delivery.judge(ctx, outcome); done {
 			return err
 		}
 	}
@@ -129,38 +128,32 @@
 	}
 }
 
-// judge decides after an attempt: the request is done, ends with an error, or
-// goes to another target.
+// judge decides after an attempt: the request is done, answered or with an error,
+// or goes to another target.
 func (delivery *Delivery) judge(ctx context.Context, outcome Outcome) (done bool, err error) {
 	switch {
 	case outcome == Answered:
 		return true, nil
 	case outcome == CallerGone:
-		return false, delivery.refuse(callerGone())
+		return true, delivery.refuse(callerGone())
 	case ctx.Err() != nil:
-		return false, delivery.refuse(Ended(ctx))
-	case outcome == NotSent:
-		return false, nil
-	case outcome == NotRun && !delivery.Carrier.Allow(outcome, time.Now()):
-		return delivery.end()
-	case outcome == NotRun || delivery.mayRunAgain(outcome):
+		return true, delivery.refuse(Ended(ctx))
+	case delivery.mayGoOn(outcome):
 		return false, nil
 	}
-	return delivery.end()
-}
-
-// mayRunAgain reports whether another target may have the request after one may
-// have run it.
-func (delivery *Delivery) mayRunAgain(outcome Outcome) bool {
-	return delivery.Repeatable && delivery.runs < delivery.Attempts && delivery.Carrier.Allow(outcome, time.Now())
+	return true, delivery.exhausted()
 }
 
-// end ends a request that no further target gets.
-func (delivery *Delivery) end() (done bool, err error) {
-	if err := delivery.exhausted(); err != nil {
-		return false, err
+// mayGoOn reports whether another target may have the request after an outcome.
+// Only what surely did not run goes on whatever its kind.
+func (delivery *Delivery) mayGoOn(outcome Outcome) bool {
+	switch outcome {
+	case NotSent:
+		return true
+	case NotRun:
+		return delivery.Carrier.Allow(outcome, time.Now())
 	}
-	return true, nil
+	return delivery.Repeatable && delivery.runs < delivery.Attempts && delivery.Carrier.Allow(outcome, time.Now())
 }
 
 // exhausted is the end of a request that no further target gets: with the answer
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -123,11 +123,7 @@
 	if outcome == delivery.NotRun {
 		return job.tries < maxAttempts
 	}
-	if !job.dispatcher.budget.Allow(now) {
-		return false
-	}
-	job.dispatcher.Metrics.Retries.Add(1)
-	return true
+	return job.dispatcher.mayRepeat(now)
 }
 
 // Started implements delivery.Carrier.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// mayRepeat takes a repetition out of the retry budget; false when it is empty.
+func (dispatcher *Dispatcher) mayRepeat(now time.Time) bool {
+	if !dispatcher.budget.Allow(now) {
+		return false
+	}
+	dispatcher.Metrics.Retries.Add(1)
+	return true
+}
+
 // finish counts how a request ended; its error becomes a refusal.
 func (dispatcher *Dispatcher) finish(err error) error {
 	if err == nil {
--- a/dispatch/errand.go
+++ b/dispatch/errand.go
@@ -121,11 +121,7 @@
 
 // Allow implements delivery.Carrier.
 func (errand *errand) Allow(_ delivery.Outcome, now time.Time) bool {
-	if !errand.dispatcher.budget.Allow(now) {
-		return false
-	}
-	errand.dispatcher.Metrics.Retries.Add(1)
-	return true
+	return errand.dispatcher.mayRepeat(now)
 }
 
 // Started implements delivery.Carrier.
