Follow the configuration late in large fleets; positions of each collection

Letting most VMs hear it late needs that they learn it from each other, and there a fault was found by reading: heartbeats told one newest version over all collections, so a VM that had learned early of new weights never asked for an older change of the configuration or of a registration. TestNewsOfOneCollectionDoesNotHideAnother.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -217,6 +217,7 @@
 	beat := peer.Beat{
 		Name: gateway.Settings.Name, Boot: gateway.boot, Address: gateway.Settings.Peer,
 		Version: gateway.mirror.Newest(), PlatformAge: gateway.health.silence(now),
+		Positions: gateway.mirror.Positions(),
 	}
 	for _, count := range gateway.limits.Counts() {
 		beat.Spending = append(beat.Spending, peer.Spending{Account: count.Account, Spent: count.Spent, Wanted: count.Wanted})
@@ -249,7 +250,7 @@
 	}
 	gateway.roster.Told(beat.Name, backlogs, now)
 	gateway.learn(beat.Targets)
-	if beat.Version > gateway.mirror.Newest() {
+	if gateway.mirror.Behind(beat.Positions) {
 		select {
 		case gateway.fetches <- beat.Address:
 		default: // one is on its way
@@ -276,8 +277,8 @@
 }
 
 // Objects implements peer.Handler.
-func (gateway *Gateway) Objects(above objects.Version) ([]catalog.Object, objects.Version) {
-	return gateway.mirror.Since(above)
+func (gateway *Gateway) Objects(_ objects.Version, known []objects.Position) ([]catalog.Object, objects.Version) {
+	return gateway.mirror.Since(known)
 }
 
 // Notified implements peer.Handler.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -18,7 +18,7 @@
 const (
 	// configWait is how long one watch of the configuration waits: short, so that
 	// a connection that went silent is noticed within the time in which a change
-	// must be in force.
+	// must be in force, and so is the loss of all close followers.
 	configWait = 2 * time.Second
 	// doubtfulWait is how long any watch waits after a call that failed: the store may
 	// be silent, and other watches tell no sooner that it has returned.
@@ -35,10 +35,9 @@
 	gatherEach    = time.Second / 60
 	// gatherConfigs does so for quick successions of configurations.
 	gatherConfigs = 150 * time.Millisecond
-	// closeFollowers is the number of VMs that follow registrations and weights
-	// closely in a large fleet; the others hear it from them, and late from the
-	// store. With so many, some are left in each availability zone when others are
-	// lost.
+	// closeFollowers is the number of VMs that follow the store closely in a large
+	// fleet; the others hear changes from them, and late from the store. With so
+	// many, some are left in each availability zone when others are lost.
 	closeFollowers = 12
 	// fetchTimeout bounds taking changes from another VM.
 	fetchTimeout = time.Second
@@ -52,19 +51,19 @@
 
 // runConfigs follows the operators' configuration.
 func (gateway *Gateway) runConfigs(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Configs, configWait, func() time.Duration { return gatherConfigs }, false})
+	gateway.follow(ctx, following{objects.Configs, configWait, func() time.Duration { return gatherConfigs }})
 	return nil
 }
 
 // runTargets follows the registrations.
 func (gateway *Gateway) runTargets(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Targets, otherWait, func() time.Duration { return gatherFor(gateway.vms()) }, true})
+	gateway.follow(ctx, following{objects.Targets, otherWait, func() time.Duration { return gatherFor(gateway.vms()) }})
 	return nil
 }
 
 // runWeights follows the named versions of weights.
 func (gateway *Gateway) runWeights(ctx context.Context) error {
-	gateway.follow(ctx, following{objects.Weights, otherWait, func() time.Duration { return 0 }, true})
+	gateway.follow(ctx, following{objects.Weights, otherWait, func() time.Duration { return 0 }})
 	return nil
 }
 
@@ -85,8 +84,6 @@
 	collection objects.Collection
 	wait       time.Duration        // of one watch
 	gather     func() time.Duration // the pause after changes came
-	// shared collections are followed closely by some VMs for all.
-	shared bool
 }
 
 // follow keeps a collection's copy in step until the context ends.
@@ -139,7 +136,7 @@
 	collection := following.collection
 	from, _ := gateway.mirror.At(collection)
 	now := time.Now()
-	watch := objects.Watch{Collection: collection, From: from, Until: now.Add(following.wait), Late: following.shared && gateway.mayHearLate(now)}
+	watch := objects.Watch{Collection: collection, From: from, Until: now.Add(following.wait), Late: gateway.mayHearLate(now)}
 	if gateway.health.doubtful() {
 		watch.Until = now.Add(min(following.wait, doubtfulWait))
 	}
@@ -283,7 +280,7 @@
 func (gateway *Gateway) fetch(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	told, version, err := gateway.dialer.Snapshot(ctx, address, gateway.mirror.Newest())
+	told, version, err := gateway.dialer.Snapshot(ctx, address, 0, gateway.mirror.Positions())
 	if err != nil || len(told) == 0 {
 		return
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -10,6 +10,7 @@
 //	changes := copy.Replace(objects.Targets, list.Items, list.Metadata.ResourceVersion)
 //	changes = copy.Apply(objects.Targets, events, version)
 //	changes = copy.Merge(told)
+//	if copy.Behind(positions) { told := ask(copy.Positions()) }
 package mirror
 
 import (
@@ -38,6 +39,7 @@
 type collection struct {
 	entries map[string]*entry
 	at      objects.Version // all changes up to it are known
+	newest  objects.Version // of the newest change that is known
 	listed  bool
 }
 
@@ -141,6 +143,7 @@
 		return changes
 	}
 	mirror.newest = max(mirror.newest, version)
+	found.newest = max(found.newest, version)
 	found.entries[object.Metadata.Name] = &entry{object: object, version: version, removed: removed}
 	if removed && (!ok || known.removed) {
 		return changes // it was not in use
@@ -182,15 +185,46 @@
 	return changes
 }
 
-// Since returns all changes after a version and the newest one's version, for
-// another VM.
-func (mirror *Mirror) Since(version objects.Version) ([]catalog.Object, objects.Version) {
+// Positions returns the newest change that is known of each collection. A
+// collection has its own: what is known of one says nothing of another.
+func (mirror *Mirror) Positions() []objects.Position {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
+	var positions []objects.Position
+	for name, found := range mirror.collections {
+		if found.newest > 0 {
+			positions = append(positions, objects.Position{Collection: name, Version: found.newest})
+		}
+	}
+	return positions
+}
+
+// Behind reports whether another VM with the positions knows a newer change of
+// any collection.
+func (mirror *Mirror) Behind(told []objects.Position) bool {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	for _, position := range told {
+		if mirror.collection(position.Collection).newest < position.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// Since returns, for another VM with the positions, all changes after them, and
+// the version of the newest one.
+func (mirror *Mirror) Since(positions []objects.Position) ([]catalog.Object, objects.Version) {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	after := map[objects.Collection]objects.Version{}
+	for _, position := range positions {
+		after[position.Collection] = position.Version
+	}
 	var told []catalog.Object
 	for name, found := range mirror.collections {
 		for key, known := range found.entries {
-			if known.version <= version {
+			if known.version <= after[name] {
 				continue
 			}
 			told = append(told, catalog.Object{
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -96,13 +96,13 @@
 func TestOtherVMLearnsAllChangesAndRemovals(t *testing.T) {
 	first, second := New(), New()
 	first.Replace(objects.Targets, []objects.Object{object("a", 5), object("b", 6)}, 6)
-	told, version := first.Since(second.Newest())
+	told, version := first.Since(second.Positions())
 	second.Merge(told)
 	if version != 6 {
 		t.Errorf("got version %d, want 6", version)
 	}
 	first.Apply(objects.Targets, []objects.WatchEvent{removed("a", 8)}, 8)
-	told, _ = first.Since(second.Newest())
+	told, _ = first.Since(second.Positions())
 	if got := names(second.Merge(told)); got != "-a " {
 		t.Errorf("got %q, want the removal of a", got)
 	}
@@ -111,6 +111,29 @@
 	}
 }
 
+// The pattern: a VM learns early of a change of one collection, from the store or
+// from another VM, while an earlier change of another collection is late.
+func TestNewsOfOneCollectionDoesNotHideAnother(t *testing.T) {
+	first, second := New(), New()
+	for _, mirror := range []*Mirror{first, second} {
+		mirror.Replace(objects.Configs, []objects.Object{object("main", 5)}, 6)
+	}
+	first.Apply(objects.Configs, []objects.WatchEvent{{Type: objects.Modified, Object: object("main", 7)}}, 7)
+	for _, mirror := range []*Mirror{first, second} {
+		mirror.Apply(objects.Weights, []objects.WatchEvent{{Type: objects.Modified, Object: object("m", 9)}}, 9)
+	}
+	if !second.Behind(first.Positions()) || first.Behind(second.Positions()) {
+		t.Errorf("got behind %v and %v, want the second VM alone", second.Behind(first.Positions()), first.Behind(second.Positions()))
+	}
+	told, _ := first.Since(second.Positions())
+	if got := names(second.Merge(told)); got != "main " {
+		t.Errorf("got %q, want the configuration that was late", got)
+	}
+	if second.Behind(first.Positions()) {
+		t.Errorf("got behind after all was told, want not")
+	}
+}
+
 // However late, often and out of order things are told, an object never goes
 // back to an older version.
 func TestObjectsNeverGoBack(t *testing.T) {
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -128,6 +128,12 @@
 	Object Object    `json:"object"`
 }
 
+// Position tells up to which change a collection is known.
+type Position struct {
+	Collection Collection
+	Version    Version
+}
+
 // Watch asks for changes of a collection after a version, until a deadline at the
 // longest.
 type Watch struct {
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -166,13 +166,14 @@
 	return errors.Wrap(err, "notify VM")
 }
 
-// Snapshot returns another VM's configuration when it is above the version.
-func (dialer *Dialer) Snapshot(ctx context.Context, address netip.AddrPort, above objects.Version) ([]catalog.Object, objects.Version, error) {
+// Snapshot returns what another VM knows above the version or, where VMs keep
+// several collections, above the positions.
+func (dialer *Dialer) Snapshot(ctx context.Context, address netip.AddrPort, above objects.Version, known []objects.Position) ([]catalog.Object, objects.Version, error) {
 	client, err := dialer.client(address)
 	if err != nil {
 		return nil, 0, err
 	}
-	stream, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{AboveVersion: uint64(above)})
+	stream, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{AboveVersion: uint64(above), Known: encodePositions(known)})
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "ask for configuration")
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -50,7 +50,7 @@
 	handler.notices = append(handler.notices, notice)
 }
 
-func (handler *handler) Objects(objects.Version) ([]catalog.Object, objects.Version) {
+func (handler *handler) Objects(objects.Version, []objects.Position) ([]catalog.Object, objects.Version) {
 	return handler.objects, 9
 }
 
@@ -109,11 +109,11 @@
 	if err := dialer.Notify(ctx, address, notice); err != nil || len(handler.notices) != 1 || handler.notices[0].Charges[0] != notice.Charges[0] {
 		t.Errorf("got %+v %v, want the notice", handler.notices, err)
 	}
-	objects, version, err := dialer.Snapshot(ctx, address, 0)
+	objects, version, err := dialer.Snapshot(ctx, address, 0, nil)
 	if err != nil || len(objects) != len(handler.objects) || version != 9 {
 		t.Errorf("got %d objects at %d %v, want %d at 9", len(objects), version, err, len(handler.objects))
 	}
-	if objects, version, err = dialer.Snapshot(ctx, address, 9); err != nil || len(objects) != 0 || version != 0 {
+	if objects, version, err = dialer.Snapshot(ctx, address, 9, nil); err != nil || len(objects) != 0 || version != 0 {
 		t.Errorf("got %d objects at %d %v, want nothing newer", len(objects), version, err)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -56,6 +56,8 @@
 	Targets  []TargetNews
 	Backlogs []Backlog
 	Named    []NamedWeights
+	// Positions are the newest changes that the sender knows of its collections.
+	Positions []objects.Position
 }
 
 // NamedWeights is a version of weights that operators named lately.
@@ -114,8 +116,9 @@
 	Lend(right int, share quota.Share, least, want float64) quota.Grant
 	TakeBack(right int, share quota.Share, tokens float64)
 	Notified(notice Notice)
-	// Objects returns what is newer than a version, and the newest version.
-	Objects(above objects.Version) ([]catalog.Object, objects.Version)
+	// Objects returns what is newer than a version or, where there are several
+	// collections, than the positions, and the newest version.
+	Objects(above objects.Version, known []objects.Position) ([]catalog.Object, objects.Version)
 }
 
 // Server serves other VMs. The exported fields are set before Run.
@@ -184,7 +187,7 @@
 
 // Snapshot implements peerpb.PeerServer.
 func (service *service) Snapshot(request *peerpb.SnapshotRequest, stream grpc.ServerStreamingServer[peerpb.SnapshotPart]) error {
-	newer, version := service.handler.Objects(objects.Version(request.GetAboveVersion()))
+	newer, version := service.handler.Objects(objects.Version(request.GetAboveVersion()), decodePositions(request.GetKnown()))
 	if uint64(version) <= request.GetAboveVersion() {
 		return nil
 	}
@@ -215,6 +218,7 @@
 	for _, named := range beat.Named {
 		encoded.Named = append(encoded.Named, &peerpb.NamedWeights{Model: named.Model, Version: named.Version, AgeMs: uint32(named.Age.Milliseconds())})
 	}
+	encoded.Positions = encodePositions(beat.Positions)
 	for _, backlog := range beat.Backlogs {
 		encoded.Backlogs = append(encoded.Backlogs, &peerpb.Backlog{Target: backlog.Target, Tokens: uint32(backlog.Tokens)})
 	}
@@ -251,6 +255,7 @@
 		age := time.Duration(named.GetAgeMs()) * time.Millisecond
 		beat.Named = append(beat.Named, NamedWeights{Model: named.GetModel(), Version: named.GetVersion(), Age: age})
 	}
+	beat.Positions = decodePositions(encoded.GetPositions())
 	for _, backlog := range encoded.GetBacklogs() {
 		beat.Backlogs = append(beat.Backlogs, Backlog{Target: backlog.GetTarget(), Tokens: int(backlog.GetTokens())})
 	}
@@ -273,6 +278,22 @@
 	return decoded
 }
 
+func encodePositions(positions []objects.Position) []*peerpb.Position {
+	encoded := make([]*peerpb.Position, len(positions))
+	for i, position := range positions {
+		encoded[i] = &peerpb.Position{Collection: string(position.Collection), Version: uint64(position.Version)}
+	}
+	return encoded
+}
+
+func decodePositions(encoded []*peerpb.Position) []objects.Position {
+	decoded := make([]objects.Position, len(encoded))
+	for i, position := range encoded {
+		decoded[i] = objects.Position{Collection: objects.Collection(position.GetCollection()), Version: objects.Version(position.GetVersion())}
+	}
+	return decoded
+}
+
 func encodeObjects(objects []catalog.Object) []*peerpb.Object {
 	encoded := make([]*peerpb.Object, len(objects))
 	for i, object := range objects {
--- a/router/config.go
+++ b/router/config.go
@@ -71,7 +71,7 @@
 func (router *Router) fetch(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	objects, version, err := router.dialer.Snapshot(ctx, address, router.store.Snapshot().Version)
+	objects, version, err := router.dialer.Snapshot(ctx, address, router.store.Snapshot().Version, nil)
 	if err != nil || version == 0 {
 		return
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -141,7 +141,7 @@
 
 // Objects implements peer.Handler. A VM that lacks anything gets all: deletions
 // cannot be told apart by version alone.
-func (router *Router) Objects(objects.Version) ([]catalog.Object, objects.Version) {
+func (router *Router) Objects(objects.Version, []objects.Position) ([]catalog.Object, objects.Version) {
 	return router.store.Objects()
 }
 
