Let availability zones of large fleets tell each other sums

Ruled out: fewer partners alone (counts older still); telling every VM's counts on (19 KB a heartbeat at 78 VMs). Change: in fleets of more than twelve other VMs, a VM exchanges heartbeats within its zone; two VMs of each zone, its speakers, exchange sums of spending and backlogs with other zones' and tell their own. A teller is followed until it falls silent, so that its counts compare. News of targets goes to one speaker of each zone. Ranks take turns among zones. Small fleets are as before.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -40,6 +40,7 @@
 	PeerNotTold     = register(405, "peer_not_told", LevelDebug, "another VM did not confirm news", "none when the VM is gone")
 	NotUnregistered = register(406, "not_unregistered", LevelInfo, "a stopping VM could not remove its registration", "none; others notice its silence")
 	PeerLost        = register(401, "peer_lost", LevelWarn, "another VM is no longer heard", "check the VM and the network between the availability zones")
+	ZoneSummed      = register(407, "zone_summed", LevelInfo, "the VMs of another availability zone are told by sums of their speakers", "none")
 	PeerHeard       = register(402, "peer_heard", LevelInfo, "another VM is heard", "none")
 	Isolated        = register(403, "isolated", LevelError, "neither the platform nor a majority of the VMs is heard; keyed requests are refused", "restore the network of this VM or replace it")
 	IsolationOver   = register(404, "isolation_over", LevelInfo, "the VM serves again after isolation", "none")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/netip"
 	"time"
 
 	"github.com/bramleygw/bramleygw/catalog"
@@ -14,7 +13,6 @@
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/retry"
-	"github.com/bramleygw/bramleygw/roster"
 	"github.com/cockroachdb/errors"
 )
 
@@ -36,8 +34,6 @@
 	// tellNamed is how long named weights are told to other VMs: longer than
 	// targets may begin work on the former ones.
 	tellNamed = 10 * time.Second
-	// aliveTime is how old a VM's last heartbeat may be while it counts as alive.
-	aliveTime = 1200 * time.Millisecond
 	// startTime is how long after its start a VM takes the VMs that the store
 	// lists for present, and unknownVMs how many it assumes when none is known:
 	// the size of the users' fleets of today.
@@ -126,13 +122,13 @@
 func (gateway *Gateway) vms() int {
 	now := time.Now()
 	starting := now.Sub(gateway.started) < startTime
-	count, known := 1, false
+	count := 1 + gateway.zones.summaries.VMs(now.Add(-presentTime))
+	known := count > 1
 	for _, view := range gateway.members.Views(now) {
-		if view.Name == gateway.Settings.Name {
+		if view.Name == gateway.Settings.Name || gateway.summed(view.AvailabilityZone, now) {
 			continue
 		}
-		heard := view.HeardMS >= 0 && view.HeardMS < presentTime.Milliseconds()
-		if heard || starting && view.Listed {
+		if gateway.present(view, now) {
 			count++
 			known = true
 		}
@@ -145,7 +141,13 @@
 
 // noteSilent logs VMs that are no longer heard, and those that are again.
 func (gateway *Gateway) noteSilent(silence *membership.Silence, now time.Time) {
-	lost, heard := silence.Note(gateway.members.Views(now), now.Add(-silentAfter), now)
+	views := gateway.zones.summaries.Views(sourceOf, now)
+	for _, view := range gateway.members.Views(now) {
+		if !gateway.summed(view.AvailabilityZone, now) {
+			views = append(views, view)
+		}
+	}
+	lost, heard := silence.Note(views, now.Add(-silentAfter), now)
 	for _, name := range lost {
 		gateway.Log.Emit(event.PeerLost, event.F("peer", name))
 	}
@@ -161,8 +163,8 @@
 		if now := time.Now(); next.Before(now) {
 			next = now
 		}
-		for _, address := range gateway.heartbeatTargets(time.Now()) {
-			go gateway.runHeartbeat(ctx, address)
+		for _, other := range gateway.heartbeatTargets(time.Now()) {
+			go gateway.runHeartbeat(ctx, other)
 		}
 		if !retry.Wait(ctx, next.Add(heartbeatInterval)) {
 			return nil
@@ -170,34 +172,35 @@
 	}
 }
 
-func (gateway *Gateway) heartbeatTargets(now time.Time) []netip.AddrPort {
-	var addresses []netip.AddrPort
+func (gateway *Gateway) heartbeatTargets(now time.Time) []membership.Peer {
+	var next []membership.Peer
 	heard := map[string]bool{}
 	for _, view := range gateway.members.Views(now) {
 		heard[view.Name] = view.HeardMS >= 0 && view.HeardMS < 2*heartbeatInterval.Milliseconds()
 	}
-	others := gateway.members.Next(heartbeatPeers, now)
+	others := gateway.members.Partners(heartbeatPeers, now)
 	for _, other := range others {
 		if gateway.Settings.Name < other.Name || !heard[other.Name] {
-			addresses = append(addresses, other.Address)
+			next = append(next, other)
 		}
 	}
 	if len(others) > 0 {
-		return addresses
+		return next
 	}
 	for _, seed := range gateway.members.Seeds() {
 		if seed != gateway.Settings.Peer {
-			addresses = append(addresses, seed)
+			next = append(next, membership.Peer{Address: seed})
 		}
 	}
-	return addresses
+	return next
 }
 
-func (gateway *Gateway) runHeartbeat(ctx context.Context, address netip.AddrPort) {
+func (gateway *Gateway) runHeartbeat(ctx context.Context, other membership.Peer) {
+	address := other.Address
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
-	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.beat())
+	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.beat(other.Zone))
 	if err == nil {
 		gateway.heard(reply)
 	}
@@ -212,21 +215,26 @@
 	}
 }
 
-func (gateway *Gateway) beat() peer.Beat {
+// beat returns a heartbeat for a VM in an availability zone, empty when it is not
+// known. In a large fleet another zone gets sums alone.
+func (gateway *Gateway) beat(zone string) peer.Beat {
 	now := time.Now()
 	beat := peer.Beat{
 		Name: gateway.Settings.Name, Boot: gateway.boot, Address: gateway.Settings.Peer,
 		Version: gateway.mirror.Newest(), PlatformAge: gateway.health.silence(now),
-		Positions: gateway.mirror.Positions(),
-	}
-	for _, count := range gateway.limits.Counts() {
-		beat.Spending = append(beat.Spending, peer.Spending{Account: count.Account, Spent: count.Spent, Wanted: count.Wanted})
+		Positions: gateway.mirror.Positions(), Zone: gateway.members.Zone,
 	}
 	for _, named := range gateway.weights.recent(now.Add(-tellNamed)) {
 		beat.Named = append(beat.Named, peer.NamedWeights{Model: named.Model, Version: named.Version, Age: now.Sub(named.Learned)})
 	}
-	for _, backlog := range gateway.roster.Backlogs() {
-		beat.Backlogs = append(beat.Backlogs, peer.Backlog{Target: backlog.Target, Tokens: backlog.Tokens})
+	layered := gateway.members.Layered(heartbeatPeers, now)
+	if layered {
+		beat.Speaks = gateway.members.Speaks(now)
+		gateway.tellZones(&beat, zone, now)
+	}
+	if !layered || zone == "" || zone == gateway.members.Zone {
+		beat.Spending = spendings(gateway.limits.Counts())
+		beat.Backlogs = told(gateway.roster.Backlogs())
 	}
 	return beat
 }
@@ -236,19 +244,14 @@
 	now := time.Now()
 	gateway.members.Heard(beat.Name, beat.Address, 0, now)
 	gateway.members.Told(beat.Name, beat.Version, beat.PlatformAge)
-	counts := make([]quota.Count, len(beat.Spending))
-	for i, spending := range beat.Spending {
-		counts[i] = quota.Count{Account: spending.Account, Spent: spending.Spent, Wanted: spending.Wanted}
+	if summed := gateway.heardZones(beat, now); !summed {
+		near := beat.Zone == gateway.members.Zone
+		gateway.limits.Heard(quota.Source{Name: beat.Name, Boot: beat.Boot, VMs: 1, Near: near}, counts(beat.Spending), now)
+		gateway.roster.Told(beat.Name, backlogs(beat.Backlogs), now)
 	}
-	gateway.limits.Heard(beat.Name, beat.Boot, counts, now)
 	for _, named := range beat.Named {
 		gateway.nameWeights(named.Model, named.Version, now.Add(-named.Age))
 	}
-	backlogs := make([]roster.Backlog, len(beat.Backlogs))
-	for i, told := range beat.Backlogs {
-		backlogs[i] = roster.Backlog{Target: told.Target, Tokens: told.Tokens}
-	}
-	gateway.roster.Told(beat.Name, backlogs, now)
 	gateway.learn(beat.Targets)
 	if gateway.mirror.Behind(beat.Positions) {
 		select {
@@ -273,7 +276,7 @@
 // Beat implements peer.Handler.
 func (gateway *Gateway) Beat(beat peer.Beat) peer.Beat {
 	gateway.heard(beat)
-	return gateway.beat()
+	return gateway.beat(beat.Zone)
 }
 
 // Objects implements peer.Handler.
@@ -284,6 +287,10 @@
 // Notified implements peer.Handler.
 func (gateway *Gateway) Notified(notice peer.Notice) {
 	gateway.learn(notice.Targets)
+	if notice.Relay {
+		notice.Relay = false
+		go gateway.runRelay(notice)
+	}
 	now := time.Now()
 	for _, charge := range notice.Charges {
 		gateway.suspects.Charge(quarantine.Digest(charge.Digest), charge.Death, now)
@@ -302,12 +309,3 @@
 func (gateway *Gateway) Charged(ctx context.Context, digest quarantine.Digest, death string, _ quarantine.Standing) {
 	gateway.notify(ctx, peer.Notice{Charges: []peer.Charge{{Digest: string(digest), Death: death}}})
 }
-
-// notify tells all other VMs and returns when they know or time is up.
-func (gateway *Gateway) notify(ctx context.Context, notice peer.Notice) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
-	defer cancel()
-	gateway.dialer.Broadcast(ctx, gateway.members.Addresses(time.Now()), notice, func(address netip.AddrPort, err error) {
-		gateway.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
-	})
-}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -59,7 +59,7 @@
 	}{
 		{"small fleet", closeFollowers, 0, 0},
 		{"large fleet", 78, 0, 78 - closeFollowers},
-		{"large fleet whose VMs are cut off from each other", 78, aliveTime, 0},
+		{"large fleet whose VMs are cut off from each other", 78, membership.AliveTime, 0},
 	} {
 		if got := late(test.vms, test.after); got != test.want {
 			t.Errorf("%s: got %d VMs that hear late, want %d", test.name, got, test.want)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	weights  *weights
 	limits   *quota.Fleet
 	members  *membership.Table
+	zones    *zones
 	suspects *quarantine.Book
 	clients  *relay.Clients
 	stores   *cacheStores
@@ -147,6 +148,8 @@
 	gateway.weights = newWeights()
 	gateway.limits = quota.NewFleet(vm.Name, unknownVMs)
 	gateway.members = membership.NewTable(vm.Name, vm.Seeds, gateway.started)
+	gateway.members.Zone = vm.AvailabilityZone
+	gateway.zones = newZones()
 	gateway.suspects = quarantine.NewBook()
 	gateway.clients = relay.NewClients(gateway.Dialect)
 	gateway.stores = newCacheStores(gateway.Log)
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/lease"
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/prefix"
@@ -137,22 +138,27 @@
 }
 
 // rank returns the number of VMs that come before this one in an order that all
-// compute alike: of those that are alive and reach the store.
+// compute alike: of those that are alive and reach the store. In a large fleet a VM
+// hears its own availability zone alone: zones take turns.
 func (gateway *Gateway) rank(now time.Time) int {
-	var names []string
+	layered := gateway.members.Layered(heartbeatPeers, now)
+	rank := 0
 	for _, view := range gateway.members.Views(now) {
-		if view.HeardMS >= 0 && view.HeardMS < aliveTime.Milliseconds() && view.PlatformMS == 0 {
-			names = append(names, view.Name)
+		alive := view.HeardMS >= 0 && view.HeardMS < membership.AliveTime.Milliseconds() && view.PlatformMS == 0
+		if alive && (!layered || view.AvailabilityZone == gateway.members.Zone) && before(view.Name, gateway.Settings.Name) {
+			rank++
 		}
 	}
-	names = append(names, gateway.Settings.Name)
-	sort.Slice(names, func(i, j int) bool { return prefix.Digest(names[i]) < prefix.Digest(names[j]) })
-	for rank, name := range names {
-		if name == gateway.Settings.Name {
-			return rank
-		}
+	if !layered {
+		return rank
 	}
-	return 0
+	zones := gateway.members.Zones()
+	return rank*len(zones) + slices.Index(zones, gateway.members.Zone)
+}
+
+// before reports whether a name comes first in the order that all compute alike.
+func before(name, other string) bool {
+	return prefix.Digest(name) < prefix.Digest(other)
 }
 
 // carryOut asks for reports and gives orders; orders go only right after the
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -48,6 +48,9 @@
 	everSeen bool
 	version  objects.Version // of its configuration, as it said last
 	silence  time.Duration   // since its last contact with the platform
+	speaks   bool            // for its availability zone
+	// introduced is when another VM last said that it speaks for its zone.
+	introduced time.Time
 }
 
 // Age tells how long ago a VM was heard.
@@ -60,10 +63,16 @@
 type Peer struct {
 	Name    string
 	Address netip.AddrPort
+	// Zone is the availability zone; empty when it is not known.
+	Zone string
 }
 
 // Table is the membership as one VM sees it. It is safe for concurrent use.
 type Table struct {
+	// Zone is this VM's availability zone. It is set before use where large fleets
+	// are to exchange heartbeats by zone.
+	Zone string
+
 	self string
 
 	mu       sync.Mutex // guards the fields below
@@ -233,15 +242,22 @@
 	defer table.mu.Unlock()
 	var peers []Peer
 	for name, member := range table.members {
-		heard := member.everSeen && now.Sub(member.heard) <= heardWithin
-		if name != table.self && member.address.IsValid() && (member.listed || heard) {
-			peers = append(peers, Peer{Name: name, Address: member.address})
+		if table.isPeer(name, member, now) {
+			peers = append(peers, Peer{Name: name, Address: member.address, Zone: member.zone})
 		}
 	}
 	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
 	return peers
 }
 
+// isPeer reports whether a member is another VM that is listed, or was heard or
+// introduced not long ago. The caller holds mu.
+func (table *Table) isPeer(name string, member *member, now time.Time) bool {
+	heard := member.everSeen && now.Sub(member.heard) <= heardWithin
+	introduced := now.Sub(member.introduced) <= heardWithin
+	return name != table.self && member.address.IsValid() && (member.listed || heard || introduced)
+}
+
 // Addresses returns where the peers are.
 func (table *Table) Addresses(now time.Time) []netip.AddrPort {
 	peers := table.Peers(now)
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets)}
+	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay}
 	for _, charge := range notice.Charges {
 		request.Charges = append(request.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
 	}
--- /dev/null
+++ b/peer/encode.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/peer/peerpb"
+)
+
+func encodeBeat(beat Beat) *peerpb.Beat {
+	encoded := &peerpb.Beat{
+		Name:          beat.Name,
+		Address:       beat.Address.String(),
+		Version:       uint64(beat.Version),
+		PlatformAgeMs: uint32(min(beat.PlatformAge, time.Hour).Milliseconds()),
+	}
+	for _, heard := range beat.Heard {
+		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: heard.Name, AgeMs: uint32(heard.Age.Milliseconds())})
+	}
+	encoded.Boot = beat.Boot
+	encoded.Spending = encodeSpendings(beat.Spending)
+	encoded.Targets = encodeTargets(beat.Targets)
+	for _, named := range beat.Named {
+		encoded.Named = append(encoded.Named, &peerpb.NamedWeights{Model: named.Model, Version: named.Version, AgeMs: uint32(named.Age.Milliseconds())})
+	}
+	encoded.Positions = encodePositions(beat.Positions)
+	encoded.Backlogs = encodeBacklogs(beat.Backlogs)
+	encodeZones(encoded, beat)
+	return encoded
+}
+
+// encodeSpending tells whole tokens, which take a few bytes; what was spent is
+// rounded up, so that nobody spends it again.
+func encodeSpending(spending Spending) *peerpb.Spending {
+	spent := math.Ceil(max(0, spending.Spent))
+	return &peerpb.Spending{
+		Account: spending.Account, Spent: uint64(spent), Refused: uint64(max(0, math.Round(spending.Wanted-spent))),
+	}
+}
+
+func decodeBeat(encoded *peerpb.Beat) Beat {
+	address, _ := netip.ParseAddrPort(encoded.GetAddress()) // an invalid one is not used
+	beat := Beat{
+		Name:        encoded.GetName(),
+		Address:     address,
+		Version:     objects.Version(encoded.GetVersion()),
+		PlatformAge: time.Duration(encoded.GetPlatformAgeMs()) * time.Millisecond,
+	}
+	for _, heard := range encoded.GetHeard() {
+		beat.Heard = append(beat.Heard, PeerAge{Name: heard.GetName(), Age: time.Duration(heard.GetAgeMs()) * time.Millisecond})
+	}
+	beat.Boot = encoded.GetBoot()
+	beat.Spending = decodeSpendings(encoded.GetSpending())
+	beat.Targets = decodeTargets(encoded.GetTargets())
+	for _, named := range encoded.GetNamed() {
+		age := time.Duration(named.GetAgeMs()) * time.Millisecond
+		beat.Named = append(beat.Named, NamedWeights{Model: named.GetModel(), Version: named.GetVersion(), Age: age})
+	}
+	beat.Positions = decodePositions(encoded.GetPositions())
+	beat.Backlogs = decodeBacklogs(encoded.GetBacklogs())
+	decodeZones(&beat, encoded)
+	return beat
+}
+
+func encodeSpendings(spendings []Spending) []*peerpb.Spending {
+	encoded := make([]*peerpb.Spending, len(spendings))
+	for i, spending := range spendings {
+		encoded[i] = encodeSpending(spending)
+	}
+	return encoded
+}
+
+func decodeSpendings(encoded []*peerpb.Spending) []Spending {
+	decoded := make([]Spending, len(encoded))
+	for i, spending := range encoded {
+		spent := float64(spending.GetSpent())
+		decoded[i] = Spending{Account: spending.GetAccount(), Spent: spent, Wanted: spent + float64(spending.GetRefused())}
+	}
+	return decoded
+}
+
+func encodeBacklogs(backlogs []Backlog) []*peerpb.Backlog {
+	encoded := make([]*peerpb.Backlog, len(backlogs))
+	for i, backlog := range backlogs {
+		encoded[i] = &peerpb.Backlog{Target: backlog.Target, Tokens: uint32(backlog.Tokens)}
+	}
+	return encoded
+}
+
+func decodeBacklogs(encoded []*peerpb.Backlog) []Backlog {
+	decoded := make([]Backlog, len(encoded))
+	for i, backlog := range encoded {
+		decoded[i] = Backlog{Target: backlog.GetTarget(), Tokens: int(backlog.GetTokens())}
+	}
+	return decoded
+}
+
+// encodeZones adds what a heartbeat tells of availability zones.
+func encodeZones(encoded *peerpb.Beat, beat Beat) {
+	encoded.AvailabilityZone, encoded.Speaks = beat.Zone, beat.Speaks
+	for _, speaker := range beat.Speakers {
+		encoded.Speakers = append(encoded.Speakers, &peerpb.Speaker{
+			Name: speaker.Name, Address: speaker.Address.String(), AvailabilityZone: speaker.Zone,
+		})
+	}
+	for _, zone := range beat.Zones {
+		encoded.Zones = append(encoded.Zones, &peerpb.ZoneSummary{
+			AvailabilityZone: zone.Zone, Teller: zone.Teller, Number: zone.Number,
+			AgeMs: uint32(max(0, zone.Age).Milliseconds()), Vms: uint32(zone.VMs),
+			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
+		})
+	}
+}
+
+// decodeZones reads what a heartbeat tells of availability zones.
+func decodeZones(beat *Beat, encoded *peerpb.Beat) {
+	beat.Zone, beat.Speaks = encoded.GetAvailabilityZone(), encoded.GetSpeaks()
+	for _, speaker := range encoded.GetSpeakers() {
+		address, _ := netip.ParseAddrPort(speaker.GetAddress()) // an invalid one is not used
+		beat.Speakers = append(beat.Speakers, Speaker{Name: speaker.GetName(), Address: address, Zone: speaker.GetAvailabilityZone()})
+	}
+	for _, zone := range encoded.GetZones() {
+		beat.Zones = append(beat.Zones, ZoneSummary{
+			Zone: zone.GetAvailabilityZone(), Teller: zone.GetTeller(), Number: zone.GetNumber(),
+			Age: time.Duration(zone.GetAgeMs()) * time.Millisecond, VMs: int(zone.GetVms()),
+			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
+		})
+	}
+}
+
+func encodeTargets(targets []TargetNews) []*peerpb.TargetNews {
+	encoded := make([]*peerpb.TargetNews, len(targets))
+	for i, news := range targets {
+		encoded[i] = &peerpb.TargetNews{Target: news.Target, Model: news.Model, Weights: news.Weights, Rolling: news.Rolling}
+	}
+	return encoded
+}
+
+func decodeTargets(encoded []*peerpb.TargetNews) []TargetNews {
+	decoded := make([]TargetNews, len(encoded))
+	for i, news := range encoded {
+		decoded[i] = TargetNews{Target: news.GetTarget(), Model: news.GetModel(), Weights: news.GetWeights(), Rolling: news.GetRolling()}
+	}
+	return decoded
+}
+
+func encodePositions(positions []objects.Position) []*peerpb.Position {
+	encoded := make([]*peerpb.Position, len(positions))
+	for i, position := range positions {
+		encoded[i] = &peerpb.Position{Collection: string(position.Collection), Version: uint64(position.Version)}
+	}
+	return encoded
+}
+
+func decodePositions(encoded []*peerpb.Position) []objects.Position {
+	decoded := make([]objects.Position, len(encoded))
+	for i, position := range encoded {
+		decoded[i] = objects.Position{Collection: objects.Collection(position.GetCollection()), Version: objects.Version(position.GetVersion())}
+	}
+	return decoded
+}
+
+func encodeObjects(objects []catalog.Object) []*peerpb.Object {
+	encoded := make([]*peerpb.Object, len(objects))
+	for i, object := range objects {
+		encoded[i] = &peerpb.Object{Id: object.ID, Version: uint64(object.Version), Deleted: object.Deleted, Spec: object.Spec}
+	}
+	return encoded
+}
+
+func decodeObjects(encoded []*peerpb.Object) []catalog.Object {
+	decoded := make([]catalog.Object, len(encoded))
+	for i, object := range encoded {
+		decoded[i] = catalog.Object{
+			ID:      object.GetId(),
+			Version: objects.Version(object.GetVersion()),
+			Deleted: object.GetDeleted(),
+			Spec:    object.GetSpec(),
+		}
+	}
+	return decoded
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -58,6 +57,34 @@
 	Named    []NamedWeights
 	// Positions are the newest changes that the sender knows of its collections.
 	Positions []objects.Position
+	// Zone is the sender's availability zone; Speaks is set when it exchanges
+	// heartbeats with other zones for its own, and Speakers are VMs that do.
+	Zone     string
+	Speaks   bool
+	Speakers []Speaker
+	// Zones are sums of what the VMs of availability zones tell.
+	Zones []ZoneSummary
+}
+
+// Speaker is a VM that exchanges heartbeats with other availability zones for its
+// own.
+type Speaker struct {
+	Name    string
+	Address netip.AddrPort
+	Zone    string
+}
+
+// ZoneSummary is the sum of what the VMs of an availability zone tell.
+type ZoneSummary struct {
+	Zone string
+	// Teller tells the process that made the sums; Number grows with each of its
+	// summaries.
+	Teller   string
+	Number   uint64
+	Age      time.Duration
+	VMs      int
+	Spending []Spending
+	Backlogs []Backlog
 }
 
 // NamedWeights is a version of weights that operators named lately.
@@ -108,6 +135,8 @@
 	Objects []catalog.Object
 	Charges []Charge
 	Targets []TargetNews
+	// Relay asks the receiver to tell the other VMs of its availability zone.
+	Relay bool
 }
 
 // Handler is what a VM does for others.
@@ -177,7 +206,7 @@
 
 // Notify implements peerpb.PeerServer.
 func (service *service) Notify(_ context.Context, request *peerpb.Notice) (*peerpb.NoticeReply, error) {
-	notice := Notice{Objects: decodeObjects(request.GetObjects()), Targets: decodeTargets(request.GetTargets())}
+	notice := Notice{Objects: decodeObjects(request.GetObjects()), Targets: decodeTargets(request.GetTargets()), Relay: request.GetRelay()}
 	for _, charge := range request.GetCharges() {
 		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
 	}
@@ -199,118 +228,3 @@
 	}
 	return stream.Send(&peerpb.SnapshotPart{Objects: encodeObjects(newer), Version: uint64(version)})
 }
-
-func encodeBeat(beat Beat) *peerpb.Beat {
-	encoded := &peerpb.Beat{
-		Name:          beat.Name,
-		Address:       beat.Address.String(),
-		Version:       uint64(beat.Version),
-		PlatformAgeMs: uint32(min(beat.PlatformAge, time.Hour).Milliseconds()),
-	}
-	for _, heard := range beat.Heard {
-		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: heard.Name, AgeMs: uint32(heard.Age.Milliseconds())})
-	}
-	encoded.Boot = beat.Boot
-	for _, spending := range beat.Spending {
-		encoded.Spending = append(encoded.Spending, encodeSpending(spending))
-	}
-	encoded.Targets = encodeTargets(beat.Targets)
-	for _, named := range beat.Named {
-		encoded.Named = append(encoded.Named, &peerpb.NamedWeights{Model: named.Model, Version: named.Version, AgeMs: uint32(named.Age.Milliseconds())})
-	}
-	encoded.Positions = encodePositions(beat.Positions)
-	for _, backlog := range beat.Backlogs {
-		encoded.Backlogs = append(encoded.Backlogs, &peerpb.Backlog{Target: backlog.Target, Tokens: uint32(backlog.Tokens)})
-	}
-	return encoded
-}
-
-// encodeSpending tells whole tokens, which take a few bytes; what was spent is
-// rounded up, so that nobody spends it again.
-func encodeSpending(spending Spending) *peerpb.Spending {
-	spent := math.Ceil(max(0, spending.Spent))
-	return &peerpb.Spending{
-		Account: spending.Account, Spent: uint64(spent), Refused: uint64(max(0, math.Round(spending.Wanted-spent))),
-	}
-}
-
-func decodeBeat(encoded *peerpb.Beat) Beat {
-	address, _ := netip.ParseAddrPort(encoded.GetAddress()) // an invalid one is not used
-	beat := Beat{
-		Name:        encoded.GetName(),
-		Address:     address,
-		Version:     objects.Version(encoded.GetVersion()),
-		PlatformAge: time.Duration(encoded.GetPlatformAgeMs()) * time.Millisecond,
-	}
-	for _, heard := range encoded.GetHeard() {
-		beat.Heard = append(beat.Heard, PeerAge{Name: heard.GetName(), Age: time.Duration(heard.GetAgeMs()) * time.Millisecond})
-	}
-	beat.Boot = encoded.GetBoot()
-	for _, spending := range encoded.GetSpending() {
-		spent := float64(spending.GetSpent())
-		beat.Spending = append(beat.Spending, Spending{Account: spending.GetAccount(), Spent: spent, Wanted: spent + float64(spending.GetRefused())})
-	}
-	beat.Targets = decodeTargets(encoded.GetTargets())
-	for _, named := range encoded.GetNamed() {
-		age := time.Duration(named.GetAgeMs()) * time.Millisecond
-		beat.Named = append(beat.Named, NamedWeights{Model: named.GetModel(), Version: named.GetVersion(), Age: age})
-	}
-	beat.Positions = decodePositions(encoded.GetPositions())
-	for _, backlog := range encoded.GetBacklogs() {
-		beat.Backlogs = append(beat.Backlogs, Backlog{Target: backlog.GetTarget(), Tokens: int(backlog.GetTokens())})
-	}
-	return beat
-}
-
-func encodeTargets(targets []TargetNews) []*peerpb.TargetNews {
-	encoded := make([]*peerpb.TargetNews, len(targets))
-	for i, news := range targets {
-		encoded[i] = &peerpb.TargetNews{Target: news.Target, Model: news.Model, Weights: news.Weights, Rolling: news.Rolling}
-	}
-	return encoded
-}
-
-func decodeTargets(encoded []*peerpb.TargetNews) []TargetNews {
-	decoded := make([]TargetNews, len(encoded))
-	for i, news := range encoded {
-		decoded[i] = TargetNews{Target: news.GetTarget(), Model: news.GetModel(), Weights: news.GetWeights(), Rolling: news.GetRolling()}
-	}
-	return decoded
-}
-
-func encodePositions(positions []objects.Position) []*peerpb.Position {
-	encoded := make([]*peerpb.Position, len(positions))
-	for i, position := range positions {
-		encoded[i] = &peerpb.Position{Collection: string(position.Collection), Version: uint64(position.Version)}
-	}
-	return encoded
-}
-
-func decodePositions(encoded []*peerpb.Position) []objects.Position {
-	decoded := make([]objects.Position, len(encoded))
-	for i, position := range encoded {
-		decoded[i] = objects.Position{Collection: objects.Collection(position.GetCollection()), Version: objects.Version(position.GetVersion())}
-	}
-	return decoded
-}
-
-func encodeObjects(objects []catalog.Object) []*peerpb.Object {
-	encoded := make([]*peerpb.Object, len(objects))
-	for i, object := range objects {
-		encoded[i] = &peerpb.Object{Id: object.ID, Version: uint64(object.Version), Deleted: object.Deleted, Spec: object.Spec}
-	}
-	return encoded
-}
-
-func decodeObjects(encoded []*peerpb.Object) []catalog.Object {
-	decoded := make([]catalog.Object, len(encoded))
-	for i, object := range encoded {
-		decoded[i] = catalog.Object{
-			ID:      object.GetId(),
-			Version: objects.Version(object.GetVersion()),
-			Deleted: object.GetDeleted(),
-			Spec:    object.GetSpec(),
-		}
-	}
-	return decoded
-}
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -35,6 +35,27 @@
 	Wanted float64
 }
 
+// Source is who tells counts: a VM its own, or one that sums up those of several.
+type Source struct {
+	Name string
+	// Boot tells the process whose counts these are.
+	Boot string
+	// VMs is the number of VMs whose tokens are counted.
+	VMs int
+	// Near sources' tokens are part of the totals that this VM tells others.
+	Near bool
+	// Summed counts are older than those that a VM tells itself: they are no reason
+	// to admit from the fleet's bucket.
+	Summed bool
+}
+
+// hearing is when a source was last heard.
+type hearing struct {
+	at     time.Time
+	vms    int
+	summed bool
+}
+
 // Fleet keeps accounts within their limits by counts that all VMs tell each
 // other. Each VM fills a bucket at the account's whole rate and takes out what
 // any VM spent. While it holds plenty, requests are admitted from it. Otherwise
@@ -49,7 +70,7 @@
 
 	mu       sync.Mutex // guards accounts and heard
 	accounts map[string]*fleetAccount
-	heard    map[string]time.Time
+	heard    map[string]hearing
 	expected int
 }
 
@@ -60,6 +81,8 @@
 	own     float64 // of this VM's share
 	updated time.Time
 	vms     map[string]*vmCount
+	// total is what this VM and near ones counted since this process started.
+	total Count
 }
 
 // vmCount is what one VM told of an account.
@@ -73,7 +96,7 @@
 // NewFleet returns the fleet's limits as the named VM sees them; vms is how many
 // VMs there may be.
 func NewFleet(self string, vms int) *Fleet {
-	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]time.Time{}, expected: max(1, vms)}
+	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]hearing{}, expected: max(1, vms)}
 }
 
 // Expect notes how many VMs there are, heard or not.
@@ -90,6 +113,7 @@
 	account := fleet.account(limit, now)
 	own := account.vm(fleet.self, now)
 	own.want(tokens, now)
+	account.total.Wanted += tokens
 	share := fleet.share(account, now)
 	account.refill(limit, share, now)
 	if fleet.alone(now) || account.level < plenty*limit.Burst {
@@ -115,6 +139,7 @@
 // spend takes tokens out of both buckets.
 func (account *fleetAccount) spend(own *vmCount, tokens float64) {
 	own.count.Spent += tokens
+	account.total.Spent += tokens
 	account.level -= tokens
 	account.own -= tokens
 }
@@ -128,41 +153,73 @@
 		return
 	}
 	account.vm(fleet.self, now).count.Spent -= tokens
+	account.total.Spent -= tokens
 	account.level = min(account.limit.Burst, account.level+tokens)
 	account.own += tokens
 }
 
-// Heard takes another VM's counts.
-func (fleet *Fleet) Heard(vm, boot string, counts []Count, now time.Time) {
-	if vm == fleet.self {
+// Heard takes another VM's counts, or the sums of several VMs'.
+func (fleet *Fleet) Heard(source Source, counts []Count, now time.Time) {
+	if source.Name == fleet.self {
 		return
 	}
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	fleet.heard[vm] = now
+	fleet.heard[source.Name] = hearing{at: now, vms: source.VMs, summed: source.Summed}
 	for _, count := range counts {
 		account, ok := fleet.accounts[count.Account]
 		if !ok {
 			account = &fleetAccount{vms: map[string]*vmCount{}, updated: now}
 			fleet.accounts[count.Account] = account
 		}
-		account.take(vm, boot, count, now)
+		account.take(source, count, now)
 	}
 }
 
-// take notes another VM's count and takes what it spent out of the bucket.
-func (account *fleetAccount) take(vm, boot string, count Count, now time.Time) {
-	known, ok := account.vms[vm]
-	if !ok || known.boot != boot {
+// Forget drops a source whose tokens another one tells of.
+func (fleet *Fleet) Forget(name string) {
+	if name == fleet.self {
+		return
+	}
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	delete(fleet.heard, name)
+	for _, account := range fleet.accounts {
+		delete(account.vms, name)
+	}
+}
+
+// take notes a source's count and takes what it spent out of the bucket.
+func (account *fleetAccount) take(source Source, count Count, now time.Time) {
+	known, ok := account.vms[source.Name]
+	if !ok || known.boot != source.Boot {
 		// What was spent before this VM listened is not known to be recent.
-		account.vms[vm] = &vmCount{boot: boot, count: count, at: now}
+		account.vms[source.Name] = &vmCount{boot: source.Boot, count: count, at: now}
 		return
 	}
-	account.level -= count.Spent - known.count.Spent
-	known.want(count.Wanted-known.count.Wanted, now)
+	spent, wanted := count.Spent-known.count.Spent, count.Wanted-known.count.Wanted
+	account.level -= spent
+	if source.Near {
+		account.total.Spent += spent
+		account.total.Wanted += wanted
+	}
+	known.want(wanted, now)
 	known.count = count
 }
 
+// Totals returns what this VM and near ones counted since this process started.
+func (fleet *Fleet) Totals() []Count {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	totals := make([]Count, 0, len(fleet.accounts))
+	for name, account := range fleet.accounts {
+		total := account.total
+		total.Account = name
+		totals = append(totals, total)
+	}
+	return totals
+}
+
 // Counts returns this VM's own counts.
 func (fleet *Fleet) Counts() []Count {
 	fleet.mu.Lock()
@@ -237,8 +294,8 @@
 	equal := 1 / float64(fleet.expected)
 	total, own := 0.0, 0.0
 	for name, count := range account.vms {
-		silent := name != fleet.self && now.Sub(fleet.heard[name]) > heardTime
-		if silent && now.Sub(fleet.heard[name]) > forgetTime {
+		silent := name != fleet.self && now.Sub(fleet.heard[name].at) > heardTime
+		if silent && now.Sub(fleet.heard[name].at) > forgetTime {
 			continue
 		}
 		if !silent {
@@ -262,21 +319,21 @@
 // included.
 func (fleet *Fleet) known(now time.Time) int {
 	known := 1
-	for _, at := range fleet.heard {
-		if now.Sub(at) <= forgetTime {
-			known++
+	for _, heard := range fleet.heard {
+		if now.Sub(heard.at) <= forgetTime {
+			known += heard.vms
 		}
 	}
 	return known
 }
 
-// alone reports whether VMs that should be there are not heard: then what they
-// spend is not known.
+// alone reports whether VMs that should be there are not heard themselves: then
+// what they spend just now is not known.
 func (fleet *Fleet) alone(now time.Time) bool {
 	heard := 1
-	for _, at := range fleet.heard {
-		if now.Sub(at) <= heardTime {
-			heard++
+	for _, source := range fleet.heard {
+		if now.Sub(source.at) <= heardTime && !source.summed {
+			heard += source.vms
 		}
 	}
 	return heard < fleet.expected
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -222,45 +222,6 @@
 	return cost
 }
 
-// Backlog is the prompt tokens of one VM that a target has to read.
-type Backlog struct {
-	Target string
-	Tokens int
-}
-
-// Backlogs returns this VM's prompt tokens that targets have to read, for other
-// VMs; targets without any are left out.
-func (roster *Roster) Backlogs() []Backlog {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	var backlogs []Backlog
-	for id, target := range roster.targets {
-		if target.prefill > 0 {
-			backlogs = append(backlogs, Backlog{Target: id, Tokens: target.prefill})
-		}
-	}
-	return backlogs
-}
-
-// Told takes another VM's backlogs; targets that it leaves out have none.
-func (roster *Roster) Told(vm string, backlogs []Backlog, now time.Time) {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	for _, target := range roster.targets {
-		delete(target.told, vm)
-	}
-	for _, told := range backlogs {
-		target, ok := roster.targets[told.Target]
-		if !ok {
-			continue
-		}
-		if target.told == nil {
-			target.told = map[string]backlog{}
-		}
-		target.told[vm] = backlog{tokens: told.Tokens, at: now}
-	}
-}
-
 // Alive reports whether a target with the address is believed to answer.
 func (roster *Roster) Alive(address netip.AddrPort, now time.Time) bool {
 	roster.mu.Lock()
--- a/roster/target.go
+++ b/roster/target.go
@@ -53,18 +53,6 @@
 	until   time.Time
 }
 
-// backlog is prompt tokens to be read, at a time.
-type backlog struct {
-	tokens int
-	at     time.Time
-}
-
-// left returns what is left of a backlog, as the target reads on.
-func (backlog backlog) left(now time.Time) int {
-	read := int(now.Sub(backlog.at).Microseconds()) / readCost
-	return max(0, backlog.tokens-read)
-}
-
 // Target is one target. All fields are guarded by the roster's lock.
 type Target struct {
 	entry Entry
