Pace accounts by what the whole fleet spends

The log of what decided (a trial build) showed each VM in its share of the demand, "share 1.0000" of an account that it had seen one request of: a VM that sees an account in some seconds cannot know its own part, and takes it for largest just when a request comes. So shares were empty for most and added up to more than one. Change: the fleet may spend in proportion to what its bucket holds, less what others are taken to have spent since they told; where all ask for more, each VM admits the same part of its requests. VMs tell all accounts from their start, so that what is spent first counts too.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -246,7 +246,7 @@
 	gateway.members.Told(beat.Name, beat.Version, beat.PlatformAge)
 	if summed := gateway.heardZones(beat, now); !summed {
 		near := beat.Zone == gateway.members.Zone
-		gateway.limits.Heard(quota.Source{Name: beat.Name, Boot: beat.Boot, VMs: 1, Near: near}, counts(beat.Spending), now)
+		gateway.limits.Heard(quota.Source{Name: beat.Name, Boot: beat.Boot, VMs: 1, Near: near}, counts(beat.Spending), now, now)
 		gateway.roster.Told(beat.Name, backlogs(beat.Backlogs), now)
 	}
 	for _, named := range beat.Named {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -11,6 +11,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/mirror"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/routing"
 )
@@ -211,12 +212,24 @@
 	}
 	table := routing.NewTable(config)
 	gateway.relay.Configure(table)
+	gateway.limits.Limit(limitsOf(config), time.Now())
 	gateway.stores.set(cacheAddresses(table))
 	gateway.metrics.ConfigVersion.Set(config.Version)
 	gateway.metrics.ConfigApplied.Set(time.Now().UnixMilli())
 	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)))
 }
 
+// limitsOf returns the limits of the accounts that have one.
+func limitsOf(config routing.Config) []quota.Account {
+	var limits []quota.Account
+	for i := range config.Accounts {
+		if account := &config.Accounts[i]; account.Limited() {
+			limits = append(limits, quota.Account{Name: account.Name, Rate: account.Rate, Burst: account.Burst})
+		}
+	}
+	return limits
+}
+
 func cacheAddresses(table *routing.Table) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, store := range table.CacheStores() {
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -141,8 +141,8 @@
 		return
 	}
 	gateway.zones.keep(told, made)
-	source := quota.Source{Name: sourceOf(told.Zone), Boot: told.Teller, VMs: told.VMs, Summed: true}
-	gateway.limits.Heard(source, counts(told.Spending), now)
+	source := quota.Source{Name: sourceOf(told.Zone), Boot: told.Teller, VMs: told.VMs}
+	gateway.limits.Heard(source, counts(told.Spending), made, now)
 	gateway.roster.Told(source.Name, backlogs(told.Backlogs), made)
 	if first {
 		gateway.forgetVMs(told.Zone, now)
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -70,8 +70,8 @@
 }
 
 // Partners returns the VMs for the next heartbeats: all, when there are up to
-// count; otherwise up to count of the own availability zone in turn and, for a
-// speaker, those that speak for the others.
+// count; otherwise up to count of the own availability zone in turn, its speakers
+// and, for a speaker, those that speak for the other zones.
 func (table *Table) Partners(count int, now time.Time) []Peer {
 	if !table.Layered(count, now) {
 		return table.Next(count, now)
@@ -91,6 +91,12 @@
 	table.turn += count
 	table.mu.Unlock()
 	partners := inTurn(near, first, count)
+	speakers := table.Speakers(table.Zone, now)
+	for _, speaker := range speakers {
+		if speaker.Name != table.self && !slices.Contains(partners, speaker) {
+			partners = append(partners, speaker)
+		}
+	}
 	if !table.Speaks(now) {
 		return partners
 	}
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -1,8 +1,11 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"github.com/bramleygw/bramleygw/prefix"
 )
 
 const (
@@ -13,16 +16,20 @@
 	heardTime = 1500 * time.Millisecond
 	// forgetTime is how long the share of a VM that is not heard is set aside.
 	forgetTime = 30 * time.Second
-	// plenty is the part of the burst above which the fleet's bucket need not be
-	// shared out.
-	plenty = 0.5
+	// informedShare is the part of the VMs that must be heard for a VM to go by what
+	// the fleet spends; what the others spend is extrapolated.
+	informedShare = 0.9
+	// paceGain is how many times its rate an account may spend while the fleet's
+	// bucket is full; it may spend less in proportion as the bucket empties.
+	paceGain = 6
 	// startShare is the part of the burst that VMs which start together may spend
 	// before they hear of each other: what was spent just before is not known.
 	startShare = 0.45
-	// savedShare is the part of the burst that a VM may save up of its share, so
-	// that requests larger than its share of the burst find enough. The fleet's
-	// bucket bounds what all spend.
-	savedShare = 0.3
+	// savedBursts is how many bursts all VMs together may save up of their shares, so
+	// that requests larger than a VM's share of the burst find enough.
+	savedBursts = 2.4
+	// shortestTime is the least time over which a rate is judged.
+	shortestTime = 500 * time.Millisecond
 	// minShare keeps a VM without demand able to serve its first requests.
 	minShare = 0.02
 )
@@ -44,27 +51,27 @@
 	VMs int
 	// Near sources' tokens are part of the totals that this VM tells others.
 	Near bool
-	// Summed counts are older than those that a VM tells itself: they are no reason
-	// to admit from the fleet's bucket.
-	Summed bool
 }
 
 // hearing is when a source was last heard.
 type hearing struct {
-	at     time.Time
-	vms    int
-	summed bool
+	at  time.Time
+	vms int
 }
 
 // Fleet keeps accounts within their limits by counts that all VMs tell each
 // other. Each VM fills a bucket at the account's whole rate and takes out what
-// any VM spent. While it holds plenty, requests are admitted from it. Otherwise
-// each VM spends a share of the rate that follows its share of the demand, and
-// nothing while the fleet has overspent. A VM that is not heard keeps its share.
+// any VM spent, and what others are taken to have spent since they told. The
+// fuller the bucket, the faster the fleet may spend; when all ask for more, each VM
+// admits the same part of its requests, whatever their size. So a VM needs to know
+// what all ask for, but not its own small part of it.
+//
+// A VM that does not hear the others spends a share of the rate that follows its
+// share of the demand. A VM that is not heard keeps its share.
 //
-// Against an ideal bucket the fleet exceeds a limit by what all VMs can admit
-// between two heartbeats while the bucket holds plenty; the bucket takes it off
-// what is admitted next. It is safe for concurrent use.
+// Against an ideal bucket the fleet exceeds a limit by what all VMs admit between
+// two heartbeats after demand grew; the bucket takes it off what is admitted next.
+// It is safe for concurrent use.
 type Fleet struct {
 	self string
 
@@ -78,19 +85,32 @@
 type fleetAccount struct {
 	limit   Account
 	level   float64 // of the fleet's bucket; negative when overspent
+	filled  time.Time
 	own     float64 // of this VM's share
 	updated time.Time
 	vms     map[string]*vmCount
+	// credit is the part of a request that may be admitted on top of the next one.
+	credit float64
 	// total is what this VM and near ones counted since this process started.
 	total Count
 }
 
-// vmCount is what one VM told of an account.
+// vmCount is what one VM, or the sum of several, told of an account.
 type vmCount struct {
-	boot   string
-	count  Count
-	demand float64 // tokens a second, averaged
-	at     time.Time
+	boot     string
+	count    Count
+	made     time.Time // when it told that
+	demand   float64   // tokens a second, averaged
+	spending float64   // the same of what was admitted
+	at       time.Time // up to when both are averaged
+	since    time.Time // when its tokens began to be counted
+}
+
+// young returns the factor by which an average is too low that began to be taken
+// not long ago.
+func (count *vmCount) young(now time.Time) float64 {
+	counted := max(shortestTime, now.Sub(count.since))
+	return 1 / (1 - math.Exp(-counted.Seconds()/demandTime.Seconds()))
 }
 
 // NewFleet returns the fleet's limits as the named VM sees them; vms is how many
@@ -99,6 +119,16 @@
 	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]hearing{}, expected: max(1, vms)}
 }
 
+// Limit takes the limits in force. What is spent from then on is known when the
+// first request comes.
+func (fleet *Fleet) Limit(limits []Account, now time.Time) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, limit := range limits {
+		fleet.account(limit, now)
+	}
+}
+
 // Expect notes how many VMs there are, heard or not.
 func (fleet *Fleet) Expect(vms int) {
 	fleet.mu.Lock()
@@ -112,14 +142,50 @@
 	defer fleet.mu.Unlock()
 	account := fleet.account(limit, now)
 	own := account.vm(fleet.self, now)
-	own.want(tokens, now)
-	account.total.Wanted += tokens
+	own.decay(now)
+	// The share is what it was before this request, which would make a VM with few
+	// requests take itself for a large one.
 	share := fleet.share(account, now)
-	account.refill(limit, share, now)
-	if fleet.alone(now) || account.level < plenty*limit.Burst {
-		return account.admitShare(own, limit, share, tokens, now)
+	account.refill(limit, share, fleet.saved(), now)
+	own.want(tokens)
+	account.total.Wanted += tokens
+	if fleet.informed(now) {
+		return account.admitPaced(fleet.self, tokens, now)
 	}
-	account.spend(own, tokens)
+	return account.admitShare(own, limit, share, tokens, now)
+}
+
+// admitPaced admits a part of the requests, so that the fleet spends as fast as its
+// bucket allows.
+func (account *fleetAccount) admitPaced(self string, tokens float64, now time.Time) (time.Time, bool) {
+	limit := account.limit
+	demand, unseen, oldest := 0.0, 0.0, time.Duration(0)
+	for name, count := range account.vms {
+		young := count.young(now)
+		demand += count.demand * young
+		if name != self {
+			age := min(forgetTime, now.Sub(count.made))
+			unseen += count.spending * young * age.Seconds()
+			oldest = max(oldest, age)
+		}
+	}
+	spare := account.level - unseen
+	if spare-paceGain*limit.Rate*oldest.Seconds() >= tokens {
+		account.spend(account.vm(self, now), tokens)
+		return now, true // whatever the others may spend meanwhile
+	}
+	// full is the level from which on all requests are admitted.
+	full := min(limit.Burst, demand*limit.Burst/(paceGain*limit.Rate))
+	part := 1.0
+	if spare < full {
+		part = max(0, spare/full)
+	}
+	account.credit += part
+	if account.credit < 1 {
+		return now.Add(max(minRetry, secondsToGain(full-spare, max(1, limit.Rate)))), false
+	}
+	account.credit--
+	account.spend(account.vm(self, now), tokens)
 	return now, true
 }
 
@@ -139,6 +205,7 @@
 // spend takes tokens out of both buckets.
 func (account *fleetAccount) spend(own *vmCount, tokens float64) {
 	own.count.Spent += tokens
+	own.spending += tokens / demandTime.Seconds()
 	account.total.Spent += tokens
 	account.level -= tokens
 	account.own -= tokens
@@ -158,21 +225,22 @@
 	account.own += tokens
 }
 
-// Heard takes another VM's counts, or the sums of several VMs'.
-func (fleet *Fleet) Heard(source Source, counts []Count, now time.Time) {
+// Heard takes another VM's counts, or the sums of several VMs', that were made at
+// a time.
+func (fleet *Fleet) Heard(source Source, counts []Count, made, now time.Time) {
 	if source.Name == fleet.self {
 		return
 	}
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	fleet.heard[source.Name] = hearing{at: now, vms: source.VMs, summed: source.Summed}
+	fleet.heard[source.Name] = hearing{at: made, vms: source.VMs}
 	for _, count := range counts {
 		account, ok := fleet.accounts[count.Account]
 		if !ok {
-			account = &fleetAccount{vms: map[string]*vmCount{}, updated: now}
+			account = &fleetAccount{vms: map[string]*vmCount{}}
 			fleet.accounts[count.Account] = account
 		}
-		account.take(source, count, now)
+		account.take(source, count, made, now)
 	}
 }
 
@@ -190,21 +258,24 @@
 }
 
 // take notes a source's count and takes what it spent out of the bucket.
-func (account *fleetAccount) take(source Source, count Count, now time.Time) {
+func (account *fleetAccount) take(source Source, count Count, made, now time.Time) {
 	known, ok := account.vms[source.Name]
 	if !ok || known.boot != source.Boot {
 		// What was spent before this VM listened is not known to be recent.
-		account.vms[source.Name] = &vmCount{boot: source.Boot, count: count, at: now}
+		account.vms[source.Name] = &vmCount{boot: source.Boot, count: count, made: made, at: now, since: now}
 		return
 	}
 	spent, wanted := count.Spent-known.count.Spent, count.Wanted-known.count.Wanted
+	account.fill(now)
 	account.level -= spent
 	if source.Near {
 		account.total.Spent += spent
 		account.total.Wanted += wanted
 	}
-	known.want(wanted, now)
-	known.count = count
+	known.decay(now)
+	known.demand += wanted / demandTime.Seconds()
+	known.spending += max(0, spent) / demandTime.Seconds()
+	known.count, known.made = count, made
 }
 
 // Totals returns what this VM and near ones counted since this process started.
@@ -244,45 +315,62 @@
 	}
 	if account.limit.Burst == 0 && account.limit.Rate == 0 {
 		account.level += startShare * limit.Burst
-		account.own += startShare * limit.Burst * max(fleet.share(account, now), savedShare)
-		account.updated = now
+		account.own += startShare * limit.Burst * max(fleet.share(account, now), fleet.saved())
+		account.filled, account.updated = now, now
+		account.credit = phase(fleet.self, limit.Name)
 	}
+	account.vm(fleet.self, now) // told from now on, so that others know from when it counts
+	account.fill(now)
 	account.limit = limit
+	account.level = min(account.level, limit.Burst)
 	return account
 }
 
-// refill fills both buckets up to the time. A lower limit drops what is above.
-func (account *fleetAccount) refill(limit Account, share float64, now time.Time) {
+// phase returns a number from 0 to 1 by which VMs that see few requests differ, so
+// that they do not all refuse or admit their next one.
+func phase(vm, account string) float64 {
+	return float64(prefix.Mix(prefix.Digest(vm)^prefix.Digest(account))) / math.MaxUint64
+}
+
+// fill fills the fleet's bucket up to the time.
+func (account *fleetAccount) fill(now time.Time) {
+	if elapsed := now.Sub(account.filled).Seconds(); elapsed > 0 {
+		account.level = min(account.limit.Burst, account.level+elapsed*account.limit.Rate)
+		account.filled = now
+	}
+}
+
+// refill fills this VM's share up to the time. A lower limit drops what is above.
+func (account *fleetAccount) refill(limit Account, share, saved float64, now time.Time) {
 	if elapsed := now.Sub(account.updated).Seconds(); elapsed > 0 {
-		account.level += elapsed * limit.Rate
 		account.own += elapsed * limit.Rate * share
 		account.updated = now
 	}
-	account.level = min(account.level, limit.Burst)
-	account.own = min(account.own, limit.Burst*max(share, savedShare))
+	account.own = min(account.own, limit.Burst*max(share, saved))
 }
 
 // vm returns what is known of a VM, which may be this one.
 func (account *fleetAccount) vm(name string, now time.Time) *vmCount {
 	known, ok := account.vms[name]
 	if !ok {
-		known = &vmCount{at: now}
+		known = &vmCount{made: now, at: now, since: now}
 		account.vms[name] = known
 	}
 	return known
 }
 
-// want counts demand.
-func (count *vmCount) want(tokens float64, now time.Time) {
-	count.decay(now)
+// want counts demand; what came before has been decayed.
+func (count *vmCount) want(tokens float64) {
 	count.count.Wanted += tokens
 	count.demand += tokens / demandTime.Seconds()
 }
 
-// decay lets the averaged demand fade.
+// decay lets the averages fade.
 func (count *vmCount) decay(now time.Time) {
 	if elapsed := now.Sub(count.at); elapsed > 0 {
-		count.demand *= max(0, 1-elapsed.Seconds()/demandTime.Seconds())
+		left := max(0, 1-elapsed.Seconds()/demandTime.Seconds())
+		count.demand *= left
+		count.spending *= left
 		count.at = now
 	}
 }
@@ -327,14 +415,19 @@
 	return known
 }
 
-// alone reports whether VMs that should be there are not heard themselves: then
-// what they spend just now is not known.
-func (fleet *Fleet) alone(now time.Time) bool {
+// saved returns the part of the burst that this VM may save up.
+func (fleet *Fleet) saved() float64 {
+	return min(1, savedBursts/float64(fleet.expected))
+}
+
+// informed reports whether nearly all VMs that should be there are heard, so that
+// what the fleet spends is known.
+func (fleet *Fleet) informed(now time.Time) bool {
 	heard := 1
 	for _, source := range fleet.heard {
-		if now.Sub(source.at) <= heardTime && !source.summed {
+		if now.Sub(source.at) <= heardTime {
 			heard += source.vms
 		}
 	}
-	return heard < fleet.expected
+	return float64(heard) >= informedShare*float64(fleet.expected)
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -57,7 +57,7 @@
 	for i, from := range run.vms {
 		for j, to := range run.vms {
 			if run.meet(i, j) {
-				to.Heard(Source{Name: vmName(i), Boot: fmt.Sprint(run.boots[i]), VMs: 1}, from.Counts(), run.now)
+				to.Heard(Source{Name: vmName(i), Boot: fmt.Sprint(run.boots[i]), VMs: 1}, from.Counts(), run.now, run.now)
 			}
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -207,7 +207,7 @@
 
 func (relay *Relay) checkLimit(job *job) error {
 	account := job.account
-	if account == nil || account.Rate <= 0 && account.Burst <= 0 {
+	if account == nil || !account.Limited() {
 		return nil
 	}
 	tokens := job.charge()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -125,6 +125,11 @@
 	Isolated bool
 }
 
+// Limited reports whether the account has a limit.
+func (account *Account) Limited() bool {
+	return account.Rate > 0 || account.Burst > 0
+}
+
 // Service is a group of targets that do the same.
 type Service struct {
 	Name string
