Soak real processes under faults drawn by a seed

16 processes in 4 zones, enough for sums of zones, against the stand-ins: kills, planned stops, pauses, a store that fails, falls silent, loses answers or its history, engines that crash, new weights, configurations and keys. Checked: whole answers from an engine, at most one run of what may run once, refusals that say "not run" are true, no other account, withdrawn keys stop, all VMs serve and all engines have the newest weights afterwards.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO ?= go
 
-.PHONY: all build test race lint fmt generate events demo bench bench-decisions bench-path fuzz clean
+.PHONY: all build test race lint fmt generate events demo bench bench-decisions bench-path fuzz soak clean
 
 all: build
 
@@ -19,6 +19,7 @@
 lint: bin/staticcheck
 	test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run make fmt"; exit 1; }
 	$(GO) vet ./...
+	$(GO) vet -tags soak ./platform
 	bin/staticcheck ./...
 
 bin/staticcheck:
@@ -47,6 +48,13 @@
 bench-path: build
 	test/path/run.sh
 
+# Real processes under faults drawn by a seed: make soak SEED=7 LENGTH=5m
+SEED ?= 1
+LENGTH ?= 1m
+soak: build
+	$(GO) test -tags soak -run TestSoak -count=1 -timeout 0 ./platform -v -args \
+		-binary $(CURDIR)/bin/bramleygw -seed $(SEED) -length $(LENGTH)
+
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./completion
 	$(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime 20s ./target
