Keep a prefix in the same store of KV cache for all VMs

Cause: the grown deployments have three stores of KV cache, and each request took whichever came first out of a map: 8,276, 1,408 and 1,401 of 11,085 requests. A part saved to one was asked of another. Change: rendezvous hashing of the shared prefix over the stores that answer. Sites with one store are as before. Most of what is read again has another cause: the stores hold what comes in about 6 s.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -28,9 +28,9 @@
 	notifyTimeout = 150 * time.Millisecond
 	// handOverTime bounds what a stopping VM tells the store.
 	handOverTime = 300 * time.Millisecond
-	// relistTime is how long after its start a VM reads the list of VMs again, for
-	// those whose registration came late.
-	relistTime = 2 * time.Second
+	// confirmTime is how long after it entered a VM looks at its entry again: changes
+	// whose answer was lost take effect within seconds.
+	confirmTime = 2 * time.Second
 	// tellNamed is how long named weights are told to other VMs: longer than
 	// targets may begin work on the former ones.
 	tellNamed = 10 * time.Second
@@ -45,49 +45,70 @@
 	presentTime = 10 * time.Second
 )
 
-// runRegistration lets other VMs find this one and finds those that are there:
-// it registers first, so that of two VMs at least one sees the other.
+// runRegistration lets other VMs find this one and finds those that are there: it
+// registers first, so that of two VMs at least one sees the other. Later it looks
+// whether the entry still stands: that the VM's former process removed it may take
+// effect late.
 func (gateway *Gateway) runRegistration(ctx context.Context) error {
-	for attempt := 0; ; attempt++ {
-		err := gateway.register(ctx)
-		if err == nil {
-			err = gateway.listVMs(ctx)
-		}
-		if err == nil {
-			gateway.sendHeartbeats(ctx) // what the fleet spends is known the sooner
-		}
-		next := time.Now().Add(relistTime)
-		if err != nil {
-			next = storeBackoff.Next(attempt, time.Now())
-		} else if time.Since(gateway.started) > relistTime {
-			return nil
-		}
-		if !retry.Wait(ctx, next) {
-			return nil
+	if !gateway.untilDone(ctx, gateway.enter) || !retry.Wait(ctx, time.Now().Add(confirmTime)) {
+		return nil
+	}
+	gateway.untilDone(ctx, gateway.confirm)
+	return nil
+}
+
+// untilDone repeats calls to the store until they succeed; false when the context
+// ended first.
+func (gateway *Gateway) untilDone(ctx context.Context, call func(context.Context) error) bool {
+	for attempt := 0; call(ctx) != nil; attempt++ {
+		if !retry.Wait(ctx, storeBackoff.Next(attempt, time.Now())) {
+			return false
 		}
 	}
+	return true
 }
 
-// register writes this VM's entry, unless it stands there already.
-func (gateway *Gateway) register(ctx context.Context) error {
-	vm := gateway.Settings
-	own := objects.VM{Name: vm.Name, AvailabilityZone: vm.AvailabilityZone, Address: vm.Peer.String(), Role: objects.RoleRouter, State: objects.Live}
+// enter registers this VM and meets the others.
+func (gateway *Gateway) enter(ctx context.Context) error {
 	gateway.calls("create", objects.VMs)
-	_, err := gateway.Store.Create(ctx, objects.VMs, vm.Name, own)
-	if !errors.Is(err, objects.ErrExists) {
-		return err
+	_, err := gateway.Store.Create(ctx, objects.VMs, gateway.Settings.Name, gateway.entry())
+	if errors.Is(err, objects.ErrExists) {
+		err = gateway.confirm(ctx)
 	}
+	if err == nil {
+		err = gateway.listVMs(ctx)
+	}
+	if err == nil {
+		gateway.sendHeartbeats(ctx) // what the fleet spends is known the sooner
+	}
+	return err
+}
+
+// entry is what the store's list tells of this VM.
+func (gateway *Gateway) entry() objects.VM {
+	vm := gateway.Settings
+	return objects.VM{Name: vm.Name, AvailabilityZone: vm.AvailabilityZone, Address: vm.Peer.String(), Role: objects.RoleRouter, State: objects.Live}
+}
+
+// confirm writes this VM's entry, unless it stands there already.
+func (gateway *Gateway) confirm(ctx context.Context) error {
+	name := gateway.Settings.Name
 	gateway.calls("get", objects.VMs)
-	object, err := gateway.Store.Get(ctx, objects.VMs, vm.Name)
+	object, err := gateway.Store.Get(ctx, objects.VMs, name)
+	if errors.Is(err, objects.ErrNotFound) {
+		gateway.calls("create", objects.VMs)
+		_, err = gateway.Store.Create(ctx, objects.VMs, name, gateway.entry())
+		return err
+	}
 	if err != nil {
 		return err
 	}
 	var known objects.VM
-	if json.Unmarshal(object.Spec, &known) == nil && known == own {
+	if json.Unmarshal(object.Spec, &known) == nil && known == gateway.entry() {
 		return nil
 	}
 	gateway.calls("update", objects.VMs)
-	_, err = gateway.Store.Update(ctx, objects.VMs, vm.Name, object.Metadata.ResourceVersion, own)
+	_, err = gateway.Store.Update(ctx, objects.VMs, name, object.Metadata.ResourceVersion, gateway.entry())
 	return err
 }
 
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/retry"
 )
 
@@ -22,12 +23,18 @@
 type cacheStores struct {
 	log *event.Log
 
-	mu    sync.Mutex // guards conns
-	conns map[netip.AddrPort]net.Conn
+	mu     sync.Mutex // guards stores and what they hold
+	stores map[netip.AddrPort]*cacheStore
+}
+
+// cacheStore is one store.
+type cacheStore struct {
+	seed uint64   // by which it takes part in rendezvous hashing
+	conn net.Conn // nil while there is none
 }
 
 func newCacheStores(log *event.Log) *cacheStores {
-	return &cacheStores{log: log, conns: map[netip.AddrPort]net.Conn{}}
+	return &cacheStores{log: log, stores: map[netip.AddrPort]*cacheStore{}}
 }
 
 // set takes the addresses from the configuration.
@@ -37,31 +44,34 @@
 	named := map[netip.AddrPort]bool{}
 	for _, address := range addresses {
 		named[address] = true
-		if _, ok := stores.conns[address]; !ok {
-			stores.conns[address] = nil
+		if _, ok := stores.stores[address]; !ok {
+			stores.stores[address] = &cacheStore{seed: prefix.Mix(prefix.Digest(address.String()))}
 		}
 	}
-	for address, conn := range stores.conns {
+	for address, store := range stores.stores {
 		if named[address] {
 			continue
 		}
-		if conn != nil {
-			_ = conn.Close() // nothing was sent
+		if store.conn != nil {
+			_ = store.conn.Close() // nothing was sent
 		}
-		delete(stores.conns, address)
+		delete(stores.stores, address)
 	}
 }
 
-// Usable implements relay.CacheStores.
-func (stores *cacheStores) Usable(time.Time) netip.AddrPort {
+// Usable implements relay.CacheStores: of the stores that answer, the first in an
+// order that all VMs compute alike for the key.
+func (stores *cacheStores) Usable(key uint64) netip.AddrPort {
 	stores.mu.Lock()
 	defer stores.mu.Unlock()
-	for address, conn := range stores.conns {
-		if conn != nil {
-			return address
+	var usable netip.AddrPort
+	var most uint64
+	for address, store := range stores.stores {
+		if score := prefix.Mix(key ^ store.seed); store.conn != nil && (!usable.IsValid() || score > most) {
+			usable, most = address, score
 		}
 	}
-	return netip.AddrPort{}
+	return usable
 }
 
 // run connects to the stores that have no connection.
@@ -80,8 +90,8 @@
 	stores.mu.Lock()
 	defer stores.mu.Unlock()
 	var missing []netip.AddrPort
-	for address, conn := range stores.conns {
-		if conn == nil {
+	for address, store := range stores.stores {
+		if store.conn == nil {
 			missing = append(missing, address)
 		}
 	}
@@ -116,12 +126,12 @@
 func (stores *cacheStores) hold(address netip.AddrPort, conn net.Conn, again bool) bool {
 	stores.mu.Lock()
 	defer stores.mu.Unlock()
-	known, ok := stores.conns[address]
-	if !ok || known != nil && !again {
+	known, ok := stores.stores[address]
+	if !ok || known.conn != nil && !again {
 		_ = conn.Close() // nothing was sent
 		return false
 	}
-	stores.conns[address] = conn
+	known.conn = conn
 	if !again {
 		stores.log.Emit(event.CacheStoreUp, event.F("address", address.String()))
 	}
@@ -131,8 +141,8 @@
 func (stores *cacheStores) lose(address netip.AddrPort) {
 	stores.mu.Lock()
 	defer stores.mu.Unlock()
-	if _, ok := stores.conns[address]; ok {
-		stores.conns[address] = nil
+	if known, ok := stores.stores[address]; ok {
+		known.conn = nil
 	}
 	stores.log.Emit(event.CacheStoreDown, event.F("address", address.String()))
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -110,7 +110,7 @@
 	if wall := job.wall(); wall != "" {
 		call.Salt += "/" + wall
 	}
-	store := job.relay.Stores.Usable(time.Now())
+	store := job.relay.Stores.Usable(job.request.Prompt.shared(job.wall()))
 	call.SaveTo = store
 	call.FetchFrom = store
 	if seat.Home.IsValid() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,9 +57,9 @@
 
 // CacheStores knows the stores of KV cache.
 type CacheStores interface {
-	// Usable returns the address of a store that answers; invalid when there is
-	// none.
-	Usable(now time.Time) netip.AddrPort
+	// Usable returns the address of the store that keeps the prefix with the key, of
+	// those that answer; invalid when there is none.
+	Usable(key uint64) netip.AddrPort
 }
 
 // Relay serves requests. The exported fields are set before use.
