Pace accounts without swings; take no few VMs for all

A trial build's log shows two causes: in steady overload 0.0 to 0.88 million tokens in each half second where 0.21 are due (counts are half a second old and the pace followed the bucket six rates a burst); and after all VMs were killed, VMs that had heard four to eight others before they knew how many there are took them for nearly all. Change: while the bucket holds 0.3 of the burst the fleet spends the rate, and two rates a burst more or less above or below; a VM goes by what it hears only once it has listed the others, or 3 s after its start.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -139,9 +139,16 @@
 		vms = append(vms, vm)
 	}
 	gateway.members.List(vms, time.Now())
+	gateway.listed.Store(true)
+	gateway.expectVMs(time.Now())
 	return nil
 }
 
+// expectVMs tells the limits how many VMs there are.
+func (gateway *Gateway) expectVMs(now time.Time) {
+	gateway.limits.Expect(gateway.vms(), gateway.listed.Load() || now.Sub(gateway.started) > startTime)
+}
+
 // vms returns the number of VMs that share the limits, this one included.
 func (gateway *Gateway) vms() int {
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -105,6 +106,8 @@
 	fetches chan netip.AddrPort
 	health  storeHealth
 
+	listed atomic.Bool // the VMs were listed once
+
 	mu    sync.Mutex // guards fails
 	fails map[netip.AddrPort]int
 }
@@ -309,7 +312,7 @@
 		now := time.Now()
 		gateway.roster.Sweep(now)
 		gateway.noteSilent(&silence, now)
-		gateway.limits.Expect(gateway.vms())
+		gateway.expectVMs(now)
 		listed := gateway.countTargets()
 		gateway.clients.Retain(func(id string) bool { return listed[id] })
 		gateway.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
--- a/gateway/zones_test.go
+++ b/gateway/zones_test.go
@@ -71,7 +71,7 @@
 			}
 			from.heard(to.Beat(from.beat(other.Zone)))
 		}
-		from.limits.Expect(from.vms())
+		from.limits.Expect(from.vms(), true)
 	}
 }
 
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -19,9 +19,12 @@
 	// informedShare is the part of the VMs that must be heard for a VM to go by what
 	// the fleet spends; what the others spend is extrapolated.
 	informedShare = 0.9
-	// paceGain is how many times its rate an account may spend while the fleet's
-	// bucket is full; it may spend less in proportion as the bucket empties.
-	paceGain = 6
+	// paceLevel is the part of the burst that the fleet's bucket holds while all
+	// together spend the rate, and paceGain how much faster they spend, in rates for
+	// each burst above it. Counts are about half a second old: a larger gain makes the
+	// bucket swing.
+	paceLevel = 0.3
+	paceGain  = 2
 	// startShare is the part of the burst that VMs which start together may spend
 	// before they hear of each other: what was spent just before is not known.
 	startShare = 0.45
@@ -81,6 +84,7 @@
 	accounts map[string]*fleetAccount
 	heard    map[string]hearing
 	expected int
+	sure     bool
 }
 
 // fleetAccount is one account as this VM sees it.
@@ -117,7 +121,7 @@
 }
 
 // NewFleet returns the fleet's limits as the named VM sees them; vms is how many
-// VMs there may be.
+// VMs there may be, until Expect tells.
 func NewFleet(self string, vms int) *Fleet {
 	return &Fleet{self: self, accounts: map[string]*fleetAccount{}, heard: map[string]hearing{}, expected: max(1, vms)}
 }
@@ -132,11 +136,12 @@
 	}
 }
 
-// Expect notes how many VMs there are, heard or not.
-func (fleet *Fleet) Expect(vms int) {
+// Expect notes how many VMs there are, heard or not. Until that is sure, this VM
+// does not go by what it hears: it may hear a small part of the fleet.
+func (fleet *Fleet) Expect(vms int, sure bool) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	fleet.expected = max(1, vms)
+	fleet.expected, fleet.sure = max(1, vms), sure
 }
 
 // Admit takes tokens of the account, or says when to come back.
@@ -177,14 +182,12 @@
 		account.spend(account.vm(self, now), tokens)
 		return now, true // whatever the others may spend meanwhile
 	}
-	// full is the level from which on all requests are admitted.
-	full := min(limit.Burst, demand*limit.Burst/(paceGain*limit.Rate))
-	part := 1.0
-	if spare < full {
-		part = max(0, spare/full)
-	}
+	pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-paceLevel))
+	part := min(1, max(0, pace)/demand)
 	account.credit += part
 	if account.credit < 1 {
+		// full is what the bucket holds when all requests are admitted.
+		full := limit.Burst * min(1, paceLevel+(demand/max(1, limit.Rate)-1)/paceGain)
 		return now.Add(max(minRetry, secondsToGain(full-spare, max(1, limit.Rate)))), false
 	}
 	account.credit--
@@ -430,6 +433,9 @@
 // informed reports whether nearly all VMs that should be there are heard, so that
 // what the fleet spends is known.
 func (fleet *Fleet) informed(now time.Time) bool {
+	if !fleet.sure {
+		return false
+	}
 	heard := 1
 	for _, source := range fleet.heard {
 		if now.Sub(source.at) <= heardTime {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -28,10 +28,17 @@
 	tokens float64
 }
 
+// sureFleet returns the limits as a VM sees them that knows how many VMs there are.
+func sureFleet(self string, vms int) *Fleet {
+	fleet := NewFleet(self, vms)
+	fleet.Expect(vms, true)
+	return fleet
+}
+
 func newFleetRun(vms int, limit Account) *fleetRun {
 	run := &fleetRun{limit: limit, now: time.Unix(1_700_000_000, 0), cut: -1}
 	for i := range vms {
-		run.vms = append(run.vms, NewFleet(vmName(i), vms))
+		run.vms = append(run.vms, sureFleet(vmName(i), vms))
 		run.vms[i].Limit([]Account{limit}, run.now) // as the configuration tells
 		run.boots = append(run.boots, 1)
 		run.began = append(run.began, run.now)
@@ -47,7 +54,7 @@
 
 // restart starts a VM anew: it has forgotten everything.
 func (run *fleetRun) restart(i int) {
-	run.vms[i] = NewFleet(vmName(i), len(run.vms))
+	run.vms[i] = sureFleet(vmName(i), len(run.vms))
 	run.vms[i].Limit([]Account{run.limit}, run.now)
 	run.boots[i]++
 	run.began[i] = run.now
@@ -211,7 +218,7 @@
 
 func TestFleetRefusalSaysWhenTokensAreThere(t *testing.T) {
 	limit := Account{Name: "school", Rate: 1000, Burst: 1000}
-	fleet := NewFleet("vm-0", 1)
+	fleet := sureFleet("vm-0", 1)
 	now := time.Unix(1_700_000_000, 0)
 	for {
 		if _, ok := fleet.Admit(limit, 100, now); !ok {
@@ -229,7 +236,7 @@
 
 func TestFleetRefundGivesTokensBack(t *testing.T) {
 	limit := Account{Name: "school", Rate: 1, Burst: 1000}
-	fleet := NewFleet("vm-0", 1)
+	fleet := sureFleet("vm-0", 1)
 	now := time.Unix(1_700_000_000, 0)
 	for range 100 {
 		if _, ok := fleet.Admit(limit, 400, now); !ok {
--- a/quota/zones_test.go
+++ b/quota/zones_test.go
@@ -61,7 +61,7 @@
 
 func (run *zonedRun) restart(i int) {
 	run.boots[i]++
-	run.vms[i] = NewFleet(vmName(i), zonedVMs)
+	run.vms[i] = sureFleet(vmName(i), zonedVMs)
 	run.vms[i].Limit([]Account{run.limit}, run.now)
 	run.began[i], run.quiet[i] = run.now, run.now.Add(meetTime)
 }
@@ -204,6 +204,31 @@
 	}
 }
 
+// The pattern: a VM of a large fleet starts and hears a few others before it knows
+// how many there are; it must not take them for all.
+func TestVMThatHearsAFewDoesNotTakeThemForAll(t *testing.T) {
+	limit := Account{Name: "school", Rate: 100_000, Burst: 100_000}
+	now := time.Unix(1_700_000_000, 0)
+	fleet := NewFleet("vm-0", 8)
+	fleet.Limit([]Account{limit}, now)
+	for i := range 7 {
+		fleet.Heard(Source{Name: vmName(i + 1), Boot: "1", VMs: 1, Began: now}, []Count{{Account: limit.Name}}, now, now)
+	}
+	admitted := 0.0
+	for range 10 {
+		if _, ok := fleet.Admit(limit, 4000, now); ok {
+			admitted += 4000
+		}
+	}
+	if most := startShare*limit.Burst/8 + 4000; admitted > most {
+		t.Errorf("got %.0f tokens admitted before the fleet is known, want %.0f at most", admitted, most)
+	}
+	fleet.Expect(8, true)
+	if _, ok := fleet.Admit(limit, 4000, now); !ok {
+		t.Error("got refused once the fleet is known and heard, want admitted")
+	}
+}
+
 // The pattern: an account within its rate whose requests differ much in size,
 // through VMs that see one of them in some seconds.
 func TestLargeFleetServesWhatIsOwed(t *testing.T) {
