--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -307,7 +307,7 @@
 			gateway.roster.Rolling(told.Target, told.Model, told.Weights, now.Add(rollingTime))
 			continue
 		}
-		gateway.roster.Weights(told.Target, told.Model, told.Weights, now)
+		gateway.roster.Weights(told.Target, told.Model, told.Weights)
 	}
 }
 
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -288,7 +288,7 @@
 		return
 	}
 	gateway := orders.gateway
-	gateway.roster.Weights(step.Target, step.Model, step.Version, now)
+	gateway.roster.Weights(step.Target, step.Model, step.Version)
 	news := []peer.TargetNews{{Target: step.Target, Model: step.Model, Weights: step.Version}}
 	go gateway.runNotify(ctx, peer.Notice{Targets: news})
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -128,7 +128,7 @@
 	seat.Answered(load, head.Loaded, now)
 	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" {
 		if weights, err := strconv.ParseUint(head.Weights, 10, 64); err == nil {
-			job.relay.Roster.Weights(seat.ID, prompt.Model, weights, now)
+			job.relay.Roster.Weights(seat.ID, prompt.Model, weights)
 		}
 	}
 	return nil
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -63,21 +63,13 @@
 	}
 	seat.Weights, _ = best.weights(ask.Model)
 	seat.Wait = time.Duration(best.wait(now)) * time.Microsecond
-	if home != nil && home != best && home.holds(best, ask.Model, now) {
+	if home != nil && home != best {
 		seat.Home = home.entry.Address
 	}
 	best.begin(ask.Tokens, now)
 	return seat, true
 }
 
-// holds reports whether the target may hold prefixes that another one can use: it
-// has the same weights of the model, and not just now.
-func (target *Target) holds(other *Target, model string, now time.Time) bool {
-	own, _ := target.weights(model)
-	wanted, _ := other.weights(model)
-	return own == wanted && now.Sub(target.weightsAt) >= emptyTime
-}
-
 // begin counts a request.
 func (target *Target) begin(tokens int, now time.Time) {
 	if target.inFlight == 0 {
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for _, model := range models {
-		target.learn(model.Name, model.Weights, now)
+		target.learn(model.Name, model.Weights)
 	}
 	target.restUntil = now
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -221,11 +221,11 @@
 
 // Weights notes the version of the weights that a target has. An older one than
 // known is ignored: news may overtake each other.
-func (roster *Roster) Weights(id, model string, weights uint64, now time.Time) {
+func (roster *Roster) Weights(id, model string, weights uint64) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	if target, ok := roster.targets[id]; ok {
-		target.learn(model, weights, now)
+		target.learn(model, weights)
 	}
 }
 
--- a/roster/target.go
+++ b/roster/target.go
@@ -32,9 +32,6 @@
 	greyShare = 0.4
 	// greyRest is how long an ejected target rests before one request tries it.
 	greyRest = time.Second
-	// emptyTime is how long after new weights a target's cache holds little that
-	// others could fetch.
-	emptyTime = time.Second
 	// loadTime is how long a load report counts in full.
 	loadTime = 250 * time.Millisecond
 	// loadFades is the time constant with which a reported queue is forgotten: it
@@ -69,8 +66,6 @@
 	// prefill is the prompt tokens sent and not yet read.
 	prefill int
 
-	weightsAt time.Time // when it was last learned to have new ones
-
 	load   Load
 	loadAt time.Time
 	// sinceLoad is the requests begun since the load was reported.
@@ -105,7 +100,7 @@
 	target.entry.Models = append([]Model(nil), entry.Models...)
 	target.entry.Draining = entry.Draining || draining
 	for _, model := range known {
-		target.learn(model.Name, model.Weights, now)
+		target.learn(model.Name, model.Weights)
 	}
 	if target.heard.IsZero() {
 		target.heard = now
@@ -113,14 +108,13 @@
 }
 
 // learn notes a weights version; versions only grow.
-func (target *Target) learn(model string, weights uint64, now time.Time) {
+func (target *Target) learn(model string, weights uint64) {
 	for i := range target.entry.Models {
 		known := &target.entry.Models[i]
 		if known.Name != model || known.Weights >= weights {
 			continue
 		}
 		known.Weights = weights
-		target.weightsAt = now
 	}
 }
 
