Save prompts to the store of KV cache when enough of them is shared

Cause: engines send all parts of a prompt to the store, which keeps the ones used last; at 315 requests/s of 4,000 tokens a store of 2.5 million tokens holds what came in two seconds (six with three stores), most of it the requests' own parts that nobody else asks for. Parts were gone before they were used again. Change: saved are prompts of which at most 0.7 is their own.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -111,7 +111,9 @@
 		call.Salt += "/" + wall
 	}
 	store := job.relay.Stores.Usable(job.request.Prompt.shared(job.wall()))
-	call.SaveTo = store
+	if job.request.Prompt.worthSaving() {
+		call.SaveTo = store
+	}
 	call.FetchFrom = store
 	if seat.Home.IsValid() {
 		call.FetchFrom = seat.Home
--- a/relay/request.go
+++ b/relay/request.go
@@ -55,6 +55,17 @@
 	return uint64(prefix.Seed(wall, prompt.Model, last.ID))
 }
 
+// mostOwn is the part of a prompt, shared by no other request, up to which it is
+// saved in a store of KV cache: what nobody else asks for takes the room of what
+// others do. docs/MEASUREMENTS.md has the figures.
+const mostOwn = 0.7
+
+// worthSaving reports whether enough of the prompt is shared for a store of KV cache
+// to keep it.
+func (prompt *Prompt) worthSaving() bool {
+	return float64(prompt.own()) <= mostOwn*float64(prompt.Input)
+}
+
 // own returns the tokens that no other request shares.
 func (prompt *Prompt) own() int {
 	tokens := prompt.Input
