--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -73,7 +73,7 @@
 	gateway.calls("create", objects.VMs)
 	_, err := gateway.Store.Create(ctx, objects.VMs, gateway.Settings.Name, gateway.entry())
 	if errors.Is(err, objects.ErrExists) {
-		err = gateway.confirm(ctx)
+		err = nil // of this VM's former process; whether it is right is looked at later
 	}
 	if err == nil {
 		err = gateway.listVMs(ctx)
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -25,6 +25,12 @@
 	// bucket swing.
 	paceLevel = 0.3
 	paceGain  = 2
+	// sizeBias is the exponent by which small requests are admitted more often than
+	// large ones: refusing one saves little. The largest tenth must be admitted half
+	// as often as all at least, by the users' rules.
+	sizeBias = 0.3
+	// sizesKept is about how many requests the usual sizes are judged by.
+	sizesKept = 64
 	// startShare is the part of the burst that VMs which start together may spend
 	// before they hear of each other: what was spent just before is not known.
 	startShare = 0.45
@@ -68,8 +74,8 @@
 // other. Each VM fills a bucket at the account's whole rate and takes out what
 // any VM spent, and what others are taken to have spent since they told. The
 // fuller the bucket, the faster the fleet may spend; when all ask for more, each VM
-// admits the same part of its requests, whatever their size. So a VM needs to know
-// what all ask for, but not its own small part of it.
+// admits the same part of its requests, of small ones somewhat more. So a VM needs to
+// know what all ask for, but not its own small part of it.
 //
 // A VM that does not hear the others spends a share of the rate that follows its
 // share of the demand. A VM that is not heard keeps its share.
@@ -85,6 +91,32 @@
 	heard    map[string]hearing
 	expected int
 	sure     bool
+	sizes    sizes
+}
+
+// sizes is the sizes of the last requests, of all accounts.
+type sizes struct {
+	tokens float64 // sum of sizes, fading
+	biased float64 // sum of sizes, each less by the bias
+}
+
+// note takes the size of a request.
+func (sizes *sizes) note(tokens float64) {
+	sizes.tokens += tokens - sizes.tokens/sizesKept
+	sizes.biased += tokens*bias(tokens) - sizes.biased/sizesKept
+}
+
+// factor returns how much more often a request of the size is admitted than a part
+// of all tokens says.
+func (sizes *sizes) factor(tokens float64) float64 {
+	if sizes.biased <= 0 {
+		return 1
+	}
+	return bias(tokens) * sizes.tokens / sizes.biased
+}
+
+func bias(tokens float64) float64 {
+	return math.Pow(max(1, tokens), -sizeBias)
 }
 
 // fleetAccount is one account as this VM sees it.
@@ -157,15 +189,16 @@
 	account.refill(limit, share, now)
 	own.want(tokens)
 	account.total.Wanted += tokens
+	fleet.sizes.note(tokens)
 	if fleet.informed(now) {
-		return account.admitPaced(fleet.self, tokens, now)
+		return account.admitPaced(fleet.self, tokens, fleet.sizes.factor(tokens), now)
 	}
 	return account.admitShare(own, share, tokens, now)
 }
 
 // admitPaced admits a part of the requests, so that the fleet spends as fast as its
-// bucket allows.
-func (account *fleetAccount) admitPaced(self string, tokens float64, now time.Time) (time.Time, bool) {
+// bucket allows. The factor is by how much the request is smaller than others.
+func (account *fleetAccount) admitPaced(self string, tokens, factor float64, now time.Time) (time.Time, bool) {
 	limit := account.limit
 	demand, unseen, oldest := 0.0, 0.0, time.Duration(0)
 	for name, count := range account.vms {
@@ -183,7 +216,7 @@
 		return now, true // whatever the others may spend meanwhile
 	}
 	pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-paceLevel))
-	part := min(1, max(0, pace)/demand)
+	part := min(1, max(0, pace)/demand*factor)
 	account.credit += part
 	if account.credit < 1 {
 		// full is what the bucket holds when all requests are admitted.
