Go by the fleet's counts while three quarters of the VMs are heard

One VM of eight had been replaced: for 10 s fewer than nine tenths of the VMs were heard, and all VMs fell back to their shares. Change: three quarters suffice; a VM that is silent for more than a second is taken to go on spending as it did, out of the rate.

--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -17,8 +17,12 @@
 	// forgetTime is how long the share of a VM that is not heard is set aside.
 	forgetTime = 30 * time.Second
 	// informedShare is the part of the VMs that must be heard for a VM to go by what
-	// the fleet spends; what the others spend is extrapolated.
-	informedShare = 0.9
+	// the fleet spends. The others are taken to spend as they did.
+	informedShare = 0.75
+	// unseenTime is how long after it told a VM is taken to have spent what it did
+	// before, on top of what is known; a VM that is silent for longer is taken to
+	// spend a part of the rate.
+	unseenTime = time.Second
 	// paceLevel is the part of the burst that the fleet's bucket holds while all
 	// together spend the rate, and paceGain how much faster they spend, in rates for
 	// each burst above it. Counts are about half a second old: a larger gain makes the
@@ -31,6 +35,9 @@
 	sizeBias = 0.3
 	// sizesKept is about how many requests the usual sizes are judged by.
 	sizesKept = 64
+	// savedBursts is how many bursts all VMs together may save up of their shares, so
+	// that requests larger than a VM's share of the burst find enough.
+	savedBursts = 2.4
 	// startShare is the part of the burst that VMs which start together may spend
 	// before they hear of each other: what was spent just before is not known.
 	startShare = 0.45
@@ -139,6 +146,7 @@
 	boot     string
 	count    Count
 	made     time.Time // when it told that
+	told     bool      // by another VM
 	demand   float64   // tokens a second, averaged
 	spending float64   // the same of what was admitted
 	at       time.Time // up to when both are averaged
@@ -186,7 +194,7 @@
 	// The share is what it was before this request, which would make a VM with few
 	// requests take itself for a large one.
 	share := fleet.share(account, now)
-	account.refill(limit, share, now)
+	account.refill(limit, share, fleet.saved(), now)
 	own.want(tokens)
 	account.total.Wanted += tokens
 	fleet.sizes.note(tokens)
@@ -205,7 +213,7 @@
 		young := count.young(now)
 		demand += count.demand * young
 		if name != self {
-			age := min(forgetTime, now.Sub(count.made))
+			age := min(unseenTime, now.Sub(count.made))
 			unseen += count.spending * young * age.Seconds()
 			oldest = max(oldest, age)
 		}
@@ -219,9 +227,9 @@
 	part := min(1, max(0, pace)/demand*factor)
 	account.credit += part
 	if account.credit < 1 {
-		// full is what the bucket holds when all requests are admitted.
-		full := limit.Burst * min(1, paceLevel+(demand/max(1, limit.Rate)-1)/paceGain)
-		return now.Add(max(minRetry, secondsToGain(full-spare, max(1, limit.Rate)))), false
+		// By then the bucket holds enough for this request.
+		missing := min(tokens, limit.Burst) - spare
+		return now.Add(max(minRetry, secondsToGain(missing, max(1, limit.Rate)))), false
 	}
 	account.credit--
 	account.spend(account.vm(self, now), tokens)
@@ -305,7 +313,7 @@
 func (account *fleetAccount) take(source Source, count Count, made, now time.Time) {
 	known, ok := account.vms[source.Name]
 	if !ok || known.boot != source.Boot {
-		known = &vmCount{boot: source.Boot, made: made, at: now, since: source.Began}
+		known = &vmCount{boot: source.Boot, made: made, told: true, at: now, since: source.Began}
 		account.vms[source.Name] = known
 		if source.Began.Before(account.began.Add(-freshTime)) {
 			// What was spent before this VM listened is not known to be recent.
@@ -380,21 +388,29 @@
 	return float64(prefix.Mix(prefix.Digest(vm)^prefix.Digest(account))) / math.MaxUint64
 }
 
-// fill fills the fleet's bucket up to the time.
+// fill fills the fleet's bucket up to the time, with what silent VMs leave.
 func (account *fleetAccount) fill(now time.Time) {
-	if elapsed := now.Sub(account.filled).Seconds(); elapsed > 0 {
-		account.level = min(account.limit.Burst, account.level+elapsed*account.limit.Rate)
-		account.filled = now
+	elapsed := now.Sub(account.filled).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	rate := account.limit.Rate
+	for _, count := range account.vms {
+		if silent := now.Sub(count.made); count.told && silent > unseenTime && silent < forgetTime {
+			rate -= count.spending
+		}
 	}
+	account.level = min(account.limit.Burst, account.level+elapsed*max(0, rate))
+	account.filled = now
 }
 
 // refill fills this VM's share up to the time. A lower limit drops what is above.
-func (account *fleetAccount) refill(limit Account, share float64, now time.Time) {
+func (account *fleetAccount) refill(limit Account, share, saved float64, now time.Time) {
 	if elapsed := now.Sub(account.updated).Seconds(); elapsed > 0 {
 		account.own += elapsed * limit.Rate * share
 		account.updated = now
 	}
-	account.own = min(account.own, limit.Burst*share)
+	account.own = min(account.own, limit.Burst*max(share, saved))
 }
 
 // vm returns what is known of a VM, which may be this one.
@@ -463,6 +479,11 @@
 	return known
 }
 
+// saved returns the part of the burst that this VM may save up.
+func (fleet *Fleet) saved() float64 {
+	return min(1, savedBursts/float64(fleet.expected))
+}
+
 // informed reports whether nearly all VMs that should be there are heard, so that
 // what the fleet spends is known.
 func (fleet *Fleet) informed(now time.Time) bool {
