--- a/quota/zones_test.go
+++ b/quota/zones_test.go
@@ -264,3 +264,42 @@
 		t.Logf("rate %.0f: got %.2f of the rate, largest %.2f, all %.2f", rate, (run.asked-run.refused)/30/rate, largest, all)
 	}
 }
+
+// The pattern: an account at twice its rate whose VMs are replaced by others; what
+// those that are gone asked for must not weigh for good.
+func TestVMsThatAreGoneAreForgotten(t *testing.T) {
+	limit := Account{Name: "school", Rate: 100_000, Burst: 100_000}
+	now := time.Unix(1_700_000_000, 0)
+	fleet := sureFleet("vm-0", 2)
+	fleet.Limit([]Account{limit}, now)
+	tell := func(wanted float64) {
+		fleet.Heard(Source{Name: "vm-1", Boot: "1", VMs: 1, Began: now}, []Count{{Account: limit.Name, Wanted: wanted}}, now, now)
+	}
+	tell(0)
+	tell(1e9)
+	now = now.Add(forgetTime + time.Second)
+	fleet.Expect(1, true)
+	for range 5 {
+		if _, ok := fleet.Admit(limit, 10_000, now); !ok {
+			t.Fatal("got refused for the demand of a VM that is gone, want admitted")
+		}
+	}
+}
+
+// An account whose burst is not told may spend what a second brings.
+func TestAccountWithoutBurst(t *testing.T) {
+	limit := Account{Name: "school", Rate: 1000}
+	now := time.Unix(1_700_000_000, 0)
+	fleet := sureFleet("vm-0", 1)
+	fleet.Limit([]Account{limit}, now)
+	now = now.Add(time.Minute)
+	admitted := 0.0
+	for range 100 {
+		if _, ok := fleet.Admit(limit, 100, now); ok {
+			admitted += 100
+		}
+	}
+	if admitted < 900 || admitted > 1100 {
+		t.Errorf("got %.0f tokens admitted at once, want about 1000", admitted)
+	}
+}
