--- a/quota/pace.go
+++ b/quota/pace.go
@@ -48,9 +48,10 @@
 		account.spend(account.vm(self, now), tokens)
 		return now, true // whatever the others may spend meanwhile
 	}
-	pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-paceLevel))
-	part := min(1, max(0, pace)/demand*factor)
-	account.credit += part
+	if oldest > 0 && spare > 0 { // otherwise the bucket surely holds too little
+		pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-paceLevel))
+		account.credit += min(1, pace/demand*factor)
+	}
 	if account.credit < 1 {
 		// By then the bucket holds enough for this request.
 		missing := min(tokens, limit.Burst) - spare
