--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -94,7 +94,7 @@
 	if apart {
 		for _, speaker := range gateway.members.Speakers(gateway.members.Zone, now) {
 			if speaker.Name != gateway.Settings.Name {
-				beat.Speakers = append(beat.Speakers, peer.Speaker(speaker))
+				beat.Speakers = append(beat.Speakers, speaker)
 			}
 		}
 	}
@@ -104,9 +104,7 @@
 		beat.Zones = []peer.ZoneSummary{gateway.summary(now)}
 	default:
 		beat.Zones = gateway.zones.recent(now.Add(-membership.AliveTime), now)
-		for _, speaker := range gateway.members.OtherSpeakers(now) {
-			beat.Speakers = append(beat.Speakers, peer.Speaker(speaker))
-		}
+		beat.Speakers = gateway.members.OtherSpeakers(now)
 	}
 }
 
@@ -115,7 +113,7 @@
 func (gateway *Gateway) heardZones(beat peer.Beat, now time.Time) bool {
 	gateway.members.Placed(beat.Name, beat.Zone, beat.Speaks)
 	for _, speaker := range beat.Speakers {
-		gateway.members.Introduced(membership.Peer(speaker), now)
+		gateway.members.Introduced(speaker, now)
 	}
 	for _, summed := range beat.Zones {
 		gateway.heardZone(summed, now)
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 )
@@ -128,7 +129,7 @@
 	beat.Uptime = time.Duration(encoded.GetUptimeMs()) * time.Millisecond
 	for _, speaker := range encoded.GetSpeakers() {
 		address, _ := netip.ParseAddrPort(speaker.GetAddress()) // an invalid one is not used
-		beat.Speakers = append(beat.Speakers, Speaker{Name: speaker.GetName(), Address: address, Zone: speaker.GetAvailabilityZone()})
+		beat.Speakers = append(beat.Speakers, membership.Peer{Name: speaker.GetName(), Address: address, Zone: speaker.GetAvailabilityZone()})
 	}
 	for _, zone := range encoded.GetZones() {
 		beat.Zones = append(beat.Zones, ZoneSummary{
--- a/peer/server.go
+++ b/peer/server.go
@@ -28,6 +28,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/bramleygw/bramleygw/catalog"
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
@@ -63,19 +64,11 @@
 	// heartbeats with other zones for its own, and Speakers are VMs that do.
 	Zone     string
 	Speaks   bool
-	Speakers []Speaker
+	Speakers []membership.Peer
 	// Zones are sums of what the VMs of availability zones tell.
 	Zones []ZoneSummary
 }
 
-// Speaker is a VM that exchanges heartbeats with other availability zones for its
-// own.
-type Speaker struct {
-	Name    string
-	Address netip.AddrPort
-	Zone    string
-}
-
 // ZoneSummary is the sum of what the VMs of an availability zone tell.
 type ZoneSummary struct {
 	Zone string
