--- /dev/null
+++ b/peer/encode_test.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleygw/bramleygw/membership"
+	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/peer/peerpb"
+)
+
+// What a heartbeat says arrives, each field of it.
+func TestHeartbeatIsToldWhole(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.8:1")
+	spending := []Spending{{Account: "derby", Spent: 120, Wanted: 150}}
+	backlogs := []Backlog{{Target: "i-1", Tokens: 900}}
+	want := Beat{
+		Name: "vm-1", Address: address, Version: 5, PlatformAge: time.Second,
+		Heard: []PeerAge{{"vm-2", 2 * time.Second}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
+		Targets:  []TargetNews{{Target: "i-1", Model: "m", Weights: 3, Rolling: true}},
+		Backlogs: backlogs, Named: []NamedWeights{{Model: "m", Version: 3, Age: time.Second}},
+		Positions: []objects.Position{{Collection: objects.Configs, Version: 9}},
+		Zone:      "z1", Speaks: true, Speakers: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
+		Zones: []ZoneSummary{{
+			Zone: "z2", Teller: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
+			Spending: spending, Backlogs: backlogs,
+		}},
+	}
+	fields := reflect.ValueOf(want)
+	for i := range fields.NumField() {
+		if fields.Field(i).IsZero() {
+			t.Errorf("got no value for %s, want one that is told", fields.Type().Field(i).Name)
+		}
+	}
+	text, err := proto.Marshal(encodeBeat(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := &peerpb.Beat{}
+	if err := proto.Unmarshal(text, told); err != nil {
+		t.Fatal(err)
+	}
+	if got := decodeBeat(told); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
