--- a/quota/pace.go
+++ b/quota/pace.go
@@ -30,27 +30,15 @@
 // bucket allows. The factor is by how much the request is smaller than others.
 func (account *fleetAccount) admitPaced(self string, tokens, factor float64, now time.Time) (time.Time, bool) {
 	limit := account.limit
-	demand, unseen, oldest := 0.0, 0.0, time.Duration(0)
-	for name, count := range account.vms {
-		if count.told && now.Sub(count.made) > forgetTime {
-			continue
-		}
-		young := count.young(now)
-		demand += count.demand * young
-		if name != self {
-			age := min(unseenTime, now.Sub(count.made))
-			unseen += count.spending * young * age.Seconds()
-			oldest = max(oldest, age)
-		}
-	}
-	spare := account.level - unseen
+	outlook := account.outlook(self, now)
+	spare, oldest := outlook.Spare, outlook.Oldest
 	if spare-paceGain*limit.Rate*oldest.Seconds() >= tokens {
 		account.spend(account.vm(self, now), tokens)
 		return now, true // whatever the others may spend meanwhile
 	}
 	if oldest > 0 && spare > 0 { // otherwise the bucket surely holds too little
 		pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-paceLevel))
-		account.credit += min(1, pace/demand*factor)
+		account.credit += min(1, pace/outlook.Demand*factor)
 	}
 	if account.credit < 1 {
 		// By then the bucket holds enough for this request.
@@ -62,6 +50,50 @@
 	return now, true
 }
 
+// Outlook is what a VM goes by when it admits requests of an account.
+type Outlook struct {
+	// Spare is the tokens in the fleet's bucket, less what others are taken to have
+	// spent since they told.
+	Spare float64
+	// Demand is the tokens a second that the fleet is asked for.
+	Demand float64
+	// Oldest is the age of the oldest counts, unseenTime at the most.
+	Oldest time.Duration
+	// Informed is set when enough of the VMs are heard; otherwise this VM spends its
+	// share alone.
+	Informed bool
+}
+
+// Outlook returns what this VM goes by for an account.
+func (fleet *Fleet) Outlook(name string, now time.Time) Outlook {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	account, ok := fleet.accounts[name]
+	if !ok {
+		return Outlook{}
+	}
+	outlook := account.outlook(fleet.self, now)
+	outlook.Informed = fleet.informed(now)
+	return outlook
+}
+
+func (account *fleetAccount) outlook(self string, now time.Time) Outlook {
+	outlook := Outlook{Spare: account.level}
+	for name, count := range account.vms {
+		if count.told && now.Sub(count.made) > forgetTime {
+			continue
+		}
+		young := count.young(now)
+		outlook.Demand += count.demand * young
+		if name != self {
+			age := min(unseenTime, now.Sub(count.made))
+			outlook.Spare -= count.spending * young * age.Seconds()
+			outlook.Oldest = max(outlook.Oldest, age)
+		}
+	}
+	return outlook
+}
+
 // sizes is the sizes of the last requests, of all accounts.
 type sizes struct {
 	tokens float64 // sum of sizes, fading
--- a/quota/zones_test.go
+++ b/quota/zones_test.go
@@ -303,3 +303,31 @@
 		t.Errorf("got %.0f tokens admitted at once, want about 1000", admitted)
 	}
 }
+
+func TestOutlookTellsWhatDecided(t *testing.T) {
+	limit := Account{Name: "school", Rate: 1000, Burst: 1000}
+	now := time.Unix(1_700_000_000, 0)
+	fleet := sureFleet("vm-0", 4)
+	fleet.Limit([]Account{limit}, now)
+	now = now.Add(time.Minute)
+	tell := func(spent float64) {
+		source := Source{Name: "vm-1", Boot: "1", VMs: 3, Began: now.Add(-time.Minute)}
+		fleet.Heard(source, []Count{{Account: limit.Name, Spent: spent, Wanted: spent}}, now, now)
+	}
+	tell(0)
+	tell(600)
+	if _, ok := fleet.Admit(limit, 200, now); !ok {
+		t.Fatal("got refused with 400 tokens left, want admitted")
+	}
+	got := fleet.Outlook(limit.Name, now)
+	if got.Spare != 200 || !got.Informed || got.Demand < 400 {
+		t.Errorf("got %+v, want 200 tokens left and a demand of 800 in about two seconds", got)
+	}
+	later := fleet.Outlook(limit.Name, now.Add(heardTime+time.Millisecond))
+	if later.Informed || later.Oldest != unseenTime {
+		t.Errorf("got %+v after the others fell silent, want not informed", later)
+	}
+	if got := fleet.Outlook("nobody", now); got != (Outlook{}) {
+		t.Errorf("got %+v for an account without a limit, want nothing", got)
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -11,6 +11,7 @@
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/quarantine"
+	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
@@ -59,7 +60,9 @@
 
 	// refusedWait is the corrected estimate for which the request was refused.
 	refusedWait time.Duration
-	attempt     attempt
+	// overRate is what decided that the account was at its rate; nil otherwise.
+	overRate *quota.Outlook
+	attempt  attempt
 }
 
 // attempt is what belongs to the current target alone.
@@ -107,8 +110,11 @@
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
-	if job.refusedWait > 0 {
+	switch {
+	case job.refusedWait > 0:
 		return append(fields, job.waitFields()...)
+	case job.overRate != nil:
+		return append(fields, job.rateFields()...)
 	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
@@ -116,6 +122,16 @@
 	return fields
 }
 
+// rateFields returns what logs tell of a request that was refused for its account's
+// rate.
+func (job *job) rateFields() []event.Field {
+	return []event.Field{
+		event.F("tokens", int(job.charge())), event.F("spare_tokens", int(job.overRate.Spare)),
+		event.F("rate", int(job.account.Rate)), event.F("demand", int(job.overRate.Demand)),
+		event.F("counts_age_ms", job.overRate.Oldest.Milliseconds()), event.F("fleet_heard", job.overRate.Informed),
+	}
+}
+
 // waitFields returns what logs tell of a request that was refused since it would
 // have waited too long.
 func (job *job) waitFields() []event.Field {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,8 @@
 	Admit(account quota.Account, tokens float64, now time.Time) (retryAt time.Time, ok bool)
 	// Refund gives back the tokens of a request that did not run.
 	Refund(account string, tokens float64, now time.Time)
+	// Outlook returns what decides whether requests of an account are admitted.
+	Outlook(account string, now time.Time) quota.Outlook
 }
 
 // Weights knows the versions of weights that operators named.
@@ -214,6 +216,8 @@
 	limit := quota.Account{Name: account.Name, Rate: account.Rate, Burst: account.Burst}
 	retryAt, ok := relay.Limits.Admit(limit, tokens, time.Now())
 	if !ok {
+		outlook := relay.Limits.Outlook(account.Name, time.Now())
+		job.overRate = &outlook
 		return refusal.New(refusal.RateLimited, "the account is at its rate; retry after the time in Retry-After").At(retryAt)
 	}
 	job.charged = tokens
