--- a/membership/zones.go
+++ b/membership/zones.go
@@ -91,13 +91,16 @@
 	table.turn += count
 	table.mu.Unlock()
 	partners := inTurn(near, first, count)
-	speakers := table.Speakers(table.Zone, now)
-	for _, speaker := range speakers {
-		if speaker.Name != table.self && !slices.Contains(partners, speaker) {
+	speaks := false
+	for _, speaker := range table.Speakers(table.Zone, now) {
+		switch {
+		case speaker.Name == table.self:
+			speaks = true
+		case !slices.Contains(partners, speaker):
 			partners = append(partners, speaker)
 		}
 	}
-	if !table.Speaks(now) {
+	if !speaks {
 		return partners
 	}
 	for zone, known := range zones {
--- a/roster/backlog.go
+++ b/roster/backlog.go
@@ -23,15 +23,7 @@
 // Backlogs returns this VM's prompt tokens that targets have to read, for other
 // VMs; targets without any are left out.
 func (roster *Roster) Backlogs() []Backlog {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	var backlogs []Backlog
-	for id, target := range roster.targets {
-		if target.prefill > 0 {
-			backlogs = append(backlogs, Backlog{Target: id, Tokens: target.prefill})
-		}
-	}
-	return backlogs
+	return roster.SummedBacklogs(nil, time.Time{})
 }
 
 // SummedBacklogs returns the prompt tokens of this VM and of those named that
