Let the reserve of retries follow the number of VMs

Cause, found by reading after the fault of the limits: a VM set its part of the platform's reserve once, at its first request, when it may still assume a fleet of eight.

Change: the window asks for the reserve in force; the gateway keeps the last count of VMs, so that a retry does not count them.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -151,7 +151,17 @@
 
 // updateVMCount passes the number of VMs to the limiter.
 func (gateway *Gateway) updateVMCount(now time.Time) {
-	gateway.limits.SetFleetSize(gateway.vmCount(), gateway.vmsListed.Load() || now.Sub(gateway.started) > startupTime)
+	count := gateway.vmCount()
+	gateway.lastCount.Store(int64(count))
+	gateway.limits.SetFleetSize(count, gateway.vmsListed.Load() || now.Sub(gateway.started) > startupTime)
+}
+
+// fleetSize returns the number of VMs as last counted, including this one.
+func (gateway *Gateway) fleetSize() int {
+	if count := gateway.lastCount.Load(); count > 0 {
+		return int(count)
+	}
+	return assumedVMs
 }
 
 // vmCount returns the number of VMs that share the limits, including this one.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,8 @@
 	fetchAddresses chan netip.AddrPort
 	storeHealth    storeHealth
 
-	vmsListed atomic.Bool // whether the VMs have been listed at least once
+	vmsListed atomic.Bool  // whether the VMs have been listed at least once
+	lastCount atomic.Int64 // of the VMs, as last passed to the limiter
 
 	mu                sync.Mutex // guards heartbeatFailures
 	heartbeatFailures map[netip.AddrPort]int
@@ -167,7 +168,7 @@
 	gateway.relay = &relay.Relay{
 		Bounds: vm.Bounds, Roster: gateway.roster, Limits: gateway.limits, Weights: gateway.weights,
 		Stores: gateway.cacheStores, Quarantine: gateway.suspects, DeathReporter: gateway, Clients: gateway.clients,
-		Budgets: relay.NewBudgets(vm.Bounds, gateway.vmCount), Metrics: gateway.metrics, Log: gateway.Log,
+		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.callerServer.Relay = gateway.relay
 }
--- a/relay/budgets.go
+++ b/relay/budgets.go
@@ -25,7 +25,7 @@
 const retryMargin = 0.8
 
 // NewBudgets returns budgets without recorded requests. The function vms returns the
-// number of VMs that share the bound.
+// current number of VMs that share the bound. It is called for each retry.
 func NewBudgets(bounds settings.Bounds, vms func() int) *Budgets {
 	return &Budgets{bounds: bounds, vms: vms, budgets: map[string]*retry.Window{}}
 }
@@ -41,13 +41,18 @@
 	return budgets.get(service, now).Allow(now)
 }
 
+// reserve returns this VM's part of the platform's reserve. The number of VMs is known
+// only some time after a VM's start.
+func (budgets *Budgets) reserve() float64 {
+	return budgets.bounds.RetryReserve * retryMargin / float64(max(1, budgets.vms()))
+}
+
 func (budgets *Budgets) get(service string, now time.Time) *retry.Window {
 	budgets.mu.Lock()
 	defer budgets.mu.Unlock()
 	budget, ok := budgets.budgets[service]
 	if !ok {
-		reserve := budgets.bounds.RetryReserve * retryMargin / float64(max(1, budgets.vms()))
-		budget = retry.NewWindow(budgets.bounds.RetryShare*retryMargin, reserve, now, budgets.bounds.RetryWindow.After(now))
+		budget = retry.NewWindow(budgets.bounds.RetryShare*retryMargin, budgets.reserve, now, budgets.bounds.RetryWindow.After(now))
 		budgets.budgets[service] = budget
 	}
 	return budget
--- a/retry/window.go
+++ b/retry/window.go
@@ -12,8 +12,8 @@
 // plus a reserve. Unlike a Budget, it allows all of them at once, as when a target
 // dies with many requests in flight. It is safe for concurrent use.
 type Window struct {
-	share        float64 // retries per request
-	reserve      float64 // retries per window, whatever the number of requests
+	share        float64        // retries per request
+	reserve      func() float64 // retries per window, whatever the number of requests
 	slotDuration time.Duration
 
 	mu          sync.Mutex // guards the fields below
@@ -26,8 +26,8 @@
 }
 
 // NewWindow returns an empty sliding window with the length of the period between
-// from and until.
-func NewWindow(share, reserve float64, from, until time.Time) *Window {
+// from and until. reserve returns the reserve in force.
+func NewWindow(share float64, reserve func() float64, from, until time.Time) *Window {
 	return &Window{share: share, reserve: reserve, slotDuration: max(time.Millisecond, until.Sub(from)/slotCount)}
 }
 
@@ -46,7 +46,7 @@
 	window.mu.Lock()
 	defer window.mu.Unlock()
 	slot := window.advance(now)
-	if float64(window.totalRetries+1) > window.share*float64(window.totalRequests)+window.reserve {
+	if float64(window.totalRetries+1) > window.share*float64(window.totalRequests)+window.reserve() {
 		return false
 	}
 	window.retries[slot]++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -10,7 +10,7 @@
 // are allowed at once, and further ones only after the window.
 func TestWindowAllowsItsRetriesAtOnce(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
-	window := NewWindow(0.16, 5, start, start.Add(10*time.Second))
+	window := NewWindow(0.16, constant(5), start, start.Add(10*time.Second))
 	for i := range 230 {
 		window.RecordRequest(start.Add(time.Duration(i) * 43 * time.Millisecond))
 	}
@@ -39,7 +39,7 @@
 	start := time.Unix(1_700_000_000, 0)
 	var windows [vms]*Window
 	for i := range windows {
-		windows[i] = NewWindow(bound*0.8, reserve*0.8/vms, start, start.Add(10*time.Second))
+		windows[i] = NewWindow(bound*0.8, constant(reserve*0.8/vms), start, start.Add(10*time.Second))
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	var requests, retries []time.Time
@@ -73,3 +73,8 @@
 	}
 	return count
 }
+
+// constant returns a reserve that does not change.
+func constant(reserve float64) func() float64 {
+	return func() float64 { return reserve }
+}
