--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -269,13 +269,13 @@
 	}
 	rollLoop.gateway.metrics.Orders.Add(1)
 	reply, err := rollLoop.gateway.Engines.Order(ctx, client, rollout.Order{
-		Target: step.Target, Weights: step.Weights, Mode: step.Mode, Sequence: step.Sequence,
+		Target: step.Target, Weights: step.Weights, Sequence: step.Sequence,
 		Holder: rollLoop.gateway.Settings.Name, Token: token,
 	})
 	result.reply = reply
 	fields := []event.Field{
 		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", token),
-		event.F("reply", int(reply)), event.F("mode", int(step.Mode)),
+		event.F("reply", int(reply)),
 	}
 	if err != nil {
 		fields = append(fields, event.Err(err))
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -18,19 +18,6 @@
 	"time"
 )
 
-// Mode determines what happens to running requests when a target loads new
-// weights.
-type Mode int
-
-// The modes.
-const (
-	// Drain loads the weights after the running requests have finished.
-	Drain Mode = iota
-	// LiveSwap loads the weights at once. Running requests continue with the new
-	// weights, which makes their remaining output useless.
-	LiveSwap
-)
-
 // Reply is a target's answer to an order.
 type Reply int
 
@@ -98,11 +85,11 @@
 	Models   []Weights
 }
 
-// Order instructs a target to load weights.
+// Order instructs a target to load weights at once. Running requests continue with the
+// new weights.
 type Order struct {
 	Target string
 	Weights
-	Mode Mode
 	// Holder and Token are the holder and the fencing token of the lease.
 	Holder string
 	Token  uint64
@@ -118,8 +105,6 @@
 	// Poll requests a status report. If it is not set, the step is an order to
 	// load the weights.
 	Poll bool
-	// Mode is the mode of the order.
-	Mode Mode
 	// Sequence is the number of orders that the target has accepted, for use in the
 	// order.
 	Sequence uint64
@@ -135,17 +120,13 @@
 	// retryDelay is how long a target gets no polls or orders after it did not
 	// answer a poll or replied Fenced or Misdirected to an order.
 	retryDelay = 500 * time.Millisecond
-	// drainPeriod is how long orders use Drain, counted from when this VM learned of
-	// the version. Later orders use LiveSwap, so as not to wait for running requests.
-	drainPeriod = 3500 * time.Millisecond
 	// minLoadLimit is the number of targets that may load, or be out of service, at
 	// once even if the divisors below allow fewer; of two targets, only one. With more
 	// concurrent loads, each takes longer.
 	minLoadLimit = 2
 	// One target in loadingDivisor may load at once, and one in
 	// outOfServiceDivisor may be out of service at once. A target is out of service
-	// while it finishes its running requests, loads, or has loaded without having
-	// reported it yet.
+	// while it loads, or has loaded without having reported it yet.
 	loadingDivisor      = 5
 	outOfServiceDivisor = 3
 	// assumedLoadTime is how long a target is assumed to be loading after an order.
@@ -277,9 +258,6 @@
 		}
 		*budget--
 		step.Sequence = state.sequence
-		if now.Sub(weights.Learned) > drainPeriod {
-			step.Mode = LiveSwap
-		}
 		return step, true
 	}
 	if now.Sub(state.polledAt) < pollInterval {
