Spread loads of weights over the time that there is

Cause, from trials around the live swap: as fast as the limits allow, 18 engines lose their caches within 2.5 s. Shared parts are read again on all of them at once, which costs more than answers on replaced weights do, and more when versions follow each other every 3 s: engines load each version although the next one is about to come.

Change: of the targets of a model, as many are ordered at any time as an even pace over 0.7 of the platform's bound asks for; late rolls, as after the death of the lease holder, are limited as before. TestLoadsAreSpreadOverTheGracePeriod, TestLateRollIsNotPaced at 9 to 153 targets.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -64,6 +64,7 @@
 // runRoll brings targets to the weights that operators named.
 func (gateway *Gateway) runRoll(ctx context.Context) error {
 	rollLoop := &rollLoop{gateway: gateway, roll: rollout.New(), inFlight: map[string]bool{}, results: make(chan callResult)}
+	rollLoop.roll.Grace = gateway.Settings.Bounds.WeightsGrace
 	rollLoop.lease = lease.New(gateway.Store, leaseName, gateway.Settings.Name+"@"+gateway.Settings.Peer.Addr().String())
 	rollLoop.lease.Boot = gateway.bootID
 	rollLoop.lease.ValidFor = settings.Span(orderWindow)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -16,6 +16,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/bramleygw/bramleygw/settings"
 )
 
 // Reply is a target's answer to an order.
@@ -129,6 +131,9 @@
 	// while it loads, or has loaded without having reported it yet.
 	loadingDivisor      = 5
 	outOfServiceDivisor = 3
+	// paceShare is the fraction of Grace over which orders are spread. The rest is for
+	// another VM to take over the lease and finish the roll.
+	paceShare = 0.7
 	// assumedLoadTime is how long a target is assumed to be loading after an order.
 	// The end of the load shows in its reports only later.
 	assumedLoadTime = 400 * time.Millisecond
@@ -146,6 +151,10 @@
 
 // Roll is the state of the rolls of all models. It is not safe for concurrent use.
 type Roll struct {
+	// Grace is the platform's bound on the use of replaced weights. Orders are spread
+	// over paceShare of it. If it is 0, orders are sent as fast as the limits allow.
+	Grace settings.Span
+
 	states map[string]*targetState
 }
 
@@ -154,6 +163,22 @@
 	return &Roll{states: map[string]*targetState{}}
 }
 
+// orderBudget is how many more targets may be ordered to load now: in all, and by model.
+type orderBudget struct {
+	total   int
+	byModel map[string]int
+}
+
+// take takes one order out of the budget, or returns false if there is none left.
+func (orderBudget *orderBudget) take(model string) bool {
+	if orderBudget.total <= 0 || orderBudget.byModel[model] <= 0 {
+		return false
+	}
+	orderBudget.total--
+	orderBudget.byModel[model]--
+	return true
+}
+
 // CountOutdated returns the number of targets that lack a requested version.
 func CountOutdated(targets []Target, named []NamedWeights) int {
 	count := 0
@@ -196,7 +221,7 @@
 		}
 		return outdated[i].ID < outdated[j].ID
 	})
-	budget := roll.orderBudget(targets, now)
+	budget := orderBudget{total: roll.limit(targets, now), byModel: roll.pace(targets, named, now)}
 	var steps []Step
 	for _, target := range outdated {
 		weights, _ := missingWeights(target, named)
@@ -215,8 +240,38 @@
 	return version
 }
 
-// orderBudget returns how many more targets may be ordered to load now.
-func (roll *Roll) orderBudget(targets []Target, now time.Time) int {
+// pace returns by model how many more targets should have been ordered by now if the
+// orders are spread evenly. A target that loads loses its cache entries, and the
+// requests that need them slow down all others, so the loads are spread over the
+// time that there is. A roll that is late, for example because its holder died, is
+// only limited by limit.
+func (roll *Roll) pace(targets []Target, named []NamedWeights, now time.Time) map[string]int {
+	due := map[string]int{}
+	for _, weights := range named {
+		reachable, ordered := 0, 0
+		for i := range targets {
+			version, ok := targets[i].version(weights.Model)
+			if !ok || targets[i].Unreachable {
+				continue
+			}
+			reachable++
+			if state, ok := roll.states[targets[i].ID]; version >= weights.Version || ok && !state.orderedAt.IsZero() {
+				ordered++
+			}
+		}
+		elapsed := now.Sub(weights.Learned).Seconds()
+		if duration := paceShare * time.Duration(roll.Grace).Seconds(); elapsed < duration {
+			due[weights.Model] = 1 + int(elapsed/duration*float64(reachable)) - ordered
+		} else {
+			due[weights.Model] = reachable
+		}
+	}
+	return due
+}
+
+// limit returns how many more targets may load now without too many being out of
+// service at once.
+func (roll *Roll) limit(targets []Target, now time.Time) int {
 	loading, outOfService, reachable := 0, 0, 0
 	for i := range targets {
 		if targets[i].Unreachable {
@@ -238,8 +293,8 @@
 
 // nextStep returns the next step for a target that lacks a requested version, or
 // false if there is none now. budget is the number of orders that may still be
-// sent; nextStep decrements it for an order.
-func (roll *Roll) nextStep(target *Target, weights NamedWeights, budget *int, now time.Time) (Step, bool) {
+// sent; nextStep takes an order out of it.
+func (roll *Roll) nextStep(target *Target, weights NamedWeights, budget *orderBudget, now time.Time) (Step, bool) {
 	state, ok := roll.states[target.ID]
 	switch {
 	case !ok:
@@ -253,10 +308,9 @@
 	}
 	step := Step{Target: target.ID, Weights: state.desired}
 	if state.orderedAt.IsZero() && state.reportUsable {
-		if *budget <= 0 {
+		if !budget.take(weights.Model) {
 			return Step{}, false
 		}
-		*budget--
 		step.Sequence = state.sequence
 		return step, true
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/bramleygw/bramleygw/settings"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -45,8 +47,12 @@
 	reportLag        = 8 // ticks
 )
 
+// grace is the platform's bound on the use of replaced weights.
+const grace = 6 * time.Second
+
 func newSimulation(count int, version uint64) *simulation {
 	simulation := &simulation{engines: map[string]*engine{}, now: start, roll: New()}
+	simulation.roll.Grace = settings.Span(grace)
 	for i := range count {
 		simulation.engines[fmt.Sprintf("e%02d", i)] = &engine{version: version}
 	}
@@ -160,6 +166,40 @@
 	}
 }
 
+// A fleet whose engines hold hot prefixes gets new weights. Each engine that loads loses
+// its cache, so engines must load evenly over the time that there is, not all at once.
+func TestLoadsAreSpreadOverTheGracePeriod(t *testing.T) {
+	for _, count := range []int{9, 18, 60, 153} {
+		simulation := newSimulation(count, 1)
+		const half = grace * 35 / 100 // of paceShare
+		for simulation.now.Sub(start) < half {
+			simulation.step(named(2, start))
+		}
+		if got, want := simulation.orders, count/2+2; got > want {
+			t.Errorf("%d targets: got %d orders in half the time, want %d at most", count, got, want)
+		}
+		simulation.runUntilUpdated(t, named(2, start), grace-half)
+	}
+}
+
+// The holder of the lease dies in the middle of a roll, and another VM, which knows
+// nothing of its orders, takes over late. It must not keep to the pace.
+func TestLateRollIsNotPaced(t *testing.T) {
+	const takeover = 4500 * time.Millisecond
+	for _, count := range []int{9, 18, 60, 153} {
+		simulation := newSimulation(count, 1)
+		for i := range count / 2 {
+			simulation.engines[fmt.Sprintf("e%02d", i)].version = 2
+		}
+		simulation.now = start.Add(takeover)
+		took := simulation.runUntilUpdated(t, named(2, start), bound)
+		if want := 3500 * time.Millisecond; took > want {
+			t.Errorf("%d targets: got the rest loaded in %v, want %v at most", count, took, want)
+		}
+		t.Logf("%d targets: the rest took %v", count, took)
+	}
+}
+
 // Operators request another version while the previous one is being loaded. The
 // roll must not wait for targets that have already loaded the previous one.
 func TestNewVersionRequestedDuringRoll(t *testing.T) {
