--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	roll := rollout.New()
+//	roll.Grace = bounds.WeightsGrace
 //	for _, step := range roll.NextSteps(targets, named, now) { ... }
 //	roll.HandleReply("i-7", rollout.Accepted, now)
 //	roll.HandleReport("i-7", report, true, now)
