Log why a request ended, how silent its target was, and panics of the handler

The logs could not tell the hypotheses for LOST apart: a silent target and one marked unreachable had the same text, nothing named what prevented a retry, and a panic in the handler of a request closed the caller's connection without a line. Added: end_reason and retry_denied_by in request_refused, the silence and what was allowed in attempt_failed, event handler_panicked. Decisions are unchanged.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -49,6 +49,17 @@
 	return [...]string{"answered", "caller_gone", "not_sent", "not_run", "failed_answer", "broken"}[outcome]
 }
 
+// EndReason is why no further target was tried for a request without a complete answer.
+type EndReason string
+
+// The end reasons.
+const (
+	AtMostOnce      EndReason = "at_most_once"
+	AttemptsUsed    EndReason = "attempts_used"
+	RetryNotAllowed EndReason = "retry_not_allowed"
+	NoTarget        EndReason = "no_target"
+)
+
 // RetryAfter is the delay after which a caller should retry when no target can take
 // its request. It is about as long as the platform's lists take to replace a target.
 const RetryAfter = 300 * time.Millisecond
@@ -84,6 +95,7 @@
 
 	runs       int
 	rejections int
+	endReason  EndReason
 }
 
 // Runs returns the number of targets that may have run the request.
@@ -97,6 +109,12 @@
 	return delivery.rejections
 }
 
+// EndReason returns why no further target was tried. It is empty if the request was
+// answered or ended by its caller, its deadline or an error of the Sender.
+func (delivery *Delivery) EndReason() EndReason {
+	return delivery.endReason
+}
+
 // Run sends the request to targets until it is answered or refused. A nil error
 // means that the caller received a complete answer. Otherwise the error is a refusal.
 // If the caller received a part of the answer, the code is StreamInterrupted,
@@ -110,6 +128,7 @@
 		case !ok && ctx.Err() != nil:
 			return delivery.refuse(ContextRefusal(ctx))
 		case !ok:
+			delivery.endReason = NoTarget
 			return delivery.exhausted()
 		}
 		outcome, err := delivery.Sender.Send(ctx)
@@ -154,13 +173,24 @@
 // Requests that are not repeatable go to another target only if they certainly did
 // not run.
 func (delivery *Delivery) mayRetry(outcome Outcome) bool {
-	switch outcome {
-	case NotSent:
-		return true
-	case NotRun:
-		return delivery.Sender.AllowRetry(outcome, time.Now())
+	delivery.endReason = delivery.retryObstacle(outcome)
+	return delivery.endReason == ""
+}
+
+// retryObstacle returns why no other target may take the request after an outcome, or
+// an empty reason.
+func (delivery *Delivery) retryObstacle(outcome Outcome) EndReason {
+	switch {
+	case outcome == NotSent:
+		return ""
+	case outcome != NotRun && !delivery.Repeatable:
+		return AtMostOnce
+	case outcome != NotRun && delivery.runs >= delivery.Attempts:
+		return AttemptsUsed
+	case !delivery.Sender.AllowRetry(outcome, time.Now()):
+		return RetryNotAllowed
 	}
-	return delivery.Repeatable && delivery.runs < delivery.Attempts && delivery.Sender.AllowRetry(outcome, time.Now())
+	return ""
 }
 
 // exhausted ends a request that no further target can take. The caller receives the
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -215,3 +215,26 @@
 		t.Errorf("got %d target deaths, want at most %d", deaths, maxDeaths)
 	}
 }
+
+func TestEndReasonNamesWhatPreventedARetry(t *testing.T) {
+	tests := []struct {
+		name       string
+		sender     scriptedSender
+		repeatable bool
+		attempts   int
+		want       EndReason
+	}{
+		{"answered", scriptedSender{outcomes: []Outcome{Answered}}, true, 2, ""},
+		{"runs once", scriptedSender{outcomes: []Outcome{Broken, Answered}, budget: 1}, false, 2, AtMostOnce},
+		{"attempts used", scriptedSender{outcomes: []Outcome{Broken, Answered}, budget: 1}, true, 1, AttemptsUsed},
+		{"no budget", scriptedSender{outcomes: []Outcome{Broken, Answered}}, true, 2, RetryNotAllowed},
+		{"no target", scriptedSender{outcomes: []Outcome{Broken}, budget: 1}, true, 2, NoTarget},
+	}
+	for _, test := range tests {
+		delivery := Delivery{Sender: &test.sender, Repeatable: test.repeatable, Attempts: test.attempts}
+		_ = delivery.Run(t.Context()) // the end reason is checked instead
+		if got := delivery.EndReason(); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -18,16 +18,19 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/target"
@@ -68,6 +71,7 @@
 	Listener net.Listener
 	Dialect  Dialect
 	Relay    Relay
+	Log      *event.Log
 
 	draining atomic.Bool
 }
@@ -107,6 +111,7 @@
 
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
+	defer server.logPanic(httpRequest)
 	if server.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -129,6 +134,19 @@
 	server.Dialect.Refuse(writer, httpRequest, refused, time.Now())
 }
 
+// logPanic logs a panic of the handler other than http.ErrAbortHandler, and lets it
+// close the connection.
+func (server *Server) logPanic(httpRequest *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != any(http.ErrAbortHandler) {
+		server.Log.Emit(event.HandlerPanicked, event.F("path", httpRequest.URL.Path), event.F("panic", fmt.Sprint(cause)), event.F("stack", string(debug.Stack())))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // readBody reads the complete body. The error is a refusal.
 func readBody(writer http.ResponseWriter, httpRequest *http.Request) ([]byte, error) {
 	if httpRequest.ContentLength > maxBodyBytes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect}
+	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
 	gateway.readinessServer = &statusServer{listener: readinessListener, ready: gateway.Ready}
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
 	gateway.listenForMetrics()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,8 +52,8 @@
 	silenceMonitor := job.monitorSilence(assignment, cancel)
 	defer silenceMonitor.stop()
 	head, body, err := job.relay.client(assignment).Forward(ctx, job.call(assignment), job)
-	if errors.Is(context.Cause(ctx), errTimeout) {
-		return errTimeout
+	if cause := context.Cause(ctx); errors.Is(cause, errTimeout) {
+		return cause
 	}
 	if err != nil {
 		return err
@@ -242,8 +242,9 @@
 	if silenceMonitor.stopped {
 		return
 	}
-	if silenceMonitor.assignment.Unreachable() || silenceMonitor.assignment.SilentFor(now) > silenceMonitor.job.maxSilence() {
-		silenceMonitor.cancel(errTimeout)
+	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
+	if unreachable || silence > allowed {
+		silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
 		return
 	}
 	silenceMonitor.timer.Reset(silenceCheckInterval)
--- a/relay/job.go
+++ b/relay/job.go
@@ -59,6 +59,8 @@
 	// failure.
 	failedHead *target.Head
 	failedBody []byte
+	// retryDenial is what last denied a retry, for the log.
+	retryDenial string
 
 	// refusedWait is the corrected wait estimate because of which the request was
 	// refused; zero otherwise.
@@ -124,6 +126,12 @@
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
 	}
+	if reason := job.delivery.EndReason(); reason != "" {
+		fields = append(fields, event.F("end_reason", string(reason)))
+	}
+	if job.retryDenial != "" {
+		fields = append(fields, event.F("retry_denied_by", job.retryDenial))
+	}
 	return fields
 }
 
@@ -300,12 +308,20 @@
 	job.targetFull = true
 }
 
+// What may deny a retry, as named in the log.
+const (
+	deniedByQuarantine = "quarantine"
+	deniedByBudget     = "budget"
+)
+
 // AllowRetry implements delivery.Sender.
 func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
 	if outcome != delivery.NotRun && job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked {
+		job.retryDenial = deniedByQuarantine
 		return false
 	}
 	if !job.relay.Budgets.Allow(job.service.Name, now) {
+		job.retryDenial = deniedByBudget
 		return false
 	}
 	job.relay.Metrics.Retries.Add(1)
