Leave a silent target only when another one is reserved for the request

What callers saw: a stream that had begun was closed without its end, or a request answered 502, while its engine paused for a second and went on (LOST).

Cause: the silence monitor cancelled the attempt first; only then delivery asked whether attempts, retry budget, quarantine and roster allow another one. Where they did not, the request ended although nothing had failed. Several engines that pause together use up the budget of a VM at once, beside a change of the configuration as at any other time.

Ruled out as the cause: the change of the configuration itself (a request keeps the table with which it was admitted; Close of a client closes idle connections only) and the transport's limits (2.5 s and 3 s).

Change: the monitor reserves the next target and takes the retry out of the budget before it cancels; delivery uses that reservation. If there is none, the attempt goes on until its connection breaks or its deadline passes, and event target_silent says what denied the move. An answer that completed while it was cancelled counts as complete.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -109,6 +109,12 @@
 	return delivery.rejections
 }
 
+// MayLeave reports whether another target may run the request if the current attempt,
+// which may have run it, is cancelled.
+func (delivery *Delivery) MayLeave() bool {
+	return delivery.Repeatable && delivery.runs+1 < delivery.Attempts
+}
+
 // EndReason returns why no further target was tried. It is empty if the request was
 // answered or ended by its caller, its deadline or an error of the Sender.
 func (delivery *Delivery) EndReason() EndReason {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -98,6 +98,7 @@
 var (
 	RequestRefused  = register(901, "request_refused", LevelInfo, "a request ended without a complete answer from a target", "look up the refusal code in docs/OPERATORS.md")
 	RequestAnswered = register(903, "request_answered", LevelInfo, "a complete answer was forwarded to the caller; at most 100 lines a second are written, the number of skipped lines is reported in the next one", "none")
+	TargetSilent    = register(905, "target_silent", LevelInfo, "a target has sent nothing for longer than it should; the request stays there because no other target can take it now", "check the target if many lines name it")
 	HandlerPanicked = register(904, "handler_panicked", LevelError, "the handling of a request panicked; the caller's connection was closed", "report the stack in the fields")
 	AttemptFailed   = register(902, "attempt_failed", LevelInfo, "an attempt to run a request at a target failed", "check the target if many lines name it")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,14 +29,6 @@
 	// maxConnIdle is the longest idle time of a connection used for a request that
 	// cannot be sent twice.
 	maxConnIdle = time.Second
-	// silenceCheckInterval is the interval at which an attempt is checked for a
-	// silent target.
-	silenceCheckInterval = 100 * time.Millisecond
-	// minSilence is the shortest silence that counts as a failure.
-	minSilence = 400 * time.Millisecond
-	// minPrefillRate is the slowest rate at which targets prefill prompts, in
-	// tokens per millisecond.
-	minPrefillRate = 40
 	// deathProbeTimeout bounds the check whether a target still accepts
 	// connections.
 	deathProbeTimeout = 150 * time.Millisecond
@@ -50,9 +41,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silenceMonitor := job.monitorSilence(assignment, cancel)
-	defer silenceMonitor.stop()
 	head, body, err := job.relay.client(assignment).Forward(ctx, job.call(assignment), job)
-	if cause := context.Cause(ctx); errors.Is(cause, errTimeout) {
+	job.next = silenceMonitor.stop()
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errTimeout) {
 		return cause
 	}
 	if err != nil {
@@ -201,62 +192,3 @@
 		job.relay.Log.Emit(event.Quarantined, event.F("request", job.request.ID))
 	}
 }
-
-// silenceMonitor cancels an attempt if its target is unreachable or has sent
-// nothing on any connection for too long.
-type silenceMonitor struct {
-	job        *job
-	assignment *roster.Assignment
-	cancel     context.CancelCauseFunc
-
-	mu      sync.Mutex // guards timer and stopped
-	timer   *time.Timer
-	stopped bool
-}
-
-func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
-	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, cancel: cancel}
-	if !job.route.Kind.Repeatable() {
-		silenceMonitor.stopped = true // the request could not be retried
-		return silenceMonitor
-	}
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	silenceMonitor.timer = time.AfterFunc(silenceCheckInterval, silenceMonitor.check)
-	return silenceMonitor
-}
-
-func (silenceMonitor *silenceMonitor) stop() {
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	silenceMonitor.stopped = true
-	if silenceMonitor.timer != nil {
-		silenceMonitor.timer.Stop()
-	}
-}
-
-func (silenceMonitor *silenceMonitor) check() {
-	now := time.Now()
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	if silenceMonitor.stopped {
-		return
-	}
-	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
-	if unreachable || silence > allowed {
-		silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
-		return
-	}
-	silenceMonitor.timer.Reset(silenceCheckInterval)
-}
-
-// maxSilence returns how long a working target may send nothing on any connection.
-func (job *job) maxSilence() time.Duration {
-	now := time.Now()
-	allowed := max(minSilence, 2*job.route.LatencyTarget.After(now).Sub(now))
-	if job.request.Prompt != nil {
-		allowed = minSilence + job.route.GapTarget.After(now).Sub(now) +
-			time.Duration(job.request.Prompt.Input/minPrefillRate)*time.Millisecond
-	}
-	return allowed
-}
--- a/relay/job.go
+++ b/relay/job.go
@@ -59,6 +59,8 @@
 	// failure.
 	failedHead *target.Head
 	failedBody []byte
+	// next is the target that is reserved for the next attempt; nil if there is none.
+	next *roster.Assignment
 	// retryDenial is what last denied a retry, for the log.
 	retryDenial string
 
@@ -161,6 +163,7 @@
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
 	defer cancel()
+	defer job.releaseNext()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
 	if job.service != nil {
 		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
@@ -185,6 +188,10 @@
 	if job.service == nil {
 		return false, nil
 	}
+	if job.next != nil {
+		job.attempt, job.next = attempt{assignment: *job.next}, nil
+		return true, nil
+	}
 	for {
 		now := time.Now()
 		assignment, ok := job.relay.Roster.Choose(job.criteria(now), now)
@@ -314,18 +321,32 @@
 	deniedByBudget     = "budget"
 )
 
-// AllowRetry implements delivery.Sender.
+// AllowRetry implements delivery.Sender. The retry of a reserved target was taken out
+// of the budget before.
 func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
-	if outcome != delivery.NotRun && job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked {
-		job.retryDenial = deniedByQuarantine
-		return false
+	if job.next != nil && !job.blocked(now) {
+		return true
+	}
+	job.retryDenial = job.takeRetry(outcome, now)
+	return job.retryDenial == ""
+}
+
+// takeRetry takes a retry out of the budget. It returns what denies it, or an empty
+// string.
+func (job *job) takeRetry(outcome delivery.Outcome, now time.Time) string {
+	if outcome != delivery.NotRun && job.blocked(now) {
+		return deniedByQuarantine
 	}
 	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		job.retryDenial = deniedByBudget
-		return false
+		return deniedByBudget
 	}
 	job.relay.Metrics.Retries.Add(1)
-	return true
+	return ""
+}
+
+// blocked reports whether the quarantine blocks the request.
+func (job *job) blocked(now time.Time) bool {
+	return job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
 }
 
 // Started implements delivery.Sender.
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/delivery"
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/roster"
+)
+
+const (
+	// silenceCheckInterval is the interval at which an attempt is checked for a
+	// silent target.
+	silenceCheckInterval = 100 * time.Millisecond
+	// minSilence is the shortest silence after which another target is tried.
+	minSilence = 400 * time.Millisecond
+	// minPrefillRate is the slowest rate at which targets prefill prompts, in
+	// tokens per millisecond.
+	minPrefillRate = 40
+)
+
+// silenceMonitor moves an attempt to another target if its target is unreachable or
+// has sent nothing on any connection for too long. A silent target may still complete
+// the answer, so the attempt is cancelled only once another target is reserved for the
+// request. Otherwise it continues until its connection breaks or its deadline passes.
+type silenceMonitor struct {
+	job        *job
+	assignment *roster.Assignment
+	cancel     context.CancelCauseFunc
+
+	mu      sync.Mutex // guards the fields below
+	timer   *time.Timer
+	stopped bool
+	next    *roster.Assignment // the reserved target
+	logged  bool               // whether the log states that the attempt continues
+}
+
+func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
+	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, cancel: cancel}
+	if !job.delivery.MayLeave() {
+		silenceMonitor.stopped = true
+		return silenceMonitor
+	}
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	silenceMonitor.timer = time.AfterFunc(silenceCheckInterval, silenceMonitor.check)
+	return silenceMonitor
+}
+
+// stop ends the monitoring and returns the reserved target, or nil.
+func (silenceMonitor *silenceMonitor) stop() *roster.Assignment {
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	silenceMonitor.stopped = true
+	if silenceMonitor.timer != nil {
+		silenceMonitor.timer.Stop()
+	}
+	return silenceMonitor.next
+}
+
+func (silenceMonitor *silenceMonitor) check() {
+	now := time.Now()
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	if silenceMonitor.stopped {
+		return
+	}
+	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
+	if !unreachable && silence <= allowed {
+		silenceMonitor.timer.Reset(silenceCheckInterval)
+		return
+	}
+	next, denial := silenceMonitor.job.reserveNext(silenceMonitor.assignment, now)
+	if next == nil {
+		silenceMonitor.logSilence(silence, denial)
+		silenceMonitor.timer.Reset(silenceCheckInterval)
+		return
+	}
+	silenceMonitor.next, silenceMonitor.stopped = next, true
+	silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
+}
+
+// logSilence logs once that the attempt continues at a silent target. The caller holds
+// mu.
+func (silenceMonitor *silenceMonitor) logSilence(silence time.Duration, denial string) {
+	if silenceMonitor.logged {
+		return
+	}
+	silenceMonitor.logged = true
+	silenceMonitor.job.relay.Log.Emit(event.TargetSilent,
+		event.F("request", silenceMonitor.job.request.ID), event.F("target", silenceMonitor.assignment.ID),
+		event.F("silent_ms", silence.Milliseconds()), event.F("retry_denied_by", denial))
+}
+
+// reserveNext reserves another target than the current one for the request and takes
+// the retry out of the budget. If that is not possible it returns nil and the reason. It
+// is called while the attempt at the current target runs.
+func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*roster.Assignment, string) {
+	criteria := job.criteria(now)
+	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
+	next, ok := job.relay.Roster.Choose(criteria, now)
+	if !ok {
+		return nil, string(delivery.NoTarget)
+	}
+	if denial := job.takeRetry(delivery.Broken, now); denial != "" {
+		next.End()
+		return nil, denial
+	}
+	return &next, ""
+}
+
+// releaseNext gives up a reserved target that is not used.
+func (job *job) releaseNext() {
+	if job.next != nil {
+		job.next.End()
+		job.next = nil
+	}
+}
+
+// maxSilence returns how long a working target may send nothing on any connection.
+func (job *job) maxSilence() time.Duration {
+	now := time.Now()
+	allowed := max(minSilence, 2*job.route.LatencyTarget.After(now).Sub(now))
+	if job.request.Prompt != nil {
+		allowed = minSilence + job.route.GapTarget.After(now).Sub(now) +
+			time.Duration(job.request.Prompt.Input/minPrefillRate)*time.Millisecond
+	}
+	return allowed
+}
