Leave an unreachable target only when it is silent too

What callers saw: streams that flowed were cancelled and read again elsewhere when one new connection to their engine failed, for instance because it held the most connections that it accepts; a second time, their attempts were used up.

--- a/relay/silence.go
+++ b/relay/silence.go
@@ -18,6 +18,10 @@
 	silenceCheckInterval = 100 * time.Millisecond
 	// minSilence is the shortest silence after which another target is tried.
 	minSilence = 400 * time.Millisecond
+	// unreachableSilence is the silence after which another target is tried if the
+	// target accepts no connections. Such a target may be sound: it also refuses
+	// connections while it holds the most that it serves.
+	unreachableSilence = 250 * time.Millisecond
 	// minPrefillRate is the slowest rate at which targets prefill prompts, in
 	// tokens per millisecond.
 	minPrefillRate = 40
@@ -70,7 +74,7 @@
 		return
 	}
 	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
-	if !unreachable && silence <= allowed {
+	if !overdue(silence, allowed, unreachable) {
 		silenceMonitor.timer.Reset(silenceCheckInterval)
 		return
 	}
@@ -84,6 +88,11 @@
 	silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
 }
 
+// overdue reports whether another target should be tried after the given silence.
+func overdue(silence, allowed time.Duration, unreachable bool) bool {
+	return silence > allowed || unreachable && silence > unreachableSilence
+}
+
 // logSilence logs once that the attempt continues at a silent target. The caller holds
 // mu.
 func (silenceMonitor *silenceMonitor) logSilence(silence time.Duration, denial string) {
