Return to a silent target if the next one rejects the request

A reservation in this VM's roster was taken for the consent of the target; the target left stayed among those tried, and the retry for going back could be denied by the budget.

Change: targets left for silence are eligible again when no other target takes the request; the retry for that is taken out of the budget with the reservation and given back to the slot of the window it came from if it is not needed (TestReturnedRetryMayBeMadeLater).

--- a/relay/budgets.go
+++ b/relay/budgets.go
@@ -41,6 +41,11 @@
 	return budgets.get(service, now).Allow(now)
 }
 
+// Return gives back a retry that was allowed at the given time and not made.
+func (budgets *Budgets) Return(service string, allowedAt, now time.Time) {
+	budgets.get(service, now).Return(allowedAt, now)
+}
+
 // reserve returns this VM's part of the platform's reserve. The number of VMs is known
 // only some time after a VM's start.
 func (budgets *Budgets) reserve() float64 {
--- a/relay/job.go
+++ b/relay/job.go
@@ -60,7 +60,12 @@
 	failedHead *target.Head
 	failedBody []byte
 	// next is the target that is reserved for the next attempt; nil if there is none.
-	next *roster.Assignment
+	next *reservation
+	// left holds the targets that were left because they were silent. They may be
+	// tried again when no other target takes the request. The retry for that was taken
+	// out of the budget at spareRetryAt, which is zero if there is none.
+	left         []string
+	spareRetryAt time.Time
 	// retryDenial is what last denied a retry, for the log.
 	retryDenial string
 
@@ -189,7 +194,7 @@
 		return false, nil
 	}
 	if job.next != nil {
-		job.attempt, job.next = attempt{assignment: *job.next}, nil
+		job.attempt, job.next = attempt{assignment: job.next.assignment}, nil
 		return true, nil
 	}
 	for {
@@ -199,6 +204,9 @@
 			job.attempt = attempt{assignment: assignment}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
+		if job.retryLeft() {
+			continue
+		}
 		if job.delivery.Runs() > 0 || job.targetFull || !job.mayHold(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
 			return false, nil
 		}
@@ -265,6 +273,7 @@
 	job.tried = append(job.tried, assignment.ID)
 	now := time.Now()
 	outcome := outcomeOf(result)
+	job.recordSilence(assignment, result, outcome, now)
 	job.relay.Metrics.ByTarget.Count(assignment.ID, outcome.String())
 	switch outcome {
 	case delivery.Answered:
@@ -327,6 +336,10 @@
 	if job.next != nil && !job.blocked(now) {
 		return true
 	}
+	if !job.spareRetryAt.IsZero() && outcome == delivery.NotRun {
+		job.spareRetryAt = time.Time{}
+		return true
+	}
 	job.retryDenial = job.takeRetry(outcome, now)
 	return job.retryDenial == ""
 }
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +40,8 @@
 	mu      sync.Mutex // guards the fields below
 	timer   *time.Timer
 	stopped bool
-	next    *roster.Assignment // the reserved target
-	logged  bool               // whether the log states that the attempt continues
+	next    *reservation
+	logged  bool // whether the log states that the attempt continues
 }
 
 func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
@@ -55,8 +56,14 @@
 	return silenceMonitor
 }
 
-// stop ends the monitoring and returns the reserved target, or nil.
-func (silenceMonitor *silenceMonitor) stop() *roster.Assignment {
+// reservation is the target that is reserved for the next attempt, and when.
+type reservation struct {
+	assignment roster.Assignment
+	at         time.Time
+}
+
+// stop ends the monitoring and returns the reservation, or nil.
+func (silenceMonitor *silenceMonitor) stop() *reservation {
 	silenceMonitor.mu.Lock()
 	defer silenceMonitor.mu.Unlock()
 	silenceMonitor.stopped = true
@@ -105,10 +112,11 @@
 		event.F("silent_ms", silence.Milliseconds()), event.F("retry_denied_by", denial))
 }
 
-// reserveNext reserves another target than the current one for the request and takes
-// the retry out of the budget. If that is not possible it returns nil and the reason. It
-// is called while the attempt at the current target runs.
-func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*roster.Assignment, string) {
+// reserveNext reserves another target than the current one for the request. It takes
+// two retries out of the budget: that target may reject the request, which then returns
+// to the current one. If that is not possible it returns nil and the reason. It is
+// called while the attempt at the current target runs.
+func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*reservation, string) {
 	criteria := job.criteria(now)
 	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
 	next, ok := job.relay.Roster.Choose(criteria, now)
@@ -119,15 +127,56 @@
 		next.End()
 		return nil, denial
 	}
-	return &next, ""
+	if !job.relay.Budgets.Allow(job.service.Name, now) {
+		next.End()
+		job.relay.Budgets.Return(job.service.Name, now, now)
+		return nil, deniedByBudget
+	}
+	return &reservation{assignment: next, at: now}, ""
 }
 
-// releaseNext gives up a reserved target that is not used.
+// recordSilence records that a target was left because it was silent. After an attempt
+// that was not rejected, the retry for returning to such a target is given back.
+func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
+	if outcome != delivery.NotRun && outcome != delivery.NotSent {
+		job.returnSpareRetry(now)
+	}
+	if errors.Is(result, errTimeout) && job.next != nil {
+		job.left = append(job.left, assignment.ID)
+		job.spareRetryAt = job.next.at
+	}
+}
+
+func (job *job) returnSpareRetry(now time.Time) {
+	if !job.spareRetryAt.IsZero() {
+		job.relay.Budgets.Return(job.service.Name, job.spareRetryAt, now)
+		job.spareRetryAt = time.Time{}
+	}
+}
+
+// retryLeft makes the targets that were left because they were silent eligible again.
+// It returns false if there are none.
+func (job *job) retryLeft() bool {
+	if len(job.left) == 0 {
+		return false
+	}
+	job.tried = slices.DeleteFunc(job.tried, func(id string) bool { return slices.Contains(job.left, id) })
+	job.left = nil
+	return true
+}
+
+// releaseNext gives up a reserved target and the reserved retries that are not used.
 func (job *job) releaseNext() {
-	if job.next != nil {
-		job.next.End()
-		job.next = nil
+	now := time.Now()
+	job.returnSpareRetry(now)
+	if job.next == nil {
+		return
+	}
+	job.next.assignment.End()
+	for range 2 { // as taken by reserveNext
+		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
 	}
+	job.next = nil
 }
 
 // maxSilence returns how long a working target may send nothing on any connection.
--- a/retry/window.go
+++ b/retry/window.go
@@ -54,6 +54,19 @@
 	return true
 }
 
+// Return takes back a retry that Allow counted at the given time and that was not made.
+func (window *Window) Return(allowedAt, now time.Time) {
+	window.mu.Lock()
+	defer window.mu.Unlock()
+	window.advance(now)
+	slot := allowedAt.UnixNano() / int64(window.slotDuration)
+	if window.currentSlot-slot >= slotCount || window.retries[slot%slotCount] == 0 {
+		return // it is no longer in the window
+	}
+	window.retries[slot%slotCount]--
+	window.totalRetries--
+}
+
 // advance clears the slots that are no longer in the window and returns the index
 // of the current one. The caller holds mu.
 func (window *Window) advance(now time.Time) int {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -78,3 +78,27 @@
 func constant(reserve float64) func() float64 {
 	return func() float64 { return reserve }
 }
+
+// A retry that was not made leaves room for another one, but only in its own window.
+func TestReturnedRetryMayBeMadeLater(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	window := NewWindow(0, constant(2), start, start.Add(10*time.Second))
+	steps := []struct {
+		after    time.Duration
+		returned bool // the first retry is returned
+		want     int  // retries that are then allowed
+	}{{0, false, 2}, {9 * time.Second, true, 1}, {9500 * time.Millisecond, false, 0}, {10500 * time.Millisecond, true, 1}, {30 * time.Second, false, 2}}
+	for _, step := range steps {
+		now := start.Add(step.after)
+		if step.returned {
+			window.Return(start, now)
+		}
+		got := 0
+		for window.Allow(now) {
+			got++
+		}
+		if got != step.want {
+			t.Errorf("after %s: got %d retries, want %d", step.after, got, step.want)
+		}
+	}
+}
