Do not append a plain answer to a stream that another target continues

What callers saw: after a stream moved to another target, for instance because its target paused, a plain answer of that target (409, or 200 without events) followed the events and the whole looked complete.

Cause: relay asked whether the answer was a stream, but not whether one had begun. Test TestPlainAnswerIsNotAppendedToAStream failed for 200 and 409 (body with the foreign text, complete) and passes; 500 passed before. Such an answer now counts as a failed attempt: another target is tried, or the stream ends without looking complete.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -20,6 +20,7 @@
 	// errFailedAnswer marks a complete answer with a server error. Another target
 	// may succeed.
 	errFailedAnswer = errors.New("the target answered with a server error")
+	errNotAStream   = errors.New("the target did not continue the stream")
 	errOutOfOrder   = errors.New("the stream's events are out of order")
 )
 
@@ -55,6 +56,9 @@
 	if head.Stream {
 		return job.endStream(head)
 	}
+	if job.started {
+		return errNotAStream
+	}
 	if head.Status >= minServerErrorStatus && job.route.Kind.Repeatable() {
 		job.failedHead, job.failedBody = &head, body
 		return errFailedAnswer
--- a/relay/job.go
+++ b/relay/job.go
@@ -308,7 +308,7 @@
 		return delivery.NotSent
 	case errors.Is(result, errNotRun):
 		return delivery.NotRun
-	case errors.Is(result, errFailedAnswer):
+	case errors.IsAny(result, errFailedAnswer, errNotAStream):
 		return delivery.FailedAnswer
 	}
 	return delivery.Broken
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -168,15 +168,15 @@
 // releaseNext gives up a reserved target and the reserved retries that are not used.
 func (job *job) releaseNext() {
 	now := time.Now()
-	job.returnSpareRetry(now)
 	if job.next == nil {
+		job.returnSpareRetry(now)
 		return
 	}
 	job.next.assignment.End()
 	for range 2 { // as taken by reserveNext
 		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
 	}
-	job.next = nil
+	job.next, job.spareRetryAt = nil, time.Time{}
 }
 
 // maxSilence returns how long a working target may send nothing on any connection.
