Count each byte of a target as a sign of life

What callers saw: an answer whose body flowed for longer than the allowed silence was cancelled and run a second time (a safe request; a long event of a stream likewise).

Cause: only the head and complete events refreshed the time of the last data, although silence was meant as no byte on any connection. Test TestFlowingAnswerIsNotTakenForSilence: 2 runs before, 1 after.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -68,6 +68,10 @@
 // Client is one connection with an HTTP codec. Methods other than SetDeadline and
 // Abort must not be called concurrently.
 type Client struct {
+	// OnData, if set, is called after each read that returned data. It is set before
+	// Do.
+	OnData func()
+
 	http fasthttp.HostClient
 	conn *conn
 	used bool
@@ -77,6 +81,7 @@
 // nil tlsConfig means plain TCP.
 func New(address netip.AddrPort, tlsConfig *tls.Config) *Client {
 	client := &Client{conn: &conn{}}
+	client.conn.onData = client.received
 	client.http = fasthttp.HostClient{
 		Addr:                          address.String(),
 		IsTLS:                         tlsConfig != nil,
@@ -138,6 +143,12 @@
 	return client.http.Do(request, response)
 }
 
+func (client *Client) received() {
+	if client.OnData != nil {
+		client.OnData()
+	}
+}
+
 // Abort closes the connection; a pending read returns immediately. It may be called
 // from any goroutine.
 func (client *Client) Abort() {
@@ -154,6 +165,8 @@
 // the library's deadlines.
 type conn struct {
 	net.Conn
+	onData func() // called after each read that returned data
+
 	mu       sync.Mutex // guards deadline, aborted and assignments to Conn
 	deadline time.Time
 	aborted  bool
@@ -185,6 +198,15 @@
 	}
 }
 
+// Read implements net.Conn.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count > 0 {
+		conn.onData()
+	}
+	return count, err
+}
+
 // Write implements net.Conn. It fails after the deadline even if the process was
 // paused while the deadline passed.
 func (conn *conn) Write(text []byte) (int, error) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -82,6 +82,7 @@
 		Method: request.Method, Path: request.PathAndQuery, Host: request.Host, Fields: request.Fields, Body: request.Body,
 		RequestID: request.ID, LastEventID: job.lastEventID, Deadline: job.deadline, Instance: assignment.ID,
 		HasPriority: true, Priority: min(job.route.Priority, maxPriority),
+		OnData: func() { assignment.Received(time.Now()) },
 	}
 	if job.account != nil {
 		call.Account = job.account.Name
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -68,6 +68,8 @@
 	SilenceDeadline func(now time.Time) time.Time
 	// OnHead, if set, is called with the answer's head before the body is read.
 	OnHead func(Head)
+	// OnData, if set, is called after each read that returned data of the answer.
+	OnData func()
 
 	// Host is the caller's Host header, and Fields its other header fields.
 	Host   string
--- a/target/target.go
+++ b/target/target.go
@@ -224,6 +224,7 @@
 func (client *Client) exchangeWithHead(ctx context.Context, call Call, read func(Head, *fasthttp.Response, io.Reader) error) (Head, error) {
 	conn := client.acquire(call)
 	reused := conn.Used()
+	conn.OnData = call.OnData
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	request := fasthttp.AcquireRequest()
