Do not take a caller that reads slowly for a silent target, nor a stale reservation

Cause: while an event is written to a caller that does not read, nothing is read from the target; the monitor took that for silence. The reservation was used unchecked.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -144,6 +144,9 @@
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
 	}
+	// A caller that reads slowly blocks here; its target is not silent then.
+	job.writing.Store(true)
+	defer job.endWrite()
 	if !job.started {
 		if err := job.answer.Start(job.attempt.head); err != nil {
 			return errors.Mark(err, errCallerGone)
--- a/relay/job.go
+++ b/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,8 @@
 	// firstSentAt.
 	started     bool
 	firstSentAt time.Time
+	// writing is set while a part of the answer is written to the caller.
+	writing atomic.Bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	// failedHead and failedBody are the last complete answer that reported a
@@ -193,8 +196,7 @@
 	if job.service == nil {
 		return false, nil
 	}
-	if job.next != nil {
-		job.attempt, job.next = attempt{assignment: job.next.assignment}, nil
+	if job.takeNext(time.Now()) {
 		return true, nil
 	}
 	for {
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -81,7 +81,7 @@
 		return
 	}
 	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
-	if !overdue(silence, allowed, unreachable) {
+	if silenceMonitor.job.writing.Load() || !overdue(silence, allowed, unreachable) {
 		silenceMonitor.timer.Reset(silenceCheckInterval)
 		return
 	}
@@ -135,6 +135,27 @@
 	return &reservation{assignment: next, at: now}, ""
 }
 
+// takeNext uses the reserved target for the next attempt, if it may still get requests.
+func (job *job) takeNext(now time.Time) bool {
+	if job.next == nil {
+		return false
+	}
+	next := job.next.assignment
+	job.next = nil
+	if !next.Usable(now) {
+		next.End() // its retry remains for the target that is chosen instead
+		return false
+	}
+	job.attempt = attempt{assignment: next}
+	return true
+}
+
+// endWrite records that the caller has taken what was written.
+func (job *job) endWrite() {
+	job.writing.Store(false)
+	job.attempt.assignment.Received(time.Now())
+}
+
 // recordSilence records that a target was left because it was silent. After an attempt
 // that was not rejected, the retry for returning to such a target is given back.
 func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
--- a/roster/target.go
+++ b/roster/target.go
@@ -264,6 +264,13 @@
 	}
 }
 
+// Usable reports whether the target may still get new requests.
+func (assignment *Assignment) Usable(now time.Time) bool {
+	assignment.roster.mu.Lock()
+	defer assignment.roster.mu.Unlock()
+	return assignment.target.usable(now) && !now.Before(assignment.target.pausedUntil)
+}
+
 // Unreachable reports whether the target is marked unreachable.
 func (assignment *Assignment) Unreachable() bool {
 	assignment.roster.mu.Lock()
