Withdraw reservations that come to nothing without a trace in the roster

Cause: Choose postpones the next trial and counts the request as begun since the last report; End undoes neither. Denied checks are also repeated at 0.3 s, not 0.1 s.

--- a/relay/silence.go
+++ b/relay/silence.go
@@ -17,6 +17,9 @@
 	// silenceCheckInterval is the interval at which an attempt is checked for a
 	// silent target.
 	silenceCheckInterval = 100 * time.Millisecond
+	// deniedCheckInterval is the interval after a check that found no other target or
+	// no retry.
+	deniedCheckInterval = 300 * time.Millisecond
 	// minSilence is the shortest silence after which another target is tried.
 	minSilence = 400 * time.Millisecond
 	// unreachableSilence is the silence after which another target is tried if the
@@ -88,7 +91,7 @@
 	next, denial := silenceMonitor.job.reserveNext(silenceMonitor.assignment, now)
 	if next == nil {
 		silenceMonitor.logSilence(silence, denial)
-		silenceMonitor.timer.Reset(silenceCheckInterval)
+		silenceMonitor.timer.Reset(deniedCheckInterval)
 		return
 	}
 	silenceMonitor.next, silenceMonitor.stopped = next, true
@@ -124,11 +127,11 @@
 		return nil, string(delivery.NoTarget)
 	}
 	if denial := job.takeRetry(delivery.Broken, now); denial != "" {
-		next.End()
+		next.Withdraw()
 		return nil, denial
 	}
 	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		next.End()
+		next.Withdraw()
 		job.relay.Budgets.Return(job.service.Name, now, now)
 		return nil, deniedByBudget
 	}
@@ -143,7 +146,7 @@
 	next := job.next.assignment
 	job.next = nil
 	if !next.Usable(now) {
-		next.End() // its retry remains for the target that is chosen instead
+		next.Withdraw() // its retry remains for the target that is chosen instead
 		return false
 	}
 	job.attempt = attempt{assignment: next}
@@ -193,7 +196,7 @@
 		job.returnSpareRetry(now)
 		return
 	}
-	job.next.assignment.End()
+	job.next.assignment.Withdraw()
 	for range 2 { // as taken by reserveNext
 		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
 	}
--- a/roster/target.go
+++ b/roster/target.go
@@ -210,6 +210,8 @@
 	tokens        int
 	promptPending bool
 	ended         bool
+	// trialBefore is when the next trial request was due before this one was assigned.
+	trialBefore time.Time
 }
 
 // PromptProcessed records that the target has processed the prompt.
@@ -308,3 +310,18 @@
 	assignment.finishPrompt()
 	assignment.target.inFlight--
 }
+
+// Withdraw ends an assignment whose request is not sent, as if it had not been made.
+func (assignment *Assignment) Withdraw() {
+	if assignment.ended {
+		return
+	}
+	assignment.End()
+	assignment.roster.mu.Lock()
+	defer assignment.roster.mu.Unlock()
+	target := assignment.target
+	target.begunSinceReport = max(0, target.begunSinceReport-1)
+	if target.ejected() {
+		target.ejectedUntil = assignment.trialBefore
+	}
+}
