Log the software versions of targets and the requests that streams resume

Callers saw streams that hold events of two software versions.

No decision changes; docs/EVENTS.md is unchanged.

--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -259,7 +259,7 @@
 		gateway.Log.Emit(event.TargetUnreadable, event.F("target", id), event.Err(err))
 		return
 	}
-	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("draining", entry.Draining))
+	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("software", entry.Software), event.F("draining", entry.Draining))
 	gateway.roster.Put(entry, now)
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -112,6 +112,7 @@
 // fields returns the log fields that describe the request.
 func (job *job) fields() []event.Field {
 	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.delivery.Runs()), event.F("rejections", job.delivery.Rejections())}
+	fields = append(fields, job.request.resumesFields()...)
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
@@ -329,9 +330,10 @@
 }
 
 func (job *job) logAttempt(assignment *roster.Assignment, err error) {
-	job.relay.Log.Emit(event.AttemptFailed,
-		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err),
+	fields := append(job.request.resumesFields(),
+		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
 		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID))
+	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
 
 // weightsText returns the wire format of a weights version. It is empty when there
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -235,7 +235,7 @@
 		return
 	}
 	head, assignment := &job.attempt.head, &job.attempt.assignment
-	fields := append(job.fields(), event.F("request", request.ID), event.F("status", head.Status),
+	fields := append(job.fields(), event.F("request", request.ID), event.F("status", head.Status), event.F("software", assignment.Software),
 		event.F("first_ms", job.firstSentAt.Sub(request.Arrived).Milliseconds()), event.F("after_ms", now.Sub(request.Arrived).Milliseconds()),
 		event.F("estimated_wait_ms", assignment.Wait.Milliseconds()), event.F("running", head.Load.Running), event.F("waiting", head.Load.Waiting),
 		event.F("weights", head.Weights), event.F("at_home", !assignment.Home.IsValid()), event.F("config", job.table.Version), event.F("skipped", skipped))
@@ -247,6 +247,9 @@
 		event.F("request", request.ID), event.F("code", string(refused.Code)), event.F("outcome", string(refused.Outcome)),
 		event.F("after_ms", time.Since(request.Arrived).Milliseconds()),
 	}
+	if job == nil {
+		fields = append(fields, request.resumesFields()...)
+	}
 	if table := relay.table.Load(); table != nil {
 		fields = append(fields, event.F("config", table.Version))
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -27,6 +27,9 @@
 	Deadline time.Time
 	// LastEventID is the ID of the last event that the caller received.
 	LastEventID string
+	// Resumes is the ID of the earlier request of the caller that brought the first
+	// event of the stream which this request takes up; empty if the caller named none.
+	Resumes string
 	// Prompt is nil for requests that are not for a model.
 	Prompt *Prompt
 }
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -63,7 +63,7 @@
 	}
 	assignment := Assignment{
 		ID: best.entry.ID, Service: best.entry.Service, Address: best.entry.Address, Zone: best.entry.Zone,
-		roster: roster, target: best, tokens: criteria.Tokens, promptPending: true,
+		Software: best.entry.Software, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true,
 	}
 	assignment.Weights, _ = best.weights(criteria.Model)
 	assignment.Wait = time.Duration(best.waitMicros(now)) * time.Microsecond
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,6 +51,8 @@
 	Address netip.AddrPort
 	Zone    string
 	Models  []Model
+	// Software is the version of the target's software. Empty text is a version too.
+	Software string
 	// Draining targets finish their running requests and then leave.
 	Draining bool
 	// StartTime distinguishes processes that used the same ID.
--- a/roster/target.go
+++ b/roster/target.go
@@ -196,6 +196,8 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
+	// Software is the version of the target's software.
+	Software string
 	// Weights is the version of the model's weights that the target has; 0 for
 	// plain services.
 	Weights uint64
