Let a begun stream go on only at the software version that began it

Clients received streams with events of two software versions: when an engine breaks off, the VM resumes the stream at any engine of the service.

Once the first event was sent to the caller, roster.Criteria.FixedSoftware makes targets of other versions ineligible. Since fewer targets remain, the stream waits up to 2 s, within its deadline, while a target of its version is registered and not draining but can take no request at the moment. Targets that rejected the request as full are not asked again. A registration that names another version under a known ID is a new target.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -153,6 +153,7 @@
 			return errors.Mark(err, errCallerGone)
 		}
 		job.started, job.firstSentAt = true, now
+		job.fixSoftware(job.attempt.assignment.Software)
 		job.relay.Metrics.RecordFirstToken(now.Sub(job.request.Arrived))
 		if prompt := job.request.Prompt; prompt != nil && len(job.tried) == 0 {
 			job.relay.waitCorrector.observe(job.attempt.assignment.Wait, now.Sub(job.request.Arrived), prompt.unsharedTokens(), now)
@@ -164,6 +165,7 @@
 	if id != "" {
 		job.lastEventID = id
 	}
+	job.softwareDeadline = time.Time{}
 	return nil
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -55,6 +55,12 @@
 	firstSentAt time.Time
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
+	// software is the version that began the stream, if softwareFixed is set. The
+	// stream goes on only there; softwareDeadline is the time until which it waits for
+	// a target of that version, zero until it has to wait.
+	software         string
+	softwareFixed    bool
+	softwareDeadline time.Time
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
@@ -173,7 +179,8 @@
 
 // ChooseTarget implements delivery.Sender. A request that has run nowhere and finds
 // no target is held for a short time, in case a target is about to load new
-// weights, to report its weights or to become reachable again.
+// weights, to report its weights or to become reachable again. A stream that has begun
+// is held for longer, because only targets of its software version may take it.
 func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
 	if job.service == nil {
 		return false, nil
@@ -185,11 +192,22 @@
 			job.attempt = attempt{assignment: assignment}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
-		if job.delivery.Runs() > 0 || job.targetFull || !job.mayHold(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
+		if !job.mayWait(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
 			return false, nil
 		}
-		job.tried = nil
+		if !job.targetFull {
+			job.tried = nil
+		}
+	}
+}
+
+// mayWait reports whether the request may wait, at the given time, for a target that
+// can take it.
+func (job *job) mayWait(now time.Time) bool {
+	if job.softwareFixed {
+		return job.mayWaitForSoftware(now)
 	}
+	return job.delivery.Runs() == 0 && !job.targetFull && job.mayHold(now)
 }
 
 // mayHold reports whether the request may still wait for a target at the given
@@ -227,6 +245,7 @@
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
 		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried,
+		FixedSoftware: job.softwareFixed, Software: job.software,
 	}
 	prompt := job.request.Prompt
 	if prompt == nil || len(job.service.Models) == 0 {
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -1,10 +1,20 @@
 package relay
 
-import "github.com/bramleygw/bramleygw/event"
+import (
+	"time"
 
-// maxLoggedResumes is the maximum length, in bytes, of the logged ID of an earlier
-// request: it is text of the caller, and log lines are bounded.
-const maxLoggedResumes = 64
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/roster"
+)
+
+const (
+	// maxLoggedResumes is the maximum length, in bytes, of the logged ID of an earlier
+	// request: it is text of the caller, and log lines are bounded.
+	maxLoggedResumes = 64
+	// softwareWait is how long a stream that has begun waits for a target of its
+	// software version: callers abandon a stream after a gap of 2 s or more.
+	softwareWait = 2 * time.Second
+)
 
 // resumesFields returns the log field that names the earlier request whose stream
 // this request takes up. There is none if the caller named no request.
@@ -14,3 +24,22 @@
 	}
 	return []event.Field{event.F("resumes", request.Resumes[:min(len(request.Resumes), maxLoggedResumes)])}
 }
+
+// fixSoftware records the software version that began the stream.
+func (job *job) fixSoftware(version string) {
+	job.software, job.softwareFixed = version, true
+}
+
+// mayWaitForSoftware reports whether the stream may wait, at the given time, for a
+// target of its software version. Targets that rejected the request are not asked
+// again.
+func (job *job) mayWaitForSoftware(now time.Time) bool {
+	if job.softwareDeadline.IsZero() {
+		job.softwareDeadline = now.Add(softwareWait)
+	}
+	criteria := roster.Criteria{Service: job.service.Name, FixedSoftware: true, Software: job.software}
+	if job.targetFull {
+		criteria.Tried = job.tried
+	}
+	return now.Before(job.softwareDeadline) && job.relay.Roster.Registered(criteria)
+}
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -43,6 +43,10 @@
 	Prefix uint64
 	// Tokens is the number of prompt tokens outside the shared prefix.
 	Tokens int
+	// If FixedSoftware is set, only targets with the software version Software are
+	// used: what two versions write to one stream does not fit together.
+	FixedSoftware bool
+	Software      string
 	// Repeatable requests may be sent to an ejected target as trial requests.
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
@@ -182,7 +186,7 @@
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
 	criteria, now := search.criteria, search.now
-	if !target.usable(now) || now.Before(target.pausedUntil) {
+	if !target.usable(now) || now.Before(target.pausedUntil) || !target.hasSoftware(criteria) {
 		return false
 	}
 	if !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -143,7 +143,7 @@
 // put adds or updates a target. The caller holds mu.
 func (roster *Roster) put(entry Entry, now time.Time) {
 	known, ok := roster.targets[entry.ID]
-	if !ok || known.entry.StartTime != entry.StartTime || known.entry.Address != entry.Address {
+	if !ok || known.entry.StartTime != entry.StartTime || known.entry.Software != entry.Software || known.entry.Address != entry.Address {
 		known = newTarget(entry)
 		roster.targets[entry.ID] = known
 	}
