Remember in the roster which software versions of a service were listed

A VM that is asked to take up a stream of which no VM knows the origin may send it to any target only if a single software version served while the stream may have begun. The roster knew the present registrations alone.

Several reports whether more than one version of a service was listed between two times; a version counts until its last registration was removed or dropped. Eight former versions are kept for each service, those removed last, so what is forgotten cannot change the answer; a service without targets is kept for an hour. WatchedSince reports since when all registrations have been known: from the list of the store, which gateway now records, and anew after an outage. No decision changes.

The tests in roster/software_test.go run in virtual time and do not compile without the change; TestListOfTargetsIsRecordedInRoster fails without the line in gateway/store_sync.go. go test -race of roster and gateway passes.

--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -138,6 +138,9 @@
 		learnedAt = learnedAt.Add(-assumedWeightsAge)
 	}
 	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), learnedAt)
+	if collection == objects.Targets {
+		gateway.roster.RecordList(time.Now())
+	}
 	return nil
 }
 
--- a/gateway/store_sync_test.go
+++ b/gateway/store_sync_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bramleygw/bramleygw/membership"
+	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/settings"
 )
 
@@ -68,3 +71,25 @@
 		}
 	}
 }
+
+// Guards against a VM that does not know since when it has known all registrations: it
+// could then not tell whether a stream may have begun at an unknown software version.
+func TestListOfTargetsIsRecordedInRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Targets, 9000)
+		store.downUntil = time.Now().Add(3 * time.Second)
+		gateway := startVM(ctx, "vm-0", store)
+		sleep(2 * time.Second)
+		if since, ok := gateway.roster.WatchedSince(); ok {
+			t.Errorf("got a complete list since %v from a store that is down, want none", since)
+		}
+		sleep(2 * time.Second)
+		synctest.Wait()
+		if since, ok := gateway.roster.WatchedSince(); !ok || since.Before(store.downUntil) {
+			t.Errorf("got a complete list %v since %v, want one since the store answers", ok, since)
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -79,11 +79,16 @@
 	// expired rather than removed.
 	reregisterUntil time.Time
 	roundRobin      uint64
+	// versions holds the software versions of each service that are or were listed.
+	versions map[string]softwareVersions
+	// listedSince is the time since which every change of the complete list is known;
+	// zero before the first list.
+	listedSince time.Time
 }
 
 // New returns an empty roster for a VM in the zone.
 func New(zone string) *Roster {
-	return &Roster{zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{}}
+	return &Roster{zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{}, versions: map[string]softwareVersions{}}
 }
 
 // PlatformDown records that the platform does not answer; since is when it last did.
@@ -99,6 +104,9 @@
 func (roster *Roster) PlatformUp(now time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	if !roster.platformDownSince.IsZero() && !roster.listedSince.IsZero() {
+		roster.listedSince = now // changes may have been missed
+	}
 	if !roster.platformDownSince.IsZero() && now.Sub(roster.platformDownSince) > minOutage {
 		roster.reregisterUntil = now.Add(reregisterGrace)
 	}
@@ -120,6 +128,8 @@
 		}
 	}
 	roster.index()
+	roster.recordVersions(now)
+	roster.listedSince = now
 }
 
 // Put adds or updates one registration.
@@ -128,6 +138,7 @@
 	defer roster.mu.Unlock()
 	roster.put(entry, now)
 	roster.index()
+	roster.recordVersions(now)
 }
 
 // Remove records that a registration was removed.
@@ -138,6 +149,7 @@
 		roster.remove(target, now)
 	}
 	roster.index()
+	roster.recordVersions(now)
 }
 
 // put adds or updates a target. The caller holds mu.
@@ -181,6 +193,7 @@
 	}
 	if changed {
 		roster.index()
+		roster.recordVersions(now)
 	}
 }
 
--- a/roster/software.go
+++ b/roster/software.go
@@ -1,6 +1,30 @@
 package roster
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxFormerVersions is the number of software versions of a service that are
+	// remembered after their last target was removed. Those removed last are kept: an
+	// older one matters to no time at which the newer ones were not listed either.
+	maxFormerVersions = 8
+	// formerServiceMemory is how long a service without targets is remembered, longer
+	// than any request lasts.
+	formerServiceMemory = time.Hour
+)
+
+// softwareVersions holds the software versions of one service, by version.
+type softwareVersions map[string]listing
+
+// listing is the time during which a software version was listed.
+type listing struct {
+	since time.Time
+	// until is when the last target of the version was removed, if listed is not set.
+	until  time.Time
+	listed bool
+}
 
 // hasSoftware reports whether the target has the software version that the criteria
 // require.
@@ -18,3 +42,96 @@
 		return !target.removed && !target.entry.Draining && target.hasSoftware(criteria) && !slices.Contains(criteria.Tried, target.entry.ID)
 	})
 }
+
+// RecordList records that all registrations were listed. From now on each change is
+// known, unless the platform is down in between.
+func (roster *Roster) RecordList(now time.Time) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	roster.listedSince = now
+}
+
+// WatchedSince returns the time since which all registrations and their changes have
+// been known. It returns false before the first list and while the platform is down.
+func (roster *Roster) WatchedSince() (time.Time, bool) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	return roster.listedSince, !roster.listedSince.IsZero() && roster.platformDownSince.IsZero()
+}
+
+// Several reports whether more than one software version of a service was listed
+// between the two times, at the same time or one after another. It is true only of
+// what this VM knows; see WatchedSince.
+func (roster *Roster) Several(service string, since, now time.Time) bool {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	count := 0
+	for _, listing := range roster.versions[service] {
+		if !listing.since.After(now) && (listing.listed || !listing.until.Before(since)) {
+			count++
+		}
+	}
+	return count > 1
+}
+
+// recordVersions records which software versions are listed now. The caller holds mu.
+func (roster *Roster) recordVersions(now time.Time) {
+	for service, versions := range roster.versions {
+		versions.closeUnlisted(roster.services[service], now)
+		if len(roster.services[service]) == 0 && versions.endedBefore(now.Add(-formerServiceMemory)) {
+			delete(roster.versions, service)
+		}
+	}
+	for service, targets := range roster.services {
+		if roster.versions[service] == nil {
+			roster.versions[service] = softwareVersions{}
+		}
+		for _, target := range targets {
+			roster.versions[service].open(target.entry.Software, now)
+		}
+	}
+}
+
+// open records that a version is listed.
+func (versions softwareVersions) open(version string, now time.Time) {
+	known, ok := versions[version]
+	switch {
+	case known.listed:
+	case ok:
+		versions[version] = listing{since: known.since, listed: true}
+	default:
+		versions[version] = listing{since: now, listed: true}
+	}
+}
+
+// closeUnlisted records the end of the versions that none of the targets has. It
+// removes the former versions that ended first if there are too many.
+func (versions softwareVersions) closeUnlisted(targets []*Target, now time.Time) {
+	var former []string
+	for version, known := range versions {
+		if known.listed && !slices.ContainsFunc(targets, func(target *Target) bool { return target.entry.Software == version }) {
+			known.listed, known.until = false, now
+			versions[version] = known
+		}
+		if !known.listed {
+			former = append(former, version)
+		}
+	}
+	if len(former) <= maxFormerVersions {
+		return
+	}
+	slices.SortFunc(former, func(first, second string) int { return versions[second].until.Compare(versions[first].until) })
+	for _, version := range former[maxFormerVersions:] {
+		delete(versions, version)
+	}
+}
+
+// endedBefore reports whether all versions ended before the given time.
+func (versions softwareVersions) endedBefore(limit time.Time) bool {
+	for _, known := range versions {
+		if known.listed || !known.until.Before(limit) {
+			return false
+		}
+	}
+	return true
+}
--- a/roster/software_test.go
+++ b/roster/software_test.go
@@ -1,6 +1,10 @@
 package roster
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
+)
 
 func softwareEntry(id, software string) Entry {
 	entry := engineEntry(id, "a", 1)
@@ -69,3 +73,104 @@
 		t.Error("got a removed target registered, want none")
 	}
 }
+
+// Guards against take-ups that are sent to any target although two software versions
+// served while the stream may have begun.
+func TestSeveralCountsVersionsThatWereListed(t *testing.T) {
+	roster := New("a")
+	roster.Put(softwareEntry("e1", "v1"), start)
+	roster.Put(softwareEntry("e2", "v1"), afterMs(100))
+	roster.Put(softwareEntry("e3", "v1.1"), afterMs(1000))
+	roster.Put(Entry{ID: "other", Service: "other", Software: "v7"}, afterMs(1000))
+	roster.Remove("e1", afterMs(2000))
+	roster.Remove("e2", afterMs(3000))
+	tests := []struct {
+		name       string
+		since, now int // milliseconds
+		want       bool
+	}{
+		{"before the second version", 0, 999, false},
+		{"until the second version", 0, 1000, true},
+		{"while both are listed", 1500, 1600, true},
+		{"until the first one was removed", 3000, 9000, true},
+		{"after the first one was removed", 3001, 9000, false},
+		{"one after the other", 0, 9000, true},
+	}
+	for _, test := range tests {
+		if got := roster.Several("notes", afterMs(test.since), afterMs(test.now)); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+	if roster.Several("other", start, afterMs(9000)) || roster.Several("unknown", start, afterMs(9000)) {
+		t.Error("got several versions of a service with one or none, want not")
+	}
+	roster.Put(softwareEntry("e4", "v1"), afterMs(10_000))
+	if !roster.Several("notes", afterMs(10_000), afterMs(10_000)) {
+		t.Error("got one version after the first one is listed again, want several")
+	}
+}
+
+// A registration that expired while the platform was down may come back.
+func TestSeveralCountsExpiredRegistrationsUntilTheyAreDropped(t *testing.T) {
+	roster := New("a")
+	roster.Put(softwareEntry("e1", "v1"), start)
+	roster.PlatformDown(start)
+	roster.PlatformUp(afterMs(5000))
+	roster.Replace([]Entry{softwareEntry("e2", "v1.1")}, afterMs(5000))
+	roster.Sweep(afterMs(7000))
+	if !roster.Several("notes", afterMs(6900), afterMs(8000)) {
+		t.Error("got one version while an expired registration was kept, want several")
+	}
+	if roster.Several("notes", afterMs(7001), afterMs(8000)) {
+		t.Error("got several versions after the expired registration was dropped, want one")
+	}
+}
+
+// Guards against memory that grows with each version that is released, or with names
+// that another program writes.
+func TestFormerVersionsAreBounded(t *testing.T) {
+	roster := New("a")
+	for i := range 1000 {
+		roster.Replace([]Entry{softwareEntry("e1", fmt.Sprint("v", i)), {ID: "e2", Service: fmt.Sprint("s", i)}}, afterMs(i))
+	}
+	if got := len(roster.versions["notes"]); got > maxFormerVersions+1 {
+		t.Errorf("got %d versions remembered, want %d at most", got, maxFormerVersions+1)
+	}
+	if !roster.Several("notes", afterMs(999), afterMs(999)) || roster.Several("notes", afterMs(1000), afterMs(1000)) {
+		t.Error("got the newest versions forgotten, want the last two to count until the change")
+	}
+	later := afterMs(1000).Add(formerServiceMemory + time.Millisecond)
+	roster.Replace([]Entry{softwareEntry("e1", "v1")}, later)
+	roster.Replace([]Entry{softwareEntry("e1", "v1")}, later.Add(formerServiceMemory))
+	if got := len(roster.versions); got > 2 {
+		t.Errorf("got %d services remembered, want those listed in the last hour", got)
+	}
+}
+
+// Guards against a VM that, just started or after an outage of the platform, counts
+// the versions that it does not know as never listed.
+func TestWatchedSince(t *testing.T) {
+	roster := New("a")
+	roster.Put(softwareEntry("e1", "v1"), start)
+	if since, ok := roster.WatchedSince(); ok {
+		t.Errorf("got a complete list since %v before the first list, want none", since)
+	}
+	steps := []struct {
+		name   string
+		step   func()
+		want   time.Time
+		wantOK bool
+	}{
+		{"listed", func() { roster.RecordList(afterMs(100)) }, afterMs(100), true},
+		{"platform down", func() { roster.PlatformDown(afterMs(200)) }, time.Time{}, false},
+		{"platform up", func() { roster.PlatformUp(afterMs(300)) }, afterMs(300), true},
+		{"platform still up", func() { roster.PlatformUp(afterMs(400)) }, afterMs(300), true},
+		{"listed again", func() { roster.Replace(nil, afterMs(500)) }, afterMs(500), true},
+	}
+	for _, step := range steps {
+		step.step()
+		if got, ok := roster.WatchedSince(); ok != step.wantOK || ok && !got.Equal(step.want) {
+			t.Errorf("%s: got %v, %v, want %v, %v", step.name, got, ok, step.want, step.wantOK)
+		}
+	}
+}
