Give up a reserved target of another software version

If the first event of the stream is sent to the caller between the reservation and the end of the attempt, the reserved target may be of another version than the one that began the stream, and the stream would hold events of both. The monitor also reads the version from a goroutine of its own.

ChooseTarget gives such a target up and chooses another; the retry that was taken out of the budget is used for that one. The version is stored atomically.

--- a/relay/job.go
+++ b/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,11 +56,10 @@
 	firstSentAt time.Time
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
-	// software is the version that began the stream, if softwareFixed is set. The
-	// stream goes on only there; softwareDeadline is the time until which it waits for
-	// a target of that version, zero until it has to wait.
-	software         string
-	softwareFixed    bool
+	// software is the version that began the stream, nil until it is known: the stream
+	// goes on only there. The silence monitor reads it too. softwareDeadline is the time
+	// until which the stream waits for a target of that version, zero until it waits.
+	software         atomic.Pointer[string]
 	softwareDeadline time.Time
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
@@ -196,8 +196,7 @@
 	if job.service == nil {
 		return false, nil
 	}
-	if job.next != nil {
-		job.attempt, job.next = attempt{assignment: *job.next}, nil
+	if job.takeNext() {
 		return true, nil
 	}
 	for {
@@ -216,15 +215,6 @@
 	}
 }
 
-// mayWait reports whether the request may wait, at the given time, for a target that
-// can take it.
-func (job *job) mayWait(now time.Time) bool {
-	if job.softwareFixed {
-		return job.mayWaitForSoftware(now)
-	}
-	return job.delivery.Runs() == 0 && !job.targetFull && job.mayHold(now)
-}
-
 // mayHold reports whether the request may still wait for a target at the given
 // time.
 func (job *job) mayHold(now time.Time) bool {
@@ -260,7 +250,9 @@
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
 		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried,
-		FixedSoftware: job.softwareFixed, Software: job.software,
+	}
+	if software := job.software.Load(); software != nil {
+		criteria.FixedSoftware, criteria.Software = true, *software
 	}
 	prompt := job.request.Prompt
 	if prompt == nil || len(job.service.Models) == 0 {
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -27,17 +27,41 @@
 
 // fixSoftware records the software version that began the stream.
 func (job *job) fixSoftware(version string) {
-	job.software, job.softwareFixed = version, true
+	job.software.Store(&version)
+}
+
+// takeNext makes the reserved target, if there is one, that of the next attempt. It
+// gives the target up if the first event of the stream came only after the
+// reservation, from another software version.
+func (job *job) takeNext() bool {
+	if job.next == nil {
+		return false
+	}
+	if software := job.software.Load(); software != nil && *software != job.next.Software {
+		job.releaseNext()
+		return false
+	}
+	job.attempt, job.next = attempt{assignment: *job.next}, nil
+	return true
+}
+
+// mayWait reports whether the request may wait, at the given time, for a target that
+// can take it.
+func (job *job) mayWait(now time.Time) bool {
+	if software := job.software.Load(); software != nil {
+		return job.mayWaitForSoftware(*software, now)
+	}
+	return job.delivery.Runs() == 0 && !job.targetFull && job.mayHold(now)
 }
 
 // mayWaitForSoftware reports whether the stream may wait, at the given time, for a
 // target of its software version. Targets that rejected the request are not asked
 // again.
-func (job *job) mayWaitForSoftware(now time.Time) bool {
+func (job *job) mayWaitForSoftware(version string, now time.Time) bool {
 	if job.softwareDeadline.IsZero() {
 		job.softwareDeadline = now.Add(softwareWait)
 	}
-	criteria := roster.Criteria{Service: job.service.Name, FixedSoftware: true, Software: job.software}
+	criteria := roster.Criteria{Service: job.service.Name, FixedSoftware: true, Software: version}
 	if job.targetFull {
 		criteria.Tried = job.tried
 	}
