Take up a stream only at the service and the software version that began it

A caller whose connection broke takes its stream up at any VM.

Before each attempt of a resumable stream relay.Origins.Record is called with the service and the software version of the target; the key is the client account and the ID of the request that began the stream, hashed if long, so that no origin of another account is found. A take-up asks Origins.Find. Known: that service and that version alone. Single: the only version that serves at that moment, also for later attempts. Unknown, or an origin that no longer serves: refused at once as not run, with Retry-After and the remedy. Without Origins, several versions in the roster mean unknown. The split is drawn from the ID that began the stream. Take-ups log "origin".

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -95,6 +95,15 @@
 	return call
 }
 
+// weightsText returns the wire format of a weights version. It is empty when there
+// is none.
+func weightsText(weights uint64) string {
+	if weights == 0 {
+		return ""
+	}
+	return strconv.FormatUint(weights, 10)
+}
+
 // setCacheFields sets the salt under which the target stores cache entries, and the
 // addresses from which it fetches missing entries and to which it saves new ones.
 func (job *job) setCacheFields(call *target.Call, assignment *roster.Assignment) {
--- a/relay/job.go
+++ b/relay/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +60,11 @@
 	// until which the stream waits for a target of that version, zero until it waits.
 	software         atomic.Pointer[string]
 	softwareDeadline time.Time
+	// originKnowledge is what is known of the stream that the request takes up, for
+	// the log; empty if it takes none up. attempts counts the attempts recorded with
+	// Origins.
+	originKnowledge string
+	attempts        int
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
@@ -90,7 +94,7 @@
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
 		deadline: limitDeadline(request, route), lastEventID: request.LastEventID,
 	}
-	job.service = table.Service(route.Service(request.ID))
+	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
 	if account != nil {
 		name = account.Name
@@ -122,7 +126,7 @@
 // fields returns the log fields that describe the request.
 func (job *job) fields() []event.Field {
 	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.delivery.Runs()), event.F("rejections", job.delivery.Rejections())}
-	fields = append(fields, job.request.resumesFields()...)
+	fields = append(fields, job.takeUpFields()...)
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
@@ -172,10 +176,10 @@
 	defer cancel()
 	defer job.releaseNext()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
-	if job.service != nil {
-		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
+	err := job.findOrigin(ctx)
+	if err == nil {
+		err = job.run(ctx)
 	}
-	err := job.delivery.Run(ctx)
 	if err == nil {
 		return nil
 	}
@@ -188,6 +192,14 @@
 	return err
 }
 
+// run sends the request to targets until one answers or none can.
+func (job *job) run(ctx context.Context) error {
+	if job.service != nil {
+		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
+	}
+	return job.delivery.Run(ctx)
+}
+
 // ChooseTarget implements delivery.Sender. A request that has run nowhere and finds
 // no target is held for a short time, in case a target is about to load new
 // weights, to report its weights or to become reachable again. A stream that has begun
@@ -272,6 +284,7 @@
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
+	job.recordOrigin(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
 	job.tried = append(job.tried, assignment.ID)
@@ -383,12 +396,3 @@
 		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID))
 	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
-
-// weightsText returns the wire format of a weights version. It is empty when there
-// is none.
-func weightsText(weights uint64) string {
-	if weights == 0 {
-		return ""
-	}
-	return strconv.FormatUint(weights, 10)
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,9 @@
 	Metrics       *metric.Set
 	Log           *event.Log
 
+	// Origins may be nil: then no VM knows the origins of streams.
+	Origins Origins
+
 	table   atomic.Pointer[routing.Table]
 	running atomic.Int64
 	// answeredSampler limits the log lines about answered requests.
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -1,12 +1,33 @@
 package relay
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/origin"
+	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/roster"
+	"github.com/bramleygw/bramleygw/routing"
 )
 
+// Origins records where streams begin and finds it for the VM that takes one up.
+type Origins interface {
+	// Record records, before an attempt is sent, where the stream begins if this
+	// attempt brings its first event.
+	Record(record origin.Record)
+	// Find returns the origin of the stream that a request began, at the given time or
+	// later, on any VM. If it is not known, Find reports whether a single software
+	// version of the service can have begun it.
+	Find(ctx context.Context, requestID, service string, since time.Time) (origin.Origin, origin.Knowledge)
+}
+
 const (
 	// maxLoggedResumes is the maximum length, in bytes, of the logged ID of an earlier
 	// request: it is text of the caller, and log lines are bounded.
@@ -14,6 +35,12 @@
 	// softwareWait is how long a stream that has begun waits for a target of its
 	// software version: callers abandon a stream after a gap of 2 s or more.
 	softwareWait = 2 * time.Second
+	// originMargin is how much longer than its request a stream's origin is kept and
+	// searched for: the clocks of VMs and their lists of targets differ by less.
+	originMargin = 5 * time.Second
+	// maxOriginKey is the longest key, in bytes, under which an origin is recorded as
+	// it is. Longer ones are hashed, since parts of them are text of the caller.
+	maxOriginKey = 96
 )
 
 // resumesFields returns the log field that names the earlier request whose stream
@@ -67,3 +94,132 @@
 	}
 	return now.Before(job.softwareDeadline) && job.relay.Roster.Registered(criteria)
 }
+
+// takesUp reports whether the request takes up a stream that another one began.
+func (job *job) takesUp() bool {
+	return job.route.Kind == routing.ResumableStream && job.request.LastEventID != ""
+}
+
+// streamID returns the ID of the request that began the stream.
+func (job *job) streamID() string {
+	if job.takesUp() && job.request.Resumes != "" {
+		return job.request.Resumes
+	}
+	return job.request.ID
+}
+
+// originKey returns the key of the stream's origin. It names the client account, so
+// that the origins of other accounts are neither revealed nor used.
+func (job *job) originKey() string {
+	account := ""
+	if job.account != nil {
+		account = job.account.Name
+	}
+	key := strconv.Quote(account) + "/" + job.streamID() // quoted, because names may contain slashes
+	if len(key) <= maxOriginKey {
+		return key
+	}
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// recordOrigin records where the stream begins if the next attempt brings its first
+// event. The origin of a stream that is taken up is recorded already if it is known.
+func (job *job) recordOrigin(assignment *roster.Assignment) {
+	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == originKnown {
+		return
+	}
+	job.attempts++
+	job.relay.Origins.Record(origin.Record{
+		RequestID: job.originKey(), Attempt: job.attempts,
+		Origin: origin.Origin{Service: assignment.Service, Software: assignment.Software}, Until: job.deadline.Add(originMargin),
+	})
+}
+
+// What is known of the stream that a request takes up, as named in the log.
+const (
+	originKnown   = "known"
+	originSingle  = "single"
+	originUnknown = "unknown"
+)
+
+// findOrigin makes a request that takes up a stream go on at the service and the
+// software version that began it. It refuses the request if they are not known or no
+// longer serve.
+func (job *job) findOrigin(ctx context.Context) error {
+	if !job.takesUp() {
+		return nil
+	}
+	found, knowledge := job.lookUpOrigin(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return delivery.ContextRefusal(ctx).WithOutcome(refusal.NotRun)
+	case knowledge == origin.Known:
+		job.originKnowledge = originKnown
+		return job.goOnAt(found)
+	case knowledge == origin.Single:
+		job.originKnowledge = originSingle
+		return job.goOnAtOnlySoftware()
+	}
+	job.originKnowledge = originUnknown
+	return refuseTakeUp("it is not known which software version began the stream")
+}
+
+// lookUpOrigin returns what is known of the origin of the stream.
+func (job *job) lookUpOrigin(ctx context.Context) (origin.Origin, origin.Knowledge) {
+	now := time.Now()
+	limit := defaultDeadline
+	if job.route.Timeout > 0 {
+		limit = job.route.Timeout.After(now).Sub(now)
+	}
+	service, since := job.route.Service(job.streamID()), now.Add(-limit-originMargin)
+	switch {
+	case job.relay.Origins != nil:
+		return job.relay.Origins.Find(ctx, job.originKey(), service, since)
+	case job.relay.Roster.Several(service, since, now):
+		return origin.Origin{}, origin.Unknown
+	}
+	return origin.Origin{}, origin.Single
+}
+
+// goOnAt restricts the request to the origin of its stream.
+func (job *job) goOnAt(found origin.Origin) error {
+	service := job.table.Service(found.Service)
+	if service == nil || !slices.ContainsFunc(job.route.Splits, func(split routing.Split) bool { return split.Service == found.Service }) {
+		return refuseTakeUp("the service that began the stream is no longer on its route")
+	}
+	job.service = service
+	job.fixSoftware(found.Software)
+	if !job.relay.Roster.Registered(roster.Criteria{Service: service.Name, FixedSoftware: true, Software: found.Software}) {
+		return refuseTakeUp("no target has the software version that began the stream")
+	}
+	return nil
+}
+
+// goOnAtOnlySoftware restricts the request to the only software version that serves:
+// another one may start before the request reaches a target.
+func (job *job) goOnAtOnlySoftware() error {
+	service := job.route.Service(job.streamID())
+	version, ok := job.relay.Roster.OnlySoftware(service)
+	if !ok {
+		return refuseTakeUp("no target, or more than one software version, serves now")
+	}
+	job.fixSoftware(version)
+	return nil
+}
+
+// refuseTakeUp refuses to take up a stream. A random delay is added, because many
+// streams are taken up at once when a VM is lost.
+func refuseTakeUp(reason string) error {
+	retryAt := time.Now().Add(delivery.RetryAfter + rand.N(delivery.RetryAfter))
+	return refusal.New(refusal.NoTarget, reason+"; send the request again from the start, without the last event's ID").WithRetryAt(retryAt)
+}
+
+// takeUpFields returns the log fields of a request that takes up a stream.
+func (job *job) takeUpFields() []event.Field {
+	fields := job.request.resumesFields()
+	if job.originKnowledge != "" {
+		fields = append(fields, event.F("origin", job.originKnowledge))
+	}
+	return fields
+}
--- a/roster/software.go
+++ b/roster/software.go
@@ -74,6 +74,24 @@
 	return count > 1
 }
 
+// OnlySoftware returns the software version that all registered targets of a service
+// have. It returns false if there are several versions or no targets.
+func (roster *Roster) OnlySoftware(service string) (string, bool) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	targets := roster.services[service]
+	if len(targets) == 0 {
+		return "", false
+	}
+	version := targets[0].entry.Software
+	for _, target := range targets {
+		if target.entry.Software != version {
+			return "", false
+		}
+	}
+	return version, true
+}
+
 // recordVersions records which software versions are listed now. The caller holds mu.
 func (roster *Roster) recordVersions(now time.Time) {
 	for service, versions := range roster.versions {
--- a/roster/software_test.go
+++ b/roster/software_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+func TestOnlySoftwareIsThatOfAllTargets(t *testing.T) {
+	roster := New("a")
+	steps := []struct {
+		step   func()
+		want   string
+		wantOK bool
+	}{
+		{func() {}, "", false},
+		{func() { roster.Put(softwareEntry("e1", "v1"), start) }, "v1", true},
+		{func() { roster.Put(softwareEntry("e2", "v1"), start) }, "v1", true},
+		{func() { roster.Put(softwareEntry("e3", "v1.1"), start) }, "", false},
+		{func() { roster.Replace([]Entry{softwareEntry("e3", "v1.1")}, start) }, "v1.1", true},
+	}
+	for i, step := range steps {
+		step.step()
+		if got, ok := roster.OnlySoftware("notes"); got != step.want || ok != step.wantOK {
+			t.Errorf("step %d: got %q, %v, want %q, %v", i, got, ok, step.want, step.wantOK)
+		}
+	}
+}
+
 // A registration that expired while the platform was down may come back.
 func TestSeveralCountsExpiredRegistrationsUntilTheyAreDropped(t *testing.T) {
 	roster := New("a")
