--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -138,6 +138,9 @@
 		learnedAt = learnedAt.Add(-assumedWeightsAge)
 	}
 	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), learnedAt)
+	if collection == objects.Targets {
+		gateway.roster.RecordList(time.Now())
+	}
 	return nil
 }
 
@@ -259,7 +262,7 @@
 		gateway.Log.Emit(event.TargetUnreadable, event.F("target", id), event.Err(err))
 		return
 	}
-	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("draining", entry.Draining))
+	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("software", entry.Software), event.F("draining", entry.Draining))
 	gateway.roster.Put(entry, now)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -100,6 +100,15 @@
 	return call
 }
 
+// weightsText returns the wire format of a weights version. It is empty when there
+// is none.
+func weightsText(weights uint64) string {
+	if weights == 0 {
+		return ""
+	}
+	return strconv.FormatUint(weights, 10)
+}
+
 // setCacheFields sets the salt under which the target stores cache entries, and the
 // addresses from which it fetches missing entries and to which it saves new ones.
 func (job *job) setCacheFields(call *target.Call, assignment *roster.Assignment) {
@@ -152,6 +161,7 @@
 			return errors.Mark(err, errCallerGone)
 		}
 		job.started, job.firstSentAt = true, now
+		job.fixSoftware(job.attempt.assignment.Software)
 		job.relay.Metrics.RecordFirstToken(now.Sub(job.request.Arrived))
 		if prompt := job.request.Prompt; prompt != nil && len(job.tried) == 0 {
 			job.relay.waitCorrector.observe(job.attempt.assignment.Wait, now.Sub(job.request.Arrived), prompt.unsharedTokens(), now)
@@ -163,6 +173,7 @@
 	if id != "" {
 		job.lastEventID = id
 	}
+	job.softwareDeadline = time.Time{}
 	return nil
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +57,16 @@
 	writing atomic.Bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
+	// software is the version that began the stream, nil until it is known: the stream
+	// goes on only there. The silence monitor reads it too. softwareDeadline is the time
+	// until which the stream waits for a target of that version, zero until it waits.
+	software         atomic.Pointer[string]
+	softwareDeadline time.Time
+	// originKnowledge is what is known of the stream that the request takes up, for
+	// the log; empty if it takes none up. attempts counts the attempts recorded with
+	// Origins.
+	originKnowledge string
+	attempts        int
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
@@ -92,7 +101,7 @@
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
 		deadline: limitDeadline(request, route), lastEventID: request.LastEventID,
 	}
-	job.service = table.Service(route.Service(request.ID))
+	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
 	if account != nil {
 		name = account.Name
@@ -124,6 +133,7 @@
 // fields returns the log fields that describe the request.
 func (job *job) fields() []event.Field {
 	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.delivery.Runs()), event.F("rejections", job.delivery.Rejections())}
+	fields = append(fields, job.takeUpFields()...)
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
@@ -173,10 +183,10 @@
 	defer cancel()
 	defer job.releaseNext()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
-	if job.service != nil {
-		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
+	err := job.findOrigin(ctx)
+	if err == nil {
+		err = job.run(ctx)
 	}
-	err := job.delivery.Run(ctx)
 	if err == nil {
 		return nil
 	}
@@ -189,9 +199,18 @@
 	return err
 }
 
+// run sends the request to targets until one answers or none can.
+func (job *job) run(ctx context.Context) error {
+	if job.service != nil {
+		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
+	}
+	return job.delivery.Run(ctx)
+}
+
 // ChooseTarget implements delivery.Sender. A request that has run nowhere and finds
 // no target is held for a short time, in case a target is about to load new
-// weights, to report its weights or to become reachable again.
+// weights, to report its weights or to become reachable again. A stream that has begun
+// is held for longer, because only targets of its software version may take it.
 func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
 	if job.service == nil {
 		return false, nil
@@ -209,10 +228,12 @@
 		if job.retryLeft() {
 			continue
 		}
-		if job.delivery.Runs() > 0 || job.targetFull || !job.mayHold(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
+		if !job.mayWait(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
 			return false, nil
 		}
-		job.tried = nil
+		if !job.targetFull {
+			job.tried = nil
+		}
 	}
 }
 
@@ -252,6 +273,9 @@
 	criteria := roster.Criteria{
 		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried,
 	}
+	if software := job.software.Load(); software != nil {
+		criteria.FixedSoftware, criteria.Software = true, *software
+	}
 	prompt := job.request.Prompt
 	if prompt == nil || len(job.service.Models) == 0 {
 		return criteria
@@ -270,6 +294,7 @@
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
+	job.recordOrigin(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
 	job.tried = append(job.tried, assignment.ID)
@@ -381,16 +406,8 @@
 }
 
 func (job *job) logAttempt(assignment *roster.Assignment, err error) {
-	job.relay.Log.Emit(event.AttemptFailed,
-		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err),
+	fields := append(job.request.resumesFields(),
+		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
 		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID))
-}
-
-// weightsText returns the wire format of a weights version. It is empty when there
-// is none.
-func weightsText(weights uint64) string {
-	if weights == 0 {
-		return ""
-	}
-	return strconv.FormatUint(weights, 10)
+	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -138,14 +138,16 @@
 	return &reservation{assignment: next, at: now}, ""
 }
 
-// takeNext uses the reserved target for the next attempt, if it may still get requests.
+// takeNext uses the reserved target for the next attempt, if it may still get requests
+// and has the software version of the stream, which may have begun since.
 func (job *job) takeNext(now time.Time) bool {
 	if job.next == nil {
 		return false
 	}
 	next := job.next.assignment
 	job.next = nil
-	if !next.Usable(now) {
+	software := job.software.Load()
+	if !next.Usable(now) || software != nil && *software != next.Software {
 		next.Withdraw() // its retry remains for the target that is chosen instead
 		return false
 	}
