Send and ask for origins of streams between VMs

Change: the calls RecordOrigins (a batch of records) and FindOrigin (request ID, service, start of the window) of the protocol between VMs, decoded once to the types of package origin. Times travel as ages; a window is made 200 ms longer on the wire, so that transit cannot make it shorter, and a watch is dated from the arrival of the answer. Request IDs that are not valid UTF-8 are replaced by their digest, because one of them would make the encoding of a batch fail. Router and gateway keep nothing yet.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -29,6 +29,7 @@
 	"encoding/hex"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/bramleygw/bramleygw/prefix"
 )
@@ -73,19 +74,25 @@
 }
 
 // ID returns the request ID as it is kept and sent. Callers choose request IDs, so one
-// that is longer than MaxIDBytes is replaced by its digest.
+// that is longer than MaxIDBytes, or that the wire cannot carry because it is not valid
+// UTF-8, is replaced by its digest.
 func ID(requestID string) string {
-	if len(requestID) <= MaxIDBytes {
+	if len(requestID) <= MaxIDBytes && utf8.ValidString(requestID) {
 		return requestID
 	}
 	digest := sha256.Sum256([]byte(requestID))
 	return digestPrefix + hex.EncodeToString(digest[:digestBytes])
 }
 
-// valid reports whether the record may be kept.
-func (record Record) valid() bool {
-	return record.RequestID != "" && len(record.RequestID) <= MaxIDBytes &&
-		len(record.Origin.Service) <= MaxNameBytes && len(record.Origin.Software) <= MaxNameBytes
+// Valid reports whether the record may be kept and sent: its request ID is one that ID
+// returns, and its names are not too long.
+func (record Record) Valid() bool {
+	return record.RequestID != "" && ID(record.RequestID) == record.RequestID &&
+		validName(record.Origin.Service) && validName(record.Origin.Software)
+}
+
+func validName(name string) bool {
+	return len(name) <= MaxNameBytes && utf8.ValidString(name)
 }
 
 // Holders returns up to count of the VMs, in the rendezvous order of the request ID: the
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -91,6 +91,9 @@
 	if got := ID(long); len(got) > MaxIDBytes || got == ID(long+"x") {
 		t.Errorf("got ID %q, want a short one that differs between requests", got)
 	}
+	if got := ID("\xff"); got == "\xff" {
+		t.Errorf("got ID %q, want valid UTF-8", got)
+	}
 	if got := ID(long[1:]); got != long[1:] {
 		t.Errorf("got ID %q, want a short one unchanged", got)
 	}
--- a/origin/table.go
+++ b/origin/table.go
@@ -38,10 +38,9 @@
 
 // Put adds a record. It replaces the record of an earlier attempt of the same request. A
 // record of an earlier attempt that arrives late changes nothing, and a repeated one
-// changes only when the entry expires. Expired records, and those with overlong names, are
-// ignored.
+// changes only when the entry expires. Expired and invalid records are ignored.
 func (table *Table) Put(record Record, now time.Time) {
-	if !record.Until.After(now) || !record.valid() {
+	if !record.Until.After(now) || !record.Valid() {
 		return
 	}
 	table.mu.Lock()
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -19,6 +19,7 @@
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
 )
@@ -192,6 +193,29 @@
 	}
 }
 
+// RecordOrigins sends records of where streams began to a VM that holds them.
+func (dialer *Dialer) RecordOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) error {
+	client, err := dialer.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.RecordOrigins(ctx, &peerpb.RecordOriginsRequest{Records: encodeOrigins(records, time.Now())})
+	return errors.Wrap(err, "send origins of streams")
+}
+
+// FindOrigin asks a VM where a stream began.
+func (dialer *Dialer) FindOrigin(ctx context.Context, address netip.AddrPort, query origin.Query) (origin.Answer, error) {
+	client, err := dialer.client(address)
+	if err != nil {
+		return origin.Answer{}, err
+	}
+	reply, err := client.FindOrigin(ctx, encodeOriginQuery(query, time.Now()))
+	if err != nil {
+		return origin.Answer{}, errors.Wrap(err, "ask for the origin of a stream")
+	}
+	return decodeOriginAnswer(reply, time.Now()), nil
+}
+
 // byteCounter is a stats.Handler that counts payload bytes on the wire.
 type byteCounter struct {
 	bytes *atomic.Int64
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 )
 
@@ -48,3 +49,31 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// The clocks of two VMs differ, so times travel as ages. What a call takes must not make a
+// window shorter or a watch longer.
+func TestOriginTimes(t *testing.T) {
+	const skew = time.Hour
+	sent := time.Unix(1_700_000_000, 0)
+	received := sent.Add(skew + 150*time.Millisecond) // by the receiver's clock
+	query := origin.Query{Since: sent.Add(-10*time.Second - 1)}
+	window := received.Sub(decodeOriginQuery(encodeOriginQuery(query, sent), received).Since)
+	if least := 10*time.Second + 150*time.Millisecond + 1; window < least || window > least+100*time.Millisecond {
+		t.Errorf("got a window of %v, want at least %v and little more", window, least)
+	}
+	for _, test := range []struct{ watched, want time.Duration }{
+		{time.Minute + 1, time.Minute}, {100 * time.Hour, maxWireDuration},
+	} {
+		answer := decodeOriginAnswer(encodeOriginAnswer(origin.Answer{WatchedSince: sent.Add(-test.watched)}, sent), received)
+		if got := received.Sub(answer.WatchedSince); got != test.want {
+			t.Errorf("got a watch of %v, want %v", got, test.want)
+		}
+	}
+	if got := decodeOriginAnswer(encodeOriginAnswer(origin.Answer{}, sent), received); !got.WatchedSince.IsZero() {
+		t.Errorf("got a watch since %v from a VM without a list, want none", got.WatchedSince)
+	}
+	records := decodeOrigins(encodeOrigins([]origin.Record{{Until: sent.Add(time.Minute)}}, sent), received)
+	if got := records[0].Until.Sub(received); got != time.Minute {
+		t.Errorf("got a record that is left %v, want %v", got, time.Minute)
+	}
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,10 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
 )
@@ -25,6 +27,9 @@
 	returned   float64
 	objects    []catalog.Object
 	issuer     *quota.Issuer
+	origins    []origin.Record
+	query      origin.Query
+	answer     origin.Answer
 }
 
 func (handler *handler) HandleHeartbeat(heartbeat Heartbeat) Heartbeat {
@@ -54,6 +59,19 @@
 	return handler.objects, 9
 }
 
+func (handler *handler) RecordOrigins(records []origin.Record) {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.origins = append(handler.origins, records...)
+}
+
+func (handler *handler) FindOrigin(_ context.Context, query origin.Query) origin.Answer {
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	handler.query = query
+	return handler.answer
+}
+
 func start(t testing.TB, handler *handler) (*Dialer, netip.AddrPort, context.CancelFunc) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -118,6 +136,32 @@
 	}
 }
 
+func TestOriginCalls(t *testing.T) {
+	began := origin.Origin{Service: "ledger", Software: "v1.1"}
+	now := time.Now()
+	handler := &handler{answer: origin.Answer{Known: true, Origin: began, Several: true, WatchedSince: now.Add(-time.Hour)}}
+	dialer, address, _ := start(t, handler)
+	record := origin.Record{RequestID: "r1", Attempt: 2, Origin: began, Until: now.Add(time.Hour)}
+	if err := dialer.RecordOrigins(t.Context(), address, []origin.Record{record, record}); err != nil || len(handler.origins) != 2 {
+		t.Fatalf("got %d records %v, want 2", len(handler.origins), err)
+	}
+	got := handler.origins[0]
+	got.Until = record.Until // TestOriginTimes checks the times
+	if got != record {
+		t.Errorf("got %+v, want %+v", got, record)
+	}
+	answer, err := dialer.FindOrigin(t.Context(), address, origin.Query{RequestID: "r1", Service: "ledger", Since: now, Forward: true})
+	if err != nil || !answer.Known || answer.Origin != began || !answer.Several {
+		t.Errorf("got %+v %v, want %+v", answer, err, handler.answer)
+	}
+	if handler.query.RequestID != "r1" || handler.query.Service != "ledger" || !handler.query.Forward {
+		t.Errorf("got query %+v, want the one sent", handler.query)
+	}
+	if _, err := dialer.FindOrigin(t.Context(), netip.AddrPort{}, origin.Query{}); !errors.Is(err, ErrUnknownPeer) {
+		t.Errorf("got error %v without an address, want ErrUnknownPeer", err)
+	}
+}
+
 // Heartbeats are most of the traffic between VMs. As whole numbers, the counts of 16
 // accounts take half the bytes that eight-byte numbers would.
 func TestSpendingEncodingIsCompact(t *testing.T) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -1,8 +1,8 @@
 // Package peer implements the gRPC protocol between VMs.
 //
 // VMs exchange heartbeats, lend each other tokens of the client accounts'
-// rates, notify each other of changes and of deaths of targets, and send the
-// configuration to a VM that starts. VMs are dialed by IP address; the
+// rates, notify each other of changes and of deaths of targets, send the
+// configuration to a VM that starts, and keep for each other where streams began. VMs are dialed by IP address; the
 // library's name resolution, load balancing, proxies and retries are disabled.
 //
 // # Usage
@@ -30,6 +30,7 @@
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
 )
@@ -155,6 +156,10 @@
 	// Objects returns the version of the newest object and all objects that are newer
 	// than a version or, where there are several collections, than the positions.
 	Objects(above objects.Version, known []objects.Position) ([]catalog.Object, objects.Version)
+	// RecordOrigins keeps records of where streams began for the VM that sent them.
+	RecordOrigins(records []origin.Record)
+	// FindOrigin returns what this VM knows of where a stream began.
+	FindOrigin(ctx context.Context, query origin.Query) origin.Answer
 }
 
 // Server serves calls from other VMs. The exported fields must be set before Run.
@@ -235,3 +240,15 @@
 	}
 	return stream.Send(&peerpb.SnapshotPart{Objects: encodeObjects(newer), Version: uint64(version)})
 }
+
+// RecordOrigins implements peerpb.PeerServer.
+func (service *service) RecordOrigins(_ context.Context, request *peerpb.RecordOriginsRequest) (*peerpb.RecordOriginsReply, error) {
+	service.handler.RecordOrigins(decodeOrigins(request.GetRecords(), time.Now()))
+	return &peerpb.RecordOriginsReply{}, nil
+}
+
+// FindOrigin implements peerpb.PeerServer.
+func (service *service) FindOrigin(ctx context.Context, request *peerpb.FindOriginRequest) (*peerpb.FindOriginReply, error) {
+	answer := service.handler.FindOrigin(ctx, decodeOriginQuery(request, time.Now()))
+	return encodeOriginAnswer(answer, time.Now()), nil
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
@@ -176,6 +177,15 @@
 	router.issuer.Credit(right, router.localShare(share), tokens, true, time.Now())
 }
 
+// RecordOrigins implements peer.Handler. This router's platform lists no software versions
+// of targets, so there is nothing to keep.
+func (router *Router) RecordOrigins([]origin.Record) {}
+
+// FindOrigin implements peer.Handler. It knows of no stream because RecordOrigins keeps none.
+func (router *Router) FindOrigin(context.Context, origin.Query) origin.Answer {
+	return origin.Answer{}
+}
+
 // localShare returns the share with the limits from this VM's configuration. An
 // account that is not in the configuration yet gets a share with rate and burst 0.
 func (router *Router) localShare(share quota.Share) quota.Share {
