Keep and find origins of streams in the gateway

Cause: a VM at which a caller takes a stream up does not know which software version began it, and no VM tells another (issue ORDER).

Change: gateway.origins keeps records of the streams that began here. While a service has, or lately had, several software versions, it sends them to 3 live VMs in batches of 20 ms at most; when a second version appears, or the first other VM is reachable again, it sends those of the streams that began before. Find asks 4 holders together for 150 ms at most and, in a large fleet, the representatives of the other availability zones, which ask their holders. Without records nothing runs. Events 408, 409, 904, metrics origins_sent, origins_received, origins_not_sent, origin_lookups. Not wired into relay; until versions is set to the roster, nothing is sent and nothing vouched for.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -39,6 +39,8 @@
 var (
 	PeerNotTold     = register(405, "peer_not_told", LevelDebug, "a notification sent to another VM was not acknowledged", "none if that VM has stopped")
 	NotUnregistered = register(406, "not_unregistered", LevelInfo, "a stopping VM could not remove its registration", "none; the other VMs mark it lost when its heartbeats stop")
+	OriginsNotSent  = register(408, "origins_not_sent", LevelInfo, "records of where streams began were not acknowledged by another VM that should hold them", "none if that VM has stopped; other VMs hold the records too")
+	OriginNotTold   = register(409, "origin_not_told", LevelDebug, "another VM did not answer where a stream began", "none if that VM has stopped")
 	PeerLost        = register(401, "peer_lost", LevelWarn, "heartbeats from another VM have stopped arriving", "check the VM and the network between the availability zones")
 	ZoneSummed      = register(407, "zone_summed", LevelInfo, "the counts of another availability zone are now received as summaries from its representatives, no longer from each of its VMs", "none")
 	PeerHeard       = register(402, "peer_heard", LevelInfo, "heartbeats from another VM are arriving", "none")
@@ -98,5 +100,6 @@
 var (
 	RequestRefused  = register(901, "request_refused", LevelInfo, "a request ended without a complete answer from a target", "look up the refusal code in docs/OPERATORS.md")
 	RequestAnswered = register(903, "request_answered", LevelInfo, "a complete answer was forwarded to the caller; at most 100 lines a second are written, the number of skipped lines is reported in the next one", "none")
+	OriginLookup    = register(904, "origin_lookup", LevelInfo, "this VM looked up at which service and software version a stream began that a caller takes up; the stream continues if the result is known or single", "if many results are unknown, check the network between the VMs")
 	AttemptFailed   = register(902, "attempt_failed", LevelInfo, "an attempt to run a request at a target failed", "check the target if many lines name it")
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 	suspects    *quarantine.Tracker
 	clients     *relay.Clients
 	cacheStores *cacheStores
+	origins     *origins
 	relay       *relay.Relay
 	dialer      *peer.Dialer
 	metrics     *metric.Set
@@ -163,6 +164,7 @@
 	gateway.cacheStores = newCacheStores(gateway.Log)
 	gateway.dialer = peer.NewDialer(nil)
 	gateway.metrics = metric.New(vm.Name)
+	gateway.origins = newOrigins(vm.Name, gateway.members, gateway.dialer, gateway.metrics, gateway.Log)
 	gateway.fetchAddresses = make(chan netip.AddrPort, 1)
 	gateway.heartbeatFailures = map[netip.AddrPort]int{}
 	gateway.relay = &relay.Relay{
@@ -266,7 +268,7 @@
 	loops := []func(context.Context) error{
 		gateway.peerServer.Run, gateway.readinessServer.run, gateway.runConfigs, gateway.runTargets, gateway.runWeights,
 		gateway.runRegistration, gateway.runHeartbeats, gateway.runFetches, gateway.runRoll, gateway.runSweep,
-		gateway.cacheStores.run, gateway.runReloads, gateway.runProbes,
+		gateway.cacheStores.run, gateway.runReloads, gateway.runProbes, gateway.origins.run,
 	}
 	if gateway.metricsServer != nil {
 		loops = append(loops, gateway.metricsServer.run)
@@ -319,6 +321,7 @@
 	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
 		now := time.Now()
 		gateway.roster.Sweep(now)
+		gateway.origins.sweep(now)
 		gateway.logReachability(&detector, now)
 		gateway.updateVMCount(now)
 		listed := gateway.updateTargetMetrics()
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -70,6 +70,8 @@
 type fleetSummary struct {
 	until time.Time // when it expires
 	peers []Peer    // ordered by name
+	// live are those of peers that are alive or may be starting; nil until they are needed.
+	live []Peer
 	// local are the peers of this VM's zone, remote those of the others, by zone.
 	local  []Peer
 	remote map[string][]Peer
@@ -131,6 +133,25 @@
 	return alive && member.isRepresentative || !alive && now.Sub(member.reportedRepresentative) < LivenessTimeout
 }
 
+// LivePeers returns the peers whose heartbeats arrive and, while this VM starts, the listed
+// ones that may be starting too. In a large fleet, most peers of other availability zones
+// are missing. The caller must not change them.
+func (table *Table) LivePeers(now time.Time) []Peer {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	summary := table.summary(now)
+	if summary.live != nil {
+		return summary.live
+	}
+	summary.live = []Peer{}
+	for _, peer := range summary.peers {
+		if member := table.members[peer.Name]; member.alive(now) || table.mayStart(member, now) {
+			summary.live = append(summary.live, peer)
+		}
+	}
+	return summary.live
+}
+
 // isRemote reports whether an availability zone is known and is not this VM's.
 func (table *Table) isRemote(zone string) bool {
 	return zone != "" && zone != table.Zone
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -42,9 +42,15 @@
 	Unreachable   expvar.Int  // targets that accept no connections
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
-	ByRoute       *Rows
-	ByAccount     *Rows
-	ByTarget      *Rows
+	// Records of where streams began, sent to other VMs and received from them, and
+	// batches of them that a VM did not confirm.
+	OriginsSent     expvar.Int
+	OriginsReceived expvar.Int
+	OriginsNotSent  expvar.Int
+	OriginLookups   *expvar.Map // of streams taken up, by what was known of where they began
+	ByRoute         *Rows
+	ByAccount       *Rows
+	ByTarget        *Rows
 }
 
 // The maximum numbers of rows: as many accounts and targets as the largest
@@ -72,8 +78,8 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		StoreCalls: new(expvar.Map).Init(),
-		ByRoute:    NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
+		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(),
+		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
 	if expvar.Get(name) == nil {
@@ -105,7 +111,8 @@
 		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.HoldsLease}, {"store_calls", set.StoreCalls},
 		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
-		{"by_target", set.ByTarget},
+		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
+		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
