Know the origins of streams of a young fleet

Cause: nobody had watched the list of targets for as long as a stream may be old, so that nobody could vouch that one software version alone had served; and records are sent only while several versions are known.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -57,8 +57,8 @@
 }
 
 // origins records where streams began and finds it when a caller takes a stream up. While
-// a service has a single software version, records stay on this VM. It is safe for
-// concurrent use.
+// a service is known to have a single software version, records stay on this VM. It is
+// safe for concurrent use.
 //
 // Callers choose request IDs: those that are long or not valid UTF-8 are replaced by
 // their digest (origin.ID), and the tables are bounded.
@@ -94,7 +94,7 @@
 }
 
 // Record keeps the record of a stream that began at this VM. It sends the record to its
-// holders if the service has had several software versions. It does no I/O.
+// holders if the service may have had several software versions. It does no I/O.
 func (origins *origins) Record(record origin.Record) {
 	now := time.Now()
 	record.RequestID = origin.ID(record.RequestID)
@@ -109,11 +109,18 @@
 	}
 	origins.mu.Unlock()
 	// A lookup until record.Until goes about as far back as the record lasts.
-	if since := now.Add(now.Sub(record.Until)); origins.versions.Several(service, since, now) {
+	if since := now.Add(now.Sub(record.Until)); origins.mayBeSeveral(service, since, now) {
 		origins.enqueue(record, origins.zonePeers(now), now)
 	}
 }
 
+// mayBeSeveral reports whether several software versions may have served the service
+// since the given time, as far as this VM knows.
+func (origins *origins) mayBeSeveral(service string, since, now time.Time) bool {
+	watched, ok := origins.versions.WatchedSince()
+	return !ok || watched.After(since) || origins.versions.Several(service, since, now)
+}
+
 // enqueue adds a record to the batches of its holders.
 func (origins *origins) enqueue(record origin.Record, peers []membership.Peer, now time.Time) {
 	holders := origin.Holders(record.RequestID, names(peers), originHolders)
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -203,13 +203,34 @@
 	}
 }
 
-// On ordinary days, with one version of each service, records must cost no calls. When a
-// second version starts, streams that began before must be known too.
+// Guards against streams that end after a kill in the first seconds of a fleet, when no VM
+// has watched the list of targets for long enough to tell that one version serves alone.
+func TestOriginsOfAYoungFleetAreFound(t *testing.T) {
+	const streams = 50
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newOriginFleet(t, 6, 2)
+		killed := fleet.addresses[0]
+		fleet.record(fleet.vms[killed], streams)
+		sleep(originBatchTime)
+		fleet.setDown(killed, true)
+		for _, address := range fleet.addresses[1:] {
+			if got, _ := fleet.find(t, fleet.vms[address], streams); got != streams {
+				t.Errorf("%v: got %d origins, want %d", address, got, streams)
+			}
+		}
+	})
+}
+
+// On ordinary days, with one version of each service for long, records must cost no calls.
+// When a second version starts, streams that began before must be known too.
 func TestRecordsAreSentOnceSeveralVersionsServe(t *testing.T) {
 	const streams = 100
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newOriginFleet(t, 6, 2)
 		first, second := fleet.vms[fleet.addresses[0]], fleet.vms[fleet.addresses[1]]
+		for _, versions := range fleet.versions {
+			versions.watched = time.Now().Add(-time.Hour)
+		}
 		fleet.record(first, streams)
 		first.origins.sweep(time.Now())
 		fleet.run(time.Second)
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -134,16 +134,27 @@
 	}
 	gateway.recordStoreAnswer()
 	learnedAt := time.Now()
-	if _, listedBefore := gateway.mirror.SyncedVersion(collection); !listedBefore {
+	_, listedBefore := gateway.mirror.SyncedVersion(collection)
+	if !listedBefore {
 		learnedAt = learnedAt.Add(-assumedWeightsAge)
 	}
 	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), learnedAt)
 	if collection == objects.Targets {
-		gateway.roster.RecordList(time.Now())
+		gateway.roster.RecordList(gateway.completeSince(listedBefore))
 	}
 	return nil
 }
 
+// completeSince returns the time since which the list of targets that was just received
+// and its changes are complete. Nothing was missed before the first list of a system
+// that has not run before.
+func (gateway *Gateway) completeSince(listedBefore bool) time.Time {
+	if gateway.Settings.FirstStart && !listedBefore {
+		return time.Unix(0, 0)
+	}
+	return time.Now()
+}
+
 func (gateway *Gateway) watchCollection(ctx context.Context, collectionSync collectionSync) error {
 	collection := collectionSync.collection
 	from, _ := gateway.mirror.SyncedVersion(collection)
--- a/settings/platform_vm.go
+++ b/settings/platform_vm.go
@@ -22,7 +22,10 @@
 	// MemoryBytes is the memory use at which the platform kills the process; 0 means
 	// no limit.
 	MemoryBytes int64
-	Bounds      Bounds
+	// FirstStart is set when this process starts together with the whole system, which
+	// has not run before.
+	FirstStart bool
+	Bounds     Bounds
 	// Ignored lists the fields that this version does not read.
 	Ignored []string
 }
