Send nothing more to targets that say in an answer that they leave

Cause: a VM took a target out of use only when its registration said "draining" or was removed. A target that said so in its answers (Server-Leaving) kept receiving requests until the store's word arrived, and for as long as the VM was cut off.

Change: roster/availability.go decides in one place whether a target may get anything from this VM. Requests, transfers of cached blocks, reports, orders and status checks ask it. Answers to requests, reports and orders, registrations and other VMs feed the same state. It belongs to one start: a later start is used, an older word or a late answer of an earlier start changes nothing. Values other than empty, 0, false and no count as leaving. Event 617, metric "availability".

With the decision switched off, four tests of leaving in roster and three in platform fail; TestLeavingTargetReceivesNoReportsAndOrders passes then, as a roll also skips targets that Entries shows as draining. roster, relay, gateway, platform, metric, event, target pass with -race.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -70,6 +70,7 @@
 	TargetUnreadable = register(612, "target_unreadable", LevelWarn, "a registration could not be read; no target was added for it", "find out which system wrote the object")
 	TargetLost       = register(615, "target_lost", LevelWarn, "a target accepts no connections; it receives no new requests", "check the target; it is probed until it answers")
 	TargetReached    = register(616, "target_reached", LevelInfo, "a target accepts connections again", "none")
+	TargetLeaving    = register(617, "target_leaving", LevelInfo, "a target leaves; it receives nothing more from this VM, and what runs there is completed; the source is an answer, its registration or another VM", "none; a start of the target later than this one is used again")
 	CacheStoreUp     = register(613, "cache_store_up", LevelInfo, "a KV cache store accepts connections", "none")
 	CacheStoreDown   = register(614, "cache_store_down", LevelWarn, "a KV cache store closed its connection; targets do not fetch from it", "check the KV cache store")
 )
--- /dev/null
+++ b/gateway/contact.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/roster"
+	"github.com/bramleygw/bramleygw/target"
+)
+
+// contact is a call to a target that is not a caller's request: a report or an order.
+type contact struct {
+	*roster.Contact
+	gateway *Gateway
+	client  *target.Client
+}
+
+// newContact returns a contact with a target. It returns false if the target is not
+// registered or may get nothing now.
+func (gateway *Gateway) newContact(id string) (*contact, bool) {
+	rosterContact, ok := gateway.roster.Contact(id, time.Now())
+	if !ok {
+		return nil, false
+	}
+	return &contact{Contact: rosterContact, gateway: gateway, client: gateway.clients.Get(id, rosterContact.Address)}, true
+}
+
+// observe records what the head of an answer says about further requests. An answer
+// with the ID of a request is a late one to that request.
+func (contact *contact) observe(head target.Head) {
+	if head.RequestID != "" {
+		return
+	}
+	if change, changed := contact.Observe(relay.AnnouncementOf(head), time.Now()); changed {
+		contact.gateway.relay.RecordAvailability(change)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,8 @@
 
 // Engines requests reports from targets and sends them orders.
 type Engines interface {
-	Report(ctx context.Context, client *target.Client, instance string) (rollout.Report, error)
-	Order(ctx context.Context, client *target.Client, order rollout.Order) (rollout.Reply, error)
+	Report(ctx context.Context, client *target.Client, instance string, onHead func(target.Head)) (rollout.Report, error)
+	Order(ctx context.Context, client *target.Client, order rollout.Order, onHead func(target.Head)) (rollout.Reply, error)
 }
 
 // Gateway is the process of one VM. The exported fields are set before Listen.
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -7,7 +7,6 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
-	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
@@ -31,11 +30,11 @@
 }
 
 func (gateway *Gateway) runProbe(ctx context.Context, probe roster.Probe) {
-	client := gateway.clients.Get(probe.ID, probe.Address)
 	if probe.Report {
-		gateway.queryWeights(ctx, client, probe.ID)
+		gateway.queryWeights(ctx, probe.ID)
 		return
 	}
+	client := gateway.clients.Get(probe.ID, probe.Address)
 	reached := false
 	for attempt := 0; attempt < probeAttempts && !reached; attempt++ {
 		reached = client.Reachable(ctx, time.Now().Add(probeTimeout))
@@ -52,8 +51,12 @@
 
 // queryWeights requests a report from a target that rejected a request for certain
 // weights, and records which weights the target has.
-func (gateway *Gateway) queryWeights(ctx context.Context, client *target.Client, id string) {
-	report, err := gateway.Engines.Report(ctx, client, id)
+func (gateway *Gateway) queryWeights(ctx context.Context, id string) {
+	contact, ok := gateway.newContact(id)
+	if !ok {
+		return
+	}
+	report, err := gateway.Engines.Report(ctx, contact.client, id, contact.observe)
 	if err != nil {
 		gateway.Log.Emit(event.OrderFailed, event.F("target", id), event.Err(err))
 		return
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -13,7 +13,6 @@
 	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/rollout"
 	"github.com/bramleygw/bramleygw/settings"
-	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
@@ -250,8 +249,8 @@
 
 func (rollLoop *rollLoop) runPoll(ctx context.Context, step rollout.Step) {
 	result := callResult{step: step}
-	if client, ok := rollLoop.gateway.targetClient(step.Target); ok {
-		report, err := rollLoop.gateway.Engines.Report(ctx, client, step.Target)
+	if contact, ok := rollLoop.gateway.newContact(step.Target); ok {
+		report, err := rollLoop.gateway.Engines.Report(ctx, contact.client, step.Target, contact.observe)
 		if err == nil {
 			result.report = &report
 		} else {
@@ -263,16 +262,16 @@
 
 func (rollLoop *rollLoop) runOrder(ctx context.Context, step rollout.Step, token uint64) {
 	result := callResult{step: step, reply: rollout.Misdirected}
-	client, ok := rollLoop.gateway.targetClient(step.Target)
+	contact, ok := rollLoop.gateway.newContact(step.Target)
 	if !ok {
 		rollLoop.sendResult(ctx, result)
 		return
 	}
 	rollLoop.gateway.metrics.Orders.Add(1)
-	reply, err := rollLoop.gateway.Engines.Order(ctx, client, rollout.Order{
+	reply, err := rollLoop.gateway.Engines.Order(ctx, contact.client, rollout.Order{
 		Target: step.Target, Weights: step.Weights, Sequence: step.Sequence,
 		Holder: rollLoop.gateway.Settings.Name, Token: token,
-	})
+	}, contact.observe)
 	result.reply = reply
 	fields := []event.Field{
 		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", token),
@@ -302,15 +301,6 @@
 	go gateway.runNotify(ctx, peer.Notice{Targets: updates})
 }
 
-// targetClient returns the client of a target.
-func (gateway *Gateway) targetClient(id string) (*target.Client, bool) {
-	address, ok := gateway.roster.Address(id)
-	if !ok {
-		return nil, false
-	}
-	return gateway.clients.Get(id, address), true
-}
-
 // runNotify notifies other VMs while the roll continues.
 func (gateway *Gateway) runNotify(ctx context.Context, notice peer.Notice) {
 	gateway.notify(ctx, notice)
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -260,7 +260,9 @@
 		return
 	}
 	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("draining", entry.Draining))
-	gateway.roster.Put(entry, now)
+	if change, changed := gateway.roster.Put(entry, now); changed {
+		gateway.relay.RecordAvailability(change)
+	}
 }
 
 func (gateway *Gateway) applyWeights(change mirror.Change, learnedAt time.Time) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,7 @@
 	Fetches       expvar.Int  // requests sent with the instruction to fetch KV cache from another target
 	Unreachable   expvar.Int  // targets that accept no connections
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
+	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	ByRoute       *Rows
 	ByAccount     *Rows
@@ -72,8 +73,8 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		StoreCalls: new(expvar.Map).Init(),
-		ByRoute:    NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
+		StoreCalls: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
+		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
 	if expvar.Get(name) == nil {
@@ -105,6 +106,7 @@
 		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.HoldsLease}, {"store_calls", set.StoreCalls},
 		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
+		{"availability", set.Availability},
 		{"by_target", set.ByTarget},
 	}
 	for _, entry := range metrics {
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -24,18 +24,30 @@
 		if now.Before(target.probeAt) {
 			continue
 		}
-		silent := target.inFlight > 0 && now.Sub(target.lastReceived) > silenceLimit
-		if !silent && !target.unreachable && !target.mismatched {
+		due, report := target.probeDue(now)
+		if !due {
 			continue
 		}
 		target.probeAt = now.Add(probeInterval)
-		report := target.mismatched && !target.unreachable && len(target.entry.Models) > 0
 		probes = append(probes, Probe{ID: id, Address: target.entry.Address, Report: report})
 		target.mismatched = false
 	}
 	return probes
 }
 
+// probeDue reports whether the target should be probed, and whether by a report. A
+// target that may get nothing is only checked for the sake of the requests in flight
+// there: by a connection, on which nothing is sent.
+func (target *Target) probeDue(now time.Time) (due, report bool) {
+	running := target.inFlight > 0
+	silent := running && now.Sub(target.lastReceived) > silenceLimit
+	if target.availability(now) != Available {
+		return silent || running && target.unreachable, false
+	}
+	report = target.mismatched && !target.unreachable && len(target.entry.Models) > 0
+	return silent || target.unreachable || target.mismatched, report
+}
+
 // RecordProbe records a probe's result. It reports whether the result changed the
 // target from unreachable to reachable or the reverse.
 func (roster *Roster) RecordProbe(id string, reached bool, now time.Time) bool {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,7 +51,8 @@
 	Address netip.AddrPort
 	Zone    string
 	Models  []Model
-	// Draining targets finish their running requests and then leave.
+	// Draining targets finish their running requests and then leave. In Entries it is
+	// also set for targets that said so in an answer or to another VM.
 	Draining bool
 	// StartTime distinguishes processes that used the same ID.
 	StartTime int64
@@ -77,11 +78,13 @@
 	// expired rather than removed.
 	reregisterUntil time.Time
 	roundRobin      uint64
+	// leaving holds the newest start of each target that is known to leave.
+	leaving map[string]leavingStart
 }
 
 // New returns an empty roster for a VM in the zone.
 func New(zone string) *Roster {
-	return &Roster{zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{}}
+	return &Roster{zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{}, leaving: map[string]leavingStart{}}
 }
 
 // PlatformDown records that the platform does not answer; since is when it last did.
@@ -120,12 +123,14 @@
 	roster.index()
 }
 
-// Put adds or updates one registration.
-func (roster *Roster) Put(entry Entry, now time.Time) {
+// Put adds or updates one registration. The second result reports whether the
+// target's availability changed.
+func (roster *Roster) Put(entry Entry, now time.Time) (Change, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	roster.put(entry, now)
+	change, changed := roster.put(entry, now)
 	roster.index()
+	return change, changed
 }
 
 // Remove records that a registration was removed.
@@ -139,7 +144,9 @@
 }
 
 // put adds or updates a target. The caller holds mu.
-func (roster *Roster) put(entry Entry, now time.Time) {
+func (roster *Roster) put(entry Entry, now time.Time) (Change, bool) {
+	draining := entry.Draining
+	entry.Draining = roster.leaves(entry)
 	known, ok := roster.targets[entry.ID]
 	if !ok || known.entry.StartTime != entry.StartTime || known.entry.Address != entry.Address {
 		known = newTarget(entry)
@@ -147,6 +154,10 @@
 	}
 	known.removed, known.dropAt = false, time.Time{}
 	known.update(entry, now)
+	if draining {
+		return roster.markLeaving(known, SourceRegistration, now)
+	}
+	return Change{}, false
 }
 
 // remove marks a target as removed or, within the grace period after an outage,
@@ -167,6 +178,7 @@
 func (roster *Roster) Sweep(now time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	roster.forgetLeaving(now)
 	changed := false
 	for id, target := range roster.targets {
 		if !target.dropAt.IsZero() && !now.Before(target.dropAt) {
--- a/roster/target.go
+++ b/roster/target.go
@@ -152,7 +152,7 @@
 // usable reports whether the target may get new requests, disregarding pauses and
 // ejection.
 func (target *Target) usable(now time.Time) bool {
-	return !target.removed && !target.entry.Draining && !target.unreachable && !target.awaitsWeights(now)
+	return !target.removed && target.availability(now) == Available && !target.unreachable && !target.awaitsWeights(now)
 }
 
 // awaitsWeights reports whether the target is loading weights that it is not yet
