Let targets rest that turn requests away with Retry-After

Cause: a 503 with Retry-After changed nothing: the VM kept sending requests, reports and orders to the target, and each rejection took a retry out of the budget. Refusals named 300 to 600 ms when all targets wanted a longer rest.

Change: the head of a 503 that says "not run" sets a stored end of a rest, of this VM alone (roster/rest.go). Until then the target gets nothing; then one request, and its share once that is answered. An unanswered first request is replaced when it ends, or after a second. Odd values of Retry-After have a rule each and are logged (event 625); rests are limited to a minute. If all targets of a service rest or leave, one request for each resting target waits for the end if it can be served then; all others are refused at once, with the first end as time to retry. A roll skips resting targets, counts them as out of service, and goes on one by one when it is late. Events 618, 619, 625; metrics targets_leaving, targets_resting.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
@@ -11,18 +10,19 @@
 // contact is a call to a target that is not a caller's request: a report or an order.
 type contact struct {
 	*roster.Contact
+	id      string
 	gateway *Gateway
 	client  *target.Client
 }
 
 // newContact returns a contact with a target. It returns false if the target is not
-// registered or may get nothing now.
+// registered or may get nothing now. The caller calls End after the call.
 func (gateway *Gateway) newContact(id string) (*contact, bool) {
 	rosterContact, ok := gateway.roster.Contact(id, time.Now())
 	if !ok {
 		return nil, false
 	}
-	return &contact{Contact: rosterContact, gateway: gateway, client: gateway.clients.Get(id, rosterContact.Address)}, true
+	return &contact{Contact: rosterContact, id: id, gateway: gateway, client: gateway.clients.Get(id, rosterContact.Address)}, true
 }
 
 // observe records what the head of an answer says about further requests. An answer
@@ -31,7 +31,5 @@
 	if head.RequestID != "" {
 		return
 	}
-	if change, changed := contact.Observe(relay.AnnouncementOf(head), time.Now()); changed {
-		contact.gateway.relay.RecordAvailability(change)
-	}
+	contact.gateway.relay.ObserveHead(contact.Contact, contact.id, head, time.Now())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"expvar"
 	"net"
 	"net/netip"
 	"os"
@@ -328,21 +329,26 @@
 	return nil
 }
 
-// updateTargetMetrics sets the metrics of unreachable and ejected targets and returns
-// the IDs of all listed targets.
+// updateTargetMetrics sets the numbers of targets by state and returns the IDs of all
+// listed targets.
 func (gateway *Gateway) updateTargetMetrics() map[string]bool {
 	listed := map[string]bool{}
-	unreachable, ejected := int64(0), int64(0)
-	for _, entry := range gateway.roster.Entries() {
+	entries := gateway.roster.Entries()
+	for _, entry := range entries {
 		listed[entry.ID] = true
-		if entry.Unreachable {
-			unreachable++
-		}
-		if entry.Ejected {
-			ejected++
+	}
+	count := func(gauge *expvar.Int, counts func(entry roster.Entry) bool) {
+		number := int64(0)
+		for _, entry := range entries {
+			if counts(entry) {
+				number++
+			}
 		}
+		gauge.Set(number)
 	}
-	gateway.metrics.Unreachable.Set(unreachable)
-	gateway.metrics.Ejected.Set(ejected)
+	count(&gateway.metrics.Unreachable, func(entry roster.Entry) bool { return entry.Unreachable })
+	count(&gateway.metrics.Ejected, func(entry roster.Entry) bool { return entry.Ejected })
+	count(&gateway.metrics.Leaving, func(entry roster.Entry) bool { return entry.Draining })
+	count(&gateway.metrics.Resting, func(entry roster.Entry) bool { return entry.Resting })
 	return listed
 }
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -112,7 +112,7 @@
 		if entry.Draining || len(entry.Models) == 0 {
 			continue
 		}
-		rollTarget := rollout.Target{ID: entry.ID, Running: entry.Running, Unreachable: entry.Unreachable}
+		rollTarget := rollout.Target{ID: entry.ID, Running: entry.Running, Unreachable: entry.Unreachable, Resting: entry.Resting}
 		for _, model := range entry.Models {
 			rollTarget.Models = append(rollTarget.Models, rollout.Weights{Model: model.Name, Version: model.Weights})
 		}
@@ -251,6 +251,7 @@
 	result := callResult{step: step}
 	if contact, ok := rollLoop.gateway.newContact(step.Target); ok {
 		report, err := rollLoop.gateway.Engines.Report(ctx, contact.client, step.Target, contact.observe)
+		contact.End()
 		if err == nil {
 			result.report = &report
 		} else {
@@ -272,6 +273,7 @@
 		Target: step.Target, Weights: step.Weights, Sequence: step.Sequence,
 		Holder: rollLoop.gateway.Settings.Name, Token: token,
 	}, contact.observe)
+	contact.End()
 	result.reply = reply
 	fields := []event.Field{
 		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", token),
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -261,7 +261,7 @@
 	}
 	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("draining", entry.Draining))
 	if change, changed := gateway.roster.Put(entry, now); changed {
-		gateway.relay.RecordAvailability(change)
+		gateway.relay.RecordAvailability(change, now)
 	}
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,8 @@
 	Fetches       expvar.Int  // requests sent with the instruction to fetch KV cache from another target
 	Unreachable   expvar.Int  // targets that accept no connections
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
+	Leaving       expvar.Int  // targets that leave
+	Resting       expvar.Int  // targets that rest or return from a rest
 	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	ByRoute       *Rows
@@ -106,7 +108,7 @@
 		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.HoldsLease}, {"store_calls", set.StoreCalls},
 		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
-		{"availability", set.Availability},
+		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
 		{"by_target", set.ByTarget},
 	}
 	for _, entry := range metrics {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -132,9 +132,7 @@
 	assignment := &job.attempt.assignment
 	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting}
 	assignment.Answered(load, head.HasLoad, now)
-	if change, changed := assignment.Observe(AnnouncementOf(head), now); changed {
-		job.relay.RecordAvailability(change)
-	}
+	job.relay.ObserveHead(assignment, assignment.ID, head, now)
 	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" {
 		if weights, err := strconv.ParseUint(head.Weights, 10, 64); err == nil {
 			job.relay.Roster.RaiseWeights(assignment.ID, prompt.Model, weights)
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -1,20 +1,114 @@
 package relay
 
 import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
 
-// AnnouncementOf returns what the head of an answer says about further requests.
-func AnnouncementOf(head target.Head) roster.Announcement {
-	return roster.Announcement{Leaving: head.Draining}
+// Observer records what an answer says about further requests: an assignment, or a
+// contact.
+type Observer interface {
+	Observe(announcement roster.Announcement, now time.Time) (roster.Change, bool)
+}
+
+// maxProblemLines is the maximum number of log lines per second about rests that were
+// not used as they are.
+const maxProblemLines = 10
+
+// ObserveHead records what the head of a target's answer says about further requests.
+func (relay *Relay) ObserveHead(observer Observer, id string, head target.Head, now time.Time) {
+	if head.RestProblem != "" {
+		relay.logRestProblem(id, head, now)
+	}
+	announcement := roster.Announcement{
+		Leaving: head.Draining, RestUntil: head.RestUntil, Rejected: head.NotRun,
+	}
+	if change, changed := observer.Observe(announcement, now); changed {
+		relay.RecordAvailability(change, now)
+	}
+}
+
+func (relay *Relay) logRestProblem(id string, head target.Head, now time.Time) {
+	skipped, ok := relay.problemSampler.Allow(now, maxProblemLines)
+	if !ok {
+		return
+	}
+	relay.Log.Emit(event.RestNotTaken, event.F("target", id), event.F("value", head.RestProblem),
+		event.F("rest_ms", restMS(head.RestUntil, now)), event.F("skipped", skipped))
 }
 
 // RecordAvailability logs and counts a change of a target's availability.
-func (relay *Relay) RecordAvailability(change roster.Change) {
+func (relay *Relay) RecordAvailability(change roster.Change, now time.Time) {
 	relay.Metrics.ByTarget.Count(change.Target, change.To.String())
 	relay.Metrics.Availability.Add(change.Service+"/"+change.To.String(), 1)
-	relay.Log.Emit(event.TargetLeaving,
-		event.F("target", change.Target), event.F("service", change.Service), event.F("source", string(change.Source)))
+	fields := []event.Field{
+		event.F("target", change.Target), event.F("service", change.Service), event.F("source", string(change.Source)),
+	}
+	switch change.To {
+	case roster.Leaving:
+		relay.Log.Emit(event.TargetLeaving, fields...)
+	case roster.Resting:
+		relay.Log.Emit(event.TargetResting, append(fields, event.F("until", change.Until), event.F("rest_ms", restMS(change.Until, now)))...)
+	default:
+		relay.Log.Emit(event.TargetReturned, fields...)
+	}
+}
+
+func restMS(until, now time.Time) int64 {
+	if until.IsZero() {
+		return 0
+	}
+	return until.Sub(now).Milliseconds()
+}
+
+// awaitsRest reports whether the request may still wait for the end of a rest. At the
+// end a target gets one request, so one request may wait for each target: it is served
+// then unless the target is lost. All others are refused at once.
+func (job *job) awaitsRest(now time.Time) bool {
+	if job.reservation != nil && now.Before(job.reservation.Until) {
+		return true
+	}
+	job.releaseReservation()
+	reservation, ok := job.relay.Roster.Reserve(job.criteria(now), job.latestStart(now), now)
+	job.reservation = reservation
+	return ok
+}
+
+// latestStart returns the time until which a request that waits for a rest must have
+// been sent: within the maximum wait of its route and, so that it can be answered,
+// within half of the time that it has left.
+func (job *job) latestStart(now time.Time) time.Time {
+	latest := now.Add(job.deadline.Sub(now) / 2)
+	if job.route.MaxWait <= 0 {
+		return latest
+	}
+	if limit := job.route.MaxWait.After(job.request.Arrived); limit.Before(latest) {
+		return limit
+	}
+	return latest
+}
+
+func (job *job) releaseReservation() {
+	if job.reservation != nil {
+		job.reservation.Release()
+		job.reservation = nil
+	}
+}
+
+// delayRetry corrects the time to retry of a refusal: if all targets rest, none takes
+// a request before the first rest ends.
+func (job *job) delayRetry(refused *refusal.Refusal, now time.Time) {
+	if refused.Code != refusal.NoTarget || job.service == nil {
+		return
+	}
+	end, withheld := job.relay.Roster.RestEnd(job.service.Name, now)
+	if withheld && refused.RetryAt.Before(end) {
+		refused.RetryAt = end.Add(rand.N(delivery.RetryAfter))
+	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -46,7 +46,9 @@
 	// holdDeadline is the time until which the request may wait for a target. It is
 	// zero until the request first has to wait.
 	holdDeadline time.Time
-	delivery     delivery.Delivery
+	// reservation is held while the request waits for the end of a target's rest.
+	reservation *roster.Reservation
+	delivery    delivery.Delivery
 	// targetFull is set once a target rejected the request for lack of capacity.
 	targetFull bool
 	// started is set once a part of the answer was sent to the caller, first at
@@ -157,10 +159,12 @@
 	if job.service != nil {
 		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
 	}
+	defer job.releaseReservation()
 	err := job.delivery.Run(ctx)
 	if err == nil {
 		return nil
 	}
+	job.delayRetry(refusal.From(err), time.Now())
 	if job.delivery.Runs() == 0 && job.charged > 0 {
 		job.relay.Limits.Refund(job.account.Name, job.charged, time.Now())
 	}
@@ -194,6 +198,9 @@
 // mayHold reports whether the request may still wait for a target at the given
 // time.
 func (job *job) mayHold(now time.Time) bool {
+	if _, withheld := job.relay.Roster.RestEnd(job.service.Name, now); withheld || job.reservation != nil {
+		return job.awaitsRest(now)
+	}
 	if job.holdDeadline.IsZero() {
 		latencyTarget := job.route.LatencyTarget.After(now).Sub(now)
 		job.holdDeadline = now.Add(min(latencyTarget/holdDivisor, maxHold))
@@ -225,7 +232,7 @@
 // criteria returns what the request requires of a target.
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
-		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried,
+		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Reservation: job.reservation,
 	}
 	prompt := job.request.Prompt
 	if prompt == nil || len(job.service.Models) == 0 {
@@ -297,7 +304,9 @@
 		assignment.MarkMismatched(now)
 		return
 	}
-	job.targetFull = true
+	if job.attempt.head.RestUntil.IsZero() {
+		job.targetFull = true
+	}
 }
 
 // AllowRetry implements delivery.Sender.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,7 +83,9 @@
 	running atomic.Int64
 	// answeredSampler limits the log lines about answered requests.
 	answeredSampler event.Sampler
-	waitCorrector   waitCorrector
+	// problemSampler limits the log lines about rests that were not used as they are.
+	problemSampler event.Sampler
+	waitCorrector  waitCorrector
 }
 
 const (
--- /dev/null
+++ b/rollout/limit.go
@@ -0,0 +1,43 @@
+package rollout
+
+import "time"
+
+// limit returns how many more targets may load now without too many being out of
+// service at once. If targets rest for so long that the roll gets late, one target may
+// load at a time nevertheless.
+func (roll *Roll) limit(targets []Target, late bool, now time.Time) int {
+	loading, ordered, resting, reachable := 0, 0, 0, 0
+	for i := range targets {
+		if targets[i].Unreachable {
+			continue
+		}
+		reachable++
+		state, ok := roll.states[targets[i].ID]
+		if !ok || state.orderedAt.IsZero() {
+			if targets[i].Resting {
+				resting++
+			}
+			continue
+		}
+		ordered++
+		if now.Sub(state.orderedAt) < assumedLoadTime {
+			loading++
+		}
+	}
+	limit := max(1, min(minLoadLimit, reachable-1)) // of two targets, one stays in service
+	allowed := min(max(limit, reachable/loadingDivisor)-loading, max(limit, reachable/outOfServiceDivisor)-ordered-resting)
+	if late && ordered == 0 {
+		return max(1, allowed)
+	}
+	return allowed
+}
+
+// late reports whether the orders for a requested version should all have been sent.
+func (roll *Roll) late(named []NamedWeights, now time.Time) bool {
+	for _, weights := range named {
+		if now.Sub(weights.Learned).Seconds() >= paceShare*time.Duration(roll.Grace).Seconds() {
+			return true
+		}
+	}
+	return false
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -66,6 +66,9 @@
 	// Unreachable is set when the target accepts no connections. The roll does not
 	// wait for such a target.
 	Unreachable bool
+	// Resting is set when the target wants nothing from this VM for now. It gets no
+	// polls and orders meanwhile, and counts as out of service.
+	Resting bool
 }
 
 // version returns the target's version of a model, or false if the target does
@@ -207,7 +210,7 @@
 	roll.prune(targets, named)
 	var outdated []*Target
 	for i := range targets {
-		if _, ok := missingWeights(&targets[i], named); ok && !targets[i].Unreachable {
+		if _, ok := missingWeights(&targets[i], named); ok && !targets[i].Unreachable && !targets[i].Resting {
 			outdated = append(outdated, &targets[i])
 		}
 	}
@@ -222,7 +225,7 @@
 		}
 		return outdated[i].ID < outdated[j].ID
 	})
-	budget := orderBudget{total: roll.limit(targets, now), byModel: roll.pace(targets, named, now)}
+	budget := orderBudget{total: roll.limit(targets, roll.late(named, now), now), byModel: roll.pace(targets, named, now)}
 	var steps []Step
 	for _, target := range outdated {
 		weights, _ := missingWeights(target, named)
@@ -270,28 +273,6 @@
 	return due
 }
 
-// limit returns how many more targets may load now without too many being out of
-// service at once.
-func (roll *Roll) limit(targets []Target, now time.Time) int {
-	loading, outOfService, reachable := 0, 0, 0
-	for i := range targets {
-		if targets[i].Unreachable {
-			continue
-		}
-		reachable++
-		state, ok := roll.states[targets[i].ID]
-		if !ok || state.orderedAt.IsZero() {
-			continue
-		}
-		outOfService++
-		if now.Sub(state.orderedAt) < assumedLoadTime {
-			loading++
-		}
-	}
-	limit := max(1, min(minLoadLimit, reachable-1)) // of two targets, one stays in service
-	return min(max(limit, reachable/loadingDivisor)-loading, max(limit, reachable/outOfServiceDivisor)-outOfService)
-}
-
 // nextStep returns the next step for a target that lacks a requested version, or
 // false if there is none now. budget is the number of orders that may still be
 // sent; nextStep takes an order out of it.
--- a/roster/availability.go
+++ b/roster/availability.go
@@ -15,11 +15,16 @@
 	Available Availability = iota
 	// Leaving: this start of the target leaves. A later start is another target.
 	Leaving
+	// Resting: the target turned a request away and wants nothing for a time.
+	Resting
+	// Returning: the rest is over, and the first request after it is not answered yet
+	// or is reserved.
+	Returning
 )
 
 // String returns the availability's name for logs and metrics.
 func (availability Availability) String() string {
-	return [...]string{"available", "leaving"}[availability]
+	return [...]string{"available", "leaving", "resting", "returning"}[availability]
 }
 
 // Source is how this VM learned of a change.
@@ -38,29 +43,37 @@
 	Service string
 	To      Availability
 	Source  Source
+	// Until is the end of a rest; zero otherwise.
+	Until time.Time
 }
 
 // Announcement is what the head of an answer says about further requests.
 type Announcement struct {
 	Leaving bool
+	// RestUntil is the end of the rest that the target asks for; zero for none.
+	RestUntil time.Time
+	// Rejected is set if the target did not run the request.
+	Rejected bool
 }
 
 // availability decides whether the target may get anything from this VM now. Every
 // way to a target asks it.
-func (target *Target) availability(time.Time) Availability {
+func (target *Target) availability(now time.Time) Availability {
 	if target.entry.Draining {
 		return Leaving
 	}
-	return Available
+	return target.rest.availability(now)
 }
 
-// observe records what an answer of the target announces. The second result reports
-// whether the availability changed. The caller holds mu.
-func (roster *Roster) observe(target *Target, announcement Announcement, now time.Time) (Change, bool) {
+// observe records what an answer of the target announces; trial is set if it is that
+// of the first request after a rest. The second result reports whether the
+// availability changed. The caller holds mu.
+func (roster *Roster) observe(target *Target, announcement Announcement, trial bool, now time.Time) (Change, bool) {
+	rest, changed := target.observeRest(announcement, trial, now)
 	if announcement.Leaving {
 		return roster.markLeaving(target, SourceAnswer, now)
 	}
-	return Change{}, false
+	return rest, changed
 }
 
 // Observe records what the answer announces. The second result reports whether the
@@ -68,7 +81,7 @@
 func (assignment *Assignment) Observe(announcement Announcement, now time.Time) (Change, bool) {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
-	return assignment.roster.observe(assignment.target, announcement, now)
+	return assignment.roster.observe(assignment.target, announcement, assignment.trial, now)
 }
 
 // Contact is a call to a target that is not a caller's request: a report or an order.
@@ -77,10 +90,11 @@
 
 	roster *Roster
 	target *Target
+	trial  bool // the first request after a rest
 }
 
-// Contact returns a contact with a registered target. It returns false if the target
-// may get nothing now.
+// Contact returns a contact with a registered target, which lasts until End is called.
+// It returns false if the target may get nothing now.
 func (roster *Roster) Contact(id string, now time.Time) (*Contact, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
@@ -88,7 +102,16 @@
 	if !ok || target.removed || target.availability(now) != Available {
 		return nil, false
 	}
-	return &Contact{Address: target.entry.Address, roster: roster, target: target}, true
+	return &Contact{Address: target.entry.Address, roster: roster, target: target, trial: target.rest.beginTrial(now)}, true
+}
+
+// End ends the contact.
+func (contact *Contact) End() {
+	contact.roster.mu.Lock()
+	defer contact.roster.mu.Unlock()
+	if contact.trial {
+		contact.target.rest.endTrial()
+	}
 }
 
 // Observe records what the answer announces. The second result reports whether the
@@ -96,5 +119,5 @@
 func (contact *Contact) Observe(announcement Announcement, now time.Time) (Change, bool) {
 	contact.roster.mu.Lock()
 	defer contact.roster.mu.Unlock()
-	return contact.roster.observe(contact.target, announcement, now)
+	return contact.roster.observe(contact.target, announcement, contact.trial, now)
 }
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -47,6 +47,9 @@
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
 	Tried []string
+	// Reservation, if set, is that of this request. Choose uses it up once the rest is
+	// over.
+	Reservation *Reservation
 }
 
 // Choose assigns the request to a target and counts it there. It returns false when
@@ -55,6 +58,9 @@
 func (roster *Roster) Choose(criteria Criteria, now time.Time) (Assignment, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	if reservation := criteria.Reservation; reservation != nil && !now.Before(reservation.Until) {
+		reservation.release()
+	}
 	targets := roster.services[criteria.Service]
 	home := roster.home(targets, criteria, now)
 	best := roster.best(targets, criteria, home, now)
@@ -70,6 +76,7 @@
 	if home != nil && home != best {
 		assignment.Home = home.entry.Address
 	}
+	assignment.trial = best.rest.beginTrial(now)
 	best.begin(criteria.Tokens, now)
 	return assignment, true
 }
@@ -188,7 +195,7 @@
 	if !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)) {
 		return false
 	}
-	if weights, ok := target.weights(criteria.Model); ok && weights < criteria.RequiredWeights {
+	if !target.hasRequiredWeights(criteria) {
 		return false
 	}
 	for _, tried := range criteria.Tried {
@@ -199,6 +206,12 @@
 	return true
 }
 
+// hasRequiredWeights reports whether the target's weights may be used for the request.
+func (target *Target) hasRequiredWeights(criteria Criteria) bool {
+	weights, ok := target.weights(criteria.Model)
+	return !ok || weights >= criteria.RequiredWeights
+}
+
 // cost estimates the time to the first token plus the penalties of the choice.
 func (roster *Roster) cost(target *Target, criteria Criteria, home *Target, now time.Time) int {
 	cost := 0
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,10 +58,12 @@
 	StartTime int64
 	// Running is the number of requests at the target. Unreachable is set for
 	// targets that accept no connections, Ejected for those that fail too many
-	// requests, both as observed by this VM. Only Entries sets these fields.
+	// requests, Resting for those that rest or return from a rest, all as observed by
+	// this VM. Only Entries sets these fields.
 	Running     int
 	Unreachable bool
 	Ejected     bool
+	Resting     bool
 }
 
 // Roster holds the targets known to one VM. It is safe for concurrent use.
@@ -168,11 +170,17 @@
 		return
 	}
 	target.removed = true
-	if target.inFlight == 0 {
+	if target.unused(now) {
 		delete(roster.targets, target.entry.ID)
 	}
 }
 
+// unused reports whether a removed target may be forgotten. The rest of a target that
+// registers again is not over because of that.
+func (target *Target) unused(now time.Time) bool {
+	return target.inFlight == 0 && target.rest.availability(now) != Resting
+}
+
 // Sweep drops expired registrations whose targets did not register again, and
 // removed targets that have no requests in flight.
 func (roster *Roster) Sweep(now time.Time) {
@@ -184,7 +192,7 @@
 		if !target.dropAt.IsZero() && !now.Before(target.dropAt) {
 			target.removed, target.dropAt, changed = true, time.Time{}, true
 		}
-		if target.removed && target.inFlight == 0 {
+		if target.removed && target.unused(now) {
 			delete(roster.targets, id)
 			changed = true
 		}
@@ -224,11 +232,14 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	entries := make([]Entry, 0, len(roster.targets))
+	now := time.Now()
 	for _, target := range roster.targets {
 		if !target.removed {
 			entry := target.entry
 			entry.Models = append([]Model(nil), entry.Models...)
-			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(time.Now()), target.unreachable, target.ejected()
+			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
+			availability := target.availability(now)
+			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
 	}
--- a/roster/target.go
+++ b/roster/target.go
@@ -65,6 +65,7 @@
 	removed bool
 	dropAt  time.Time // when an expired registration is dropped; zero unless expired
 	rollout rollout
+	rest    rest
 
 	inFlight int
 	// pendingTokens is the number of prompt tokens that this VM sent and the target
@@ -209,6 +210,7 @@
 	target        *Target
 	tokens        int
 	promptPending bool
+	trial         bool // the first request after a rest
 	ended         bool
 }
 
@@ -300,4 +302,7 @@
 	defer assignment.roster.mu.Unlock()
 	assignment.finishPrompt()
 	assignment.target.inFlight--
+	if assignment.trial {
+		assignment.target.rest.endTrial()
+	}
 }
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -21,7 +21,12 @@
 	ContentType string
 	Incarnation string
 	Weights     string
-	Draining    bool
+	// Draining is set if the target states that it leaves.
+	Draining bool
+	// RestUntil is the end of the rest that the target asks for; zero for none.
+	// RestProblem is a text about a rest that was not used as it is, or empty.
+	RestUntil   time.Time
+	RestProblem string
 	// Load is the target's load report; valid when HasLoad is set.
 	HasLoad bool
 	Load    Load
