--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -280,6 +280,9 @@
 	for _, named := range gateway.weights.recent(now.Add(-namedWeightsSendTime)) {
 		heartbeat.NamedWeights = append(heartbeat.NamedWeights, peer.NamedWeights{Model: named.Model, Version: named.Version, Age: now.Sub(named.Learned)})
 	}
+	for _, departure := range gateway.roster.Departures(now.Add(-namedWeightsSendTime)) {
+		heartbeat.Targets = append(heartbeat.Targets, peer.TargetUpdate{Target: departure.Target, Leaving: true, StartTime: departure.StartTime})
+	}
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
 	if hierarchical {
 		heartbeat.IsRepresentative = gateway.members.IsRepresentative(now)
@@ -319,6 +322,12 @@
 func (gateway *Gateway) applyTargetUpdates(updates []peer.TargetUpdate) {
 	now := time.Now()
 	for _, update := range updates {
+		if update.Leaving {
+			if change, changed := gateway.roster.MarkLeaving(update.Target, update.StartTime, now); changed {
+				gateway.relay.RecordAvailability(change, now)
+			}
+			continue
+		}
 		if update.Rolling {
 			gateway.roster.BeginRollout(update.Target, update.Model, update.Weights, now.Add(rollingTime))
 			continue
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -145,6 +145,11 @@
 	encoded := make([]*peerpb.TargetNews, len(targets))
 	for i, update := range targets {
 		encoded[i] = &peerpb.TargetNews{Target: update.Target, Model: update.Model, Weights: update.Weights, Rolling: update.Rolling}
+		if update.Leaving {
+			// Without a model, the field weights holds the start time. Earlier versions
+			// find no such model and ignore the update.
+			encoded[i] = &peerpb.TargetNews{Target: update.Target, Weights: uint64(update.StartTime)}
+		}
 	}
 	return encoded
 }
@@ -153,6 +158,9 @@
 	decoded := make([]TargetUpdate, len(encoded))
 	for i, update := range encoded {
 		decoded[i] = TargetUpdate{Target: update.GetTarget(), Model: update.GetModel(), Weights: update.GetWeights(), Rolling: update.GetRolling()}
+		if update.GetModel() == "" && !update.GetRolling() {
+			decoded[i] = TargetUpdate{Target: update.GetTarget(), Leaving: true, StartTime: int64(update.GetWeights())}
+		}
 	}
 	return decoded
 }
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -21,7 +21,10 @@
 	want := Heartbeat{
 		Name: "vm-1", Address: address, Version: 5, PlatformAge: time.Second,
 		PeerAges: []PeerAge{{"vm-2", 2 * time.Second}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
-		Targets:  []TargetUpdate{{Target: "i-1", Model: "m", Weights: 3, Rolling: true}},
+		Targets: []TargetUpdate{
+			{Target: "i-1", Model: "m", Weights: 3, Rolling: true}, {Target: "i-1", Model: "m", Weights: 3},
+			{Target: "i-2", Leaving: true, StartTime: 1_700_000_000_000},
+		},
 		Backlogs: backlogs, NamedWeights: []NamedWeights{{Model: "m", Version: 3, Age: time.Second}},
 		Positions: []objects.Position{{Collection: objects.Configs, Version: 9}},
 		Zone:      "z1", IsRepresentative: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
--- a/peer/server.go
+++ b/peer/server.go
@@ -111,12 +111,16 @@
 }
 
 // TargetUpdate reports a target's weights version before the platform's list shows it:
-// the version that is loaded or, when Rolling is set, the one that is being loaded.
+// the version that is loaded or, when Rolling is set, the one that is being loaded. When
+// Leaving is set, it reports that the target's start leaves, and the fields on weights
+// are empty.
 type TargetUpdate struct {
-	Target  string
-	Model   string
-	Weights uint64
-	Rolling bool
+	Target    string
+	Model     string
+	Weights   uint64
+	Rolling   bool
+	Leaving   bool
+	StartTime int64
 }
 
 // PeerAge is the age of a VM's last heartbeat.
--- a/roster/leaving.go
+++ b/roster/leaving.go
@@ -9,8 +9,8 @@
 
 // leavingStart is the start of a target that leaves.
 type leavingStart struct {
-	startTime   int64
-	forgetAfter time.Time
+	startTime int64
+	learned   time.Time
 }
 
 // markLeaving records that the target's start leaves. The second result is false if
@@ -47,7 +47,7 @@
 	if known, ok := roster.leaving[id]; startTime == 0 || ok && known.startTime >= startTime {
 		return
 	}
-	roster.leaving[id] = leavingStart{startTime: startTime, forgetAfter: now.Add(leavingRetention)}
+	roster.leaving[id] = leavingStart{startTime: startTime, learned: now}
 }
 
 // leaves reports whether the entry belongs to a start that is known to leave, or to an
@@ -60,8 +60,27 @@
 // forgetLeaving drops what was learned long ago. The caller holds mu.
 func (roster *Roster) forgetLeaving(now time.Time) {
 	for id, known := range roster.leaving {
-		if _, listed := roster.targets[id]; !listed && now.After(known.forgetAfter) {
+		if _, listed := roster.targets[id]; !listed && now.Sub(known.learned) > leavingRetention {
 			delete(roster.leaving, id)
 		}
 	}
 }
+
+// Departure is a start of a target that leaves, to be sent to other VMs.
+type Departure struct {
+	Target    string
+	StartTime int64
+}
+
+// Departures returns the starts whose leaving this VM learned of after the given time.
+func (roster *Roster) Departures(after time.Time) []Departure {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	var departures []Departure
+	for id, known := range roster.leaving {
+		if known.learned.After(after) {
+			departures = append(departures, Departure{Target: id, StartTime: known.startTime})
+		}
+	}
+	return departures
+}
--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -160,3 +160,17 @@
 		t.Errorf("got probes %+v of a target without requests, want none", got)
 	}
 }
+
+// Other VMs are told for a bounded time, and also of what came from another VM, so that
+// it crosses availability zones; word of a known start does not extend the time.
+func TestDeparturesAreSentForABoundedTime(t *testing.T) {
+	roster := New("a")
+	roster.MarkLeaving("e1", 5, start)
+	roster.MarkLeaving("e1", 5, afterMs(900))
+	if got := roster.Departures(afterMs(-1)); len(got) != 1 || got[0] != (Departure{Target: "e1", StartTime: 5}) {
+		t.Errorf("got %+v, want the departure of e1", got)
+	}
+	if got := roster.Departures(start); len(got) != 0 {
+		t.Errorf("got %+v, want no departure that was learned before", got)
+	}
+}
--- a/roster/rest_test.go
+++ b/roster/rest_test.go
@@ -226,3 +226,23 @@
 		})
 	}
 }
+
+// Guards against trial requests, and requests when all targets are ejected, at targets
+// that leave or rest.
+func TestEjectedTargetThatLeavesOrRestsGetsNoTrial(t *testing.T) {
+	for name, announcement := range map[string]Announcement{"leaves": leaves, "rests": restOf(60_000)} {
+		roster := New("a")
+		roster.Put(startedEntry("e1", 5), start)
+		assignment := choose(t, roster, Criteria{}, start)
+		for range 20 {
+			assignment.Failed(false, start)
+		}
+		assignment.Observe(announcement, start)
+		assignment.End()
+		for _, at := range []int{10, 1500, 5000} {
+			if _, ok := tryChoose(roster, afterMs(at)); ok {
+				t.Errorf("%s, after %d ms: got an assignment, want none", name, at)
+			}
+		}
+	}
+}
