--- a/relay/availability.go
+++ b/relay/availability.go
@@ -108,7 +108,11 @@
 		return
 	}
 	end, withheld := job.relay.Roster.RestEnd(job.service.Name, now)
-	if withheld && refused.RetryAt.Before(end) {
+	if !withheld {
+		return
+	}
+	job.restEnd = end
+	if refused.RetryAt.Before(end) {
 		refused.RetryAt = end.Add(rand.N(delivery.RetryAfter))
 	}
 }
--- a/relay/availability_test.go
+++ b/relay/availability_test.go
@@ -119,10 +119,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			refused := refusal.New(test.code, "no").WithRetryAt(afterMs(300))
-			waitingJob(restingRelay(t, test.until...), 1000, time.Second).delayRetry(refused, start)
+			job := waitingJob(restingRelay(t, test.until...), 1000, time.Second)
+			job.delayRetry(refused, start)
 			if earliest, latest := afterMs(test.want), afterMs(test.want+300); refused.RetryAt.Before(earliest) || refused.RetryAt.After(latest) {
 				t.Errorf("got %v, want between %v and %v", refused.RetryAt, earliest, latest)
 			}
+			if got, want := !job.restEnd.IsZero(), test.code == refusal.NoTarget; got != want {
+				t.Errorf("got the end of the rest logged: %t, want %t", got, want)
+			}
 		})
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -68,7 +68,10 @@
 	// limitEstimate is the estimate of the account's tokens and demand because of
 	// which the request was refused; nil otherwise.
 	limitEstimate *quota.Estimate
-	attempt       attempt
+	// restEnd is the first end of a rest, if all targets rest when the request is
+	// refused; zero otherwise.
+	restEnd time.Time
+	attempt attempt
 }
 
 // attempt is the state of the attempt at the current target.
@@ -122,6 +125,8 @@
 		return append(fields, job.waitFields()...)
 	case job.limitEstimate != nil:
 		return append(fields, job.rateFields()...)
+	case !job.restEnd.IsZero():
+		fields = append(fields, event.F("all_rest_until", job.restEnd))
 	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
