Free reservations early; reports end no rest, nor do other engines' words count

A request that waited for the end of a rest and was sent to another target kept its reservation until it was answered, so the rested target stayed out of use. An answered report ended a rest, although it needs no slot. A misdirected answer (421) of an engine that was given the target's address could mark the target.

Change: ChooseTarget gives the reservation up when it finds a target; contacts take no part in the end of a rest; misdirected answers count only if they name the target.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -16,7 +16,7 @@
 }
 
 // newContact returns a contact with a target. It returns false if the target is not
-// registered or may get nothing now. The caller calls End after the call.
+// registered or may get nothing now.
 func (gateway *Gateway) newContact(id string) (*contact, bool) {
 	rosterContact, ok := gateway.roster.Contact(id, time.Now())
 	if !ok {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -57,7 +57,6 @@
 		return
 	}
 	report, err := gateway.Engines.Report(ctx, contact.client, id, contact.observe)
-	contact.End()
 	if err != nil {
 		gateway.Log.Emit(event.OrderFailed, event.F("target", id), event.Err(err))
 		return
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -251,7 +251,6 @@
 	result := callResult{step: step}
 	if contact, ok := rollLoop.gateway.newContact(step.Target); ok {
 		report, err := rollLoop.gateway.Engines.Report(ctx, contact.client, step.Target, contact.observe)
-		contact.End()
 		if err == nil {
 			result.report = &report
 		} else {
@@ -273,7 +272,6 @@
 		Target: step.Target, Weights: step.Weights, Sequence: step.Sequence,
 		Holder: rollLoop.gateway.Settings.Name, Token: token,
 	}, contact.observe)
-	contact.End()
 	result.reply = reply
 	fields := []event.Field{
 		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", token),
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -23,6 +23,9 @@
 
 // ObserveHead records what the head of a target's answer says about further requests.
 func (relay *Relay) ObserveHead(observer Observer, id string, head target.Head, now time.Time) {
+	if head.Status == statusMisdirected && head.Incarnation != id {
+		return // another target has the address
+	}
 	if head.RestProblem != "" {
 		relay.logRestProblem(id, head, now)
 	}
--- a/relay/availability_test.go
+++ b/relay/availability_test.go
@@ -130,3 +130,48 @@
 		})
 	}
 }
+
+// Guards against a target that stays out of use after its rest, reserved for a request
+// that was sent to another target meanwhile.
+func TestReservationEndsWhenAnotherTargetIsFound(t *testing.T) {
+	now := time.Now()
+	relay := &Relay{Roster: roster.New("a"), Metrics: metric.New(t.Name())}
+	relay.Roster.Put(roster.Entry{ID: "e1", Service: "app"}, now)
+	first, _ := relay.Roster.Choose(roster.Criteria{Service: "app"}, now)
+	relay.ObserveHead(&first, first.ID, target.Head{NotRun: true, RestUntil: now.Add(time.Hour)}, now)
+	job := waitingJob(relay, 0, 0)
+	job.deadline = now.Add(4 * time.Hour)
+	if !job.mayHold(now) {
+		t.Fatal("got no wait, want one")
+	}
+	relay.Roster.Put(roster.Entry{ID: "e2", Service: "app"}, now)
+	if ok, err := job.ChooseTarget(t.Context()); !ok || err != nil || job.attempt.assignment.ID != "e2" {
+		t.Fatalf("got target %q, %t, %v, want e2", job.attempt.assignment.ID, ok, err)
+	}
+	if _, ok := relay.Roster.Reserve(roster.Criteria{Service: "app"}, now.Add(time.Hour), now); !ok {
+		t.Error("got the end of the rest reserved, want it free")
+	}
+}
+
+// Guards against the words of another engine that was given the target's address.
+func TestMisdirectedAnswerSaysNothingOfTheTarget(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		head target.Head
+		want bool // the target may be used
+	}{
+		{"from another target", target.Head{Status: statusMisdirected, Incarnation: "e9"}, true},
+		{"from an unknown target", target.Head{Status: statusMisdirected}, true},
+		{"from the target, with other weights", target.Head{Status: statusMisdirected, Incarnation: "e1"}, false},
+		{"an answer", target.Head{Status: 200}, false},
+	} {
+		relay := &Relay{Roster: roster.New("a"), Metrics: metric.New(t.Name())}
+		relay.Roster.Put(roster.Entry{ID: "e1", Service: "app"}, start)
+		first, _ := relay.Roster.Choose(roster.Criteria{Service: "app"}, start)
+		test.head.Draining = true
+		relay.ObserveHead(&first, first.ID, test.head, start)
+		if _, got := relay.Roster.Choose(roster.Criteria{Service: "app"}, start); got != test.want {
+			t.Errorf("%s: got usable %t, want %t", test.name, got, test.want)
+		}
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -190,6 +190,7 @@
 		now := time.Now()
 		assignment, ok := job.relay.Roster.Choose(job.criteria(now), now)
 		if ok {
+			job.releaseReservation()
 			job.attempt = attempt{assignment: assignment}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
--- a/roster/availability.go
+++ b/roster/availability.go
@@ -85,16 +85,16 @@
 }
 
 // Contact is a call to a target that is not a caller's request: a report or an order.
+// It needs no slot there, so it is not the first request after a rest.
 type Contact struct {
 	Address netip.AddrPort
 
 	roster *Roster
 	target *Target
-	trial  bool // the first request after a rest
 }
 
-// Contact returns a contact with a registered target, which lasts until End is called.
-// It returns false if the target may get nothing now.
+// Contact returns a contact with a registered target. It returns false if the target
+// may get nothing now.
 func (roster *Roster) Contact(id string, now time.Time) (*Contact, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
@@ -102,16 +102,7 @@
 	if !ok || target.removed || target.availability(now) != Available {
 		return nil, false
 	}
-	return &Contact{Address: target.entry.Address, roster: roster, target: target, trial: target.rest.beginTrial(now)}, true
-}
-
-// End ends the contact.
-func (contact *Contact) End() {
-	contact.roster.mu.Lock()
-	defer contact.roster.mu.Unlock()
-	if contact.trial {
-		contact.target.rest.endTrial()
-	}
+	return &Contact{Address: target.entry.Address, roster: roster, target: target}, true
 }
 
 // Observe records what the answer announces. The second result reports whether the
@@ -119,5 +110,5 @@
 func (contact *Contact) Observe(announcement Announcement, now time.Time) (Change, bool) {
 	contact.roster.mu.Lock()
 	defer contact.roster.mu.Unlock()
-	return contact.roster.observe(contact.target, announcement, contact.trial, now)
+	return contact.roster.observe(contact.target, announcement, false, now)
 }
--- a/roster/rest_test.go
+++ b/roster/rest_test.go
@@ -246,3 +246,20 @@
 		}
 	}
 }
+
+// A report needs no slot at the target: its answer does not show that the target takes
+// requests again, and it must not take the place of the first request.
+func TestReportDoesNotEndRest(t *testing.T) {
+	roster := restingRoster(t, 1000)
+	contact, ok := roster.Contact("e1", afterMs(1000))
+	if !ok {
+		t.Fatal("got no contact after the rest, want one")
+	}
+	contact.Observe(Announcement{}, afterMs(1001))
+	if _, ok := tryChoose(roster, afterMs(1002)); !ok {
+		t.Error("got no assignment beside the report, want one")
+	}
+	if _, ok := tryChoose(roster, afterMs(1002)); ok {
+		t.Error("got two assignments after the report was answered, want one until it is answered")
+	}
+}
