--- a/front/front.go
+++ b/front/front.go
@@ -18,16 +18,19 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/target"
@@ -46,6 +49,9 @@
 	// longer than callers keep idle connections, so that the server does not close
 	// a connection on which a request is being sent.
 	idleTimeout = 60 * time.Second
+	// refusalTime is the time for writing refusals to requests that are cancelled when
+	// the process ends.
+	refusalTime = 150 * time.Millisecond
 )
 
 // Dialect decodes the heads of requests and writes refusals.
@@ -68,6 +74,7 @@
 	Listener net.Listener
 	Dialect  Dialect
 	Relay    Relay
+	Log      *event.Log
 
 	draining atomic.Bool
 }
@@ -83,7 +90,8 @@
 }
 
 // Run serves until ctx ends, then waits for the requests in flight to complete.
-// If abort ends, these are cancelled too.
+// If abort ends, these are cancelled too, and refused with its cause if that is a
+// refusal.
 func (server *Server) Run(ctx, abort context.Context) error {
 	http := &http.Server{
 		Handler:           server,
@@ -93,8 +101,13 @@
 		ErrorLog:          log.New(io.Discard, "", 0), // drops messages on callers' broken connections
 		BaseContext:       func(net.Listener) context.Context { return abort },
 	}
+	// Requests that abort cancels still get their refusals.
+	closing, closeNow := context.WithCancel(context.Background())
+	defer closeNow()
+	stopAbort := context.AfterFunc(abort, func() { time.AfterFunc(refusalTime, closeNow) })
+	defer stopAbort()
 	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { stopped <- http.Shutdown(abort) })
+	stop := context.AfterFunc(ctx, func() { stopped <- http.Shutdown(closing) })
 	err := http.Serve(server.Listener)
 	if stop() {
 		return errors.Wrap(err, "serve callers")
@@ -107,6 +120,7 @@
 
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
+	defer server.logPanic(httpRequest)
 	if server.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -129,6 +143,19 @@
 	server.Dialect.Refuse(writer, httpRequest, refused, time.Now())
 }
 
+// logPanic logs a panic of the handler other than http.ErrAbortHandler, and lets it
+// close the connection.
+func (server *Server) logPanic(httpRequest *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != any(http.ErrAbortHandler) {
+		server.Log.Emit(event.HandlerPanicked, event.F("path", httpRequest.URL.Path), event.F("panic", fmt.Sprint(cause)), event.F("stack", string(debug.Stack())))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // readBody reads the complete body. The error is a refusal.
 func readBody(writer http.ResponseWriter, httpRequest *http.Request) ([]byte, error) {
 	if httpRequest.ContentLength > maxBodyBytes {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +20,7 @@
 	// errFailedAnswer marks a complete answer with a server error. Another target
 	// may succeed.
 	errFailedAnswer = errors.New("the target answered with a server error")
+	errNotAStream   = errors.New("the target did not continue the stream")
 	errOutOfOrder   = errors.New("the stream's events are out of order")
 )
 
@@ -30,14 +30,6 @@
 	// maxConnIdle is the longest idle time of a connection used for a request that
 	// cannot be sent twice.
 	maxConnIdle = time.Second
-	// silenceCheckInterval is the interval at which an attempt is checked for a
-	// silent target.
-	silenceCheckInterval = 100 * time.Millisecond
-	// minSilence is the shortest silence that counts as a failure.
-	minSilence = 400 * time.Millisecond
-	// minPrefillRate is the slowest rate at which targets prefill prompts, in
-	// tokens per millisecond.
-	minPrefillRate = 40
 	// deathProbeTimeout bounds the check whether a target still accepts
 	// connections.
 	deathProbeTimeout = 150 * time.Millisecond
@@ -50,10 +42,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silenceMonitor := job.monitorSilence(assignment, cancel)
-	defer silenceMonitor.stop()
 	head, body, err := job.relay.client(assignment).Forward(ctx, job.call(assignment), job)
-	if errors.Is(context.Cause(ctx), errTimeout) {
-		return errTimeout
+	job.next = silenceMonitor.stop()
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errTimeout) {
+		return cause
 	}
 	if err != nil {
 		return err
@@ -64,6 +56,9 @@
 	if head.Stream {
 		return job.endStream(head)
 	}
+	if job.started {
+		return errNotAStream
+	}
 	if head.Status >= minServerErrorStatus && job.route.Kind.Repeatable() {
 		job.failedHead, job.failedBody = &head, body
 		return errFailedAnswer
@@ -87,6 +82,7 @@
 		Method: request.Method, Path: request.PathAndQuery, Host: request.Host, Fields: request.Fields, Body: request.Body,
 		RequestID: request.ID, LastEventID: job.lastEventID, Deadline: job.deadline, Instance: assignment.ID,
 		HasPriority: true, Priority: min(job.route.Priority, maxPriority),
+		OnData: func() { assignment.Received(time.Now()) },
 	}
 	if job.account != nil {
 		call.Account = job.account.Name
@@ -149,6 +145,9 @@
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
 	}
+	// A caller that reads slowly blocks here; its target is not silent then.
+	job.writing.Store(true)
+	defer job.endWrite()
 	if !job.started {
 		if err := job.answer.Start(job.attempt.head); err != nil {
 			return errors.Mark(err, errCallerGone)
@@ -202,61 +201,3 @@
 		job.relay.Log.Emit(event.Quarantined, event.F("request", job.request.ID))
 	}
 }
-
-// silenceMonitor cancels an attempt if its target is unreachable or has sent
-// nothing on any connection for too long.
-type silenceMonitor struct {
-	job        *job
-	assignment *roster.Assignment
-	cancel     context.CancelCauseFunc
-
-	mu      sync.Mutex // guards timer and stopped
-	timer   *time.Timer
-	stopped bool
-}
-
-func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
-	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, cancel: cancel}
-	if !job.route.Kind.Repeatable() {
-		silenceMonitor.stopped = true // the request could not be retried
-		return silenceMonitor
-	}
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	silenceMonitor.timer = time.AfterFunc(silenceCheckInterval, silenceMonitor.check)
-	return silenceMonitor
-}
-
-func (silenceMonitor *silenceMonitor) stop() {
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	silenceMonitor.stopped = true
-	if silenceMonitor.timer != nil {
-		silenceMonitor.timer.Stop()
-	}
-}
-
-func (silenceMonitor *silenceMonitor) check() {
-	now := time.Now()
-	silenceMonitor.mu.Lock()
-	defer silenceMonitor.mu.Unlock()
-	if silenceMonitor.stopped {
-		return
-	}
-	if silenceMonitor.assignment.Unreachable() || silenceMonitor.assignment.SilentFor(now) > silenceMonitor.job.maxSilence() {
-		silenceMonitor.cancel(errTimeout)
-		return
-	}
-	silenceMonitor.timer.Reset(silenceCheckInterval)
-}
-
-// maxSilence returns how long a working target may send nothing on any connection.
-func (job *job) maxSilence() time.Duration {
-	now := time.Now()
-	allowed := max(minSilence, 2*job.route.LatencyTarget.After(now).Sub(now))
-	if job.request.Prompt != nil {
-		allowed = minSilence + job.route.GapTarget.After(now).Sub(now) +
-			time.Duration(job.request.Prompt.Input/minPrefillRate)*time.Millisecond
-	}
-	return allowed
-}
--- a/relay/job.go
+++ b/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,12 +56,23 @@
 	// firstSentAt.
 	started     bool
 	firstSentAt time.Time
+	// writing is set while a part of the answer is written to the caller.
+	writing atomic.Bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
 	failedBody []byte
+	// next is the target that is reserved for the next attempt; nil if there is none.
+	next *reservation
+	// left holds the targets that were left because they were silent. They may be
+	// tried again when no other target takes the request. The retry for that was taken
+	// out of the budget at spareRetryAt, which is zero if there is none.
+	left         []string
+	spareRetryAt time.Time
+	// retryDenial is what last denied a retry, for the log.
+	retryDenial string
 
 	// refusedWait is the corrected wait estimate because of which the request was
 	// refused; zero otherwise.
@@ -131,6 +143,12 @@
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
 	}
+	if reason := job.delivery.EndReason(); reason != "" {
+		fields = append(fields, event.F("end_reason", string(reason)))
+	}
+	if job.retryDenial != "" {
+		fields = append(fields, event.F("retry_denied_by", job.retryDenial))
+	}
 	return fields
 }
 
@@ -160,6 +178,7 @@
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
 	defer cancel()
+	defer job.releaseNext()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
 	if job.service != nil {
 		job.relay.Budgets.RecordRequest(job.service.Name, job.request.Arrived)
@@ -186,6 +205,9 @@
 	if job.service == nil {
 		return false, nil
 	}
+	if job.takeNext(time.Now()) {
+		return true, nil
+	}
 	for {
 		now := time.Now()
 		assignment, ok := job.relay.Roster.Choose(job.criteria(now), now)
@@ -194,6 +216,9 @@
 			job.attempt = attempt{assignment: assignment}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
+		if job.retryLeft() {
+			continue
+		}
 		if job.delivery.Runs() > 0 || job.targetFull || !job.mayHold(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
 			return false, nil
 		}
@@ -263,6 +288,7 @@
 	job.tried = append(job.tried, assignment.ID)
 	now := time.Now()
 	outcome := outcomeOf(result)
+	job.recordSilence(assignment, result, outcome, now)
 	job.relay.Metrics.ByTarget.Count(assignment.ID, outcome.String())
 	switch outcome {
 	case delivery.Answered:
@@ -297,7 +323,7 @@
 		return delivery.NotSent
 	case errors.Is(result, errNotRun):
 		return delivery.NotRun
-	case errors.Is(result, errFailedAnswer):
+	case errors.IsAny(result, errFailedAnswer, errNotAStream):
 		return delivery.FailedAnswer
 	}
 	return delivery.Broken
@@ -315,16 +341,42 @@
 	}
 }
 
-// AllowRetry implements delivery.Sender.
+// What may deny a retry, as named in the log.
+const (
+	deniedByQuarantine = "quarantine"
+	deniedByBudget     = "budget"
+)
+
+// AllowRetry implements delivery.Sender. The retry of a reserved target was taken out
+// of the budget before.
 func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
-	if outcome != delivery.NotRun && job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked {
-		return false
+	if job.next != nil && !job.blocked(now) {
+		return true
+	}
+	if !job.spareRetryAt.IsZero() && outcome == delivery.NotRun {
+		job.spareRetryAt = time.Time{}
+		return true
+	}
+	job.retryDenial = job.takeRetry(outcome, now)
+	return job.retryDenial == ""
+}
+
+// takeRetry takes a retry out of the budget. It returns what denies it, or an empty
+// string.
+func (job *job) takeRetry(outcome delivery.Outcome, now time.Time) string {
+	if outcome != delivery.NotRun && job.blocked(now) {
+		return deniedByQuarantine
 	}
 	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		return false
+		return deniedByBudget
 	}
 	job.relay.Metrics.Retries.Add(1)
-	return true
+	return ""
+}
+
+// blocked reports whether the quarantine blocks the request.
+func (job *job) blocked(now time.Time) bool {
+	return job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
 }
 
 // Started implements delivery.Sender.
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/delivery"
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/roster"
+)
+
+const (
+	// silenceCheckInterval is the interval at which an attempt is checked for a
+	// silent target.
+	silenceCheckInterval = 100 * time.Millisecond
+	// deniedCheckInterval is the interval after a check that found no other target or
+	// no retry.
+	deniedCheckInterval = 300 * time.Millisecond
+	// minSilence is the shortest silence after which another target is tried.
+	minSilence = 400 * time.Millisecond
+	// unreachableSilence is the silence after which another target is tried if the
+	// target accepts no connections. Such a target may be sound: it also refuses
+	// connections while it holds the most that it serves.
+	unreachableSilence = 250 * time.Millisecond
+	// minPrefillRate is the slowest rate at which targets prefill prompts, in
+	// tokens per millisecond.
+	minPrefillRate = 40
+)
+
+// silenceMonitor moves an attempt to another target if its target is unreachable or
+// has sent nothing on any connection for too long. A silent target may still complete
+// the answer, so the attempt is cancelled only once another target is reserved for the
+// request. Otherwise it continues until its connection breaks or its deadline passes.
+type silenceMonitor struct {
+	job        *job
+	assignment *roster.Assignment
+	cancel     context.CancelCauseFunc
+
+	mu      sync.Mutex // guards the fields below
+	timer   *time.Timer
+	stopped bool
+	next    *reservation
+	logged  bool // whether the log states that the attempt continues
+}
+
+func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
+	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, cancel: cancel}
+	if !job.delivery.MayLeave() {
+		silenceMonitor.stopped = true
+		return silenceMonitor
+	}
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	silenceMonitor.timer = time.AfterFunc(silenceCheckInterval, silenceMonitor.check)
+	return silenceMonitor
+}
+
+// reservation is the target that is reserved for the next attempt, and when.
+type reservation struct {
+	assignment roster.Assignment
+	at         time.Time
+}
+
+// stop ends the monitoring and returns the reservation, or nil.
+func (silenceMonitor *silenceMonitor) stop() *reservation {
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	silenceMonitor.stopped = true
+	if silenceMonitor.timer != nil {
+		silenceMonitor.timer.Stop()
+	}
+	return silenceMonitor.next
+}
+
+func (silenceMonitor *silenceMonitor) check() {
+	now := time.Now()
+	silenceMonitor.mu.Lock()
+	defer silenceMonitor.mu.Unlock()
+	if silenceMonitor.stopped {
+		return
+	}
+	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
+	if silenceMonitor.job.writing.Load() || !overdue(silence, allowed, unreachable) {
+		silenceMonitor.timer.Reset(silenceCheckInterval)
+		return
+	}
+	next, denial := silenceMonitor.job.reserveNext(silenceMonitor.assignment, now)
+	if next == nil {
+		silenceMonitor.logSilence(silence, denial)
+		silenceMonitor.timer.Reset(deniedCheckInterval)
+		return
+	}
+	silenceMonitor.next, silenceMonitor.stopped = next, true
+	silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
+}
+
+// overdue reports whether another target should be tried after the given silence.
+func overdue(silence, allowed time.Duration, unreachable bool) bool {
+	return silence > allowed || unreachable && silence > unreachableSilence
+}
+
+// logSilence logs once that the attempt continues at a silent target. The caller holds
+// mu.
+func (silenceMonitor *silenceMonitor) logSilence(silence time.Duration, denial string) {
+	if silenceMonitor.logged {
+		return
+	}
+	silenceMonitor.logged = true
+	silenceMonitor.job.relay.Log.Emit(event.TargetSilent,
+		event.F("request", silenceMonitor.job.request.ID), event.F("target", silenceMonitor.assignment.ID),
+		event.F("silent_ms", silence.Milliseconds()), event.F("retry_denied_by", denial))
+}
+
+// reserveNext reserves another target than the current one for the request. It takes
+// two retries out of the budget: that target may reject the request, which then returns
+// to the current one. If that is not possible it returns nil and the reason. It is
+// called while the attempt at the current target runs.
+func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*reservation, string) {
+	criteria := job.criteria(now)
+	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
+	next, ok := job.relay.Roster.Choose(criteria, now)
+	if !ok {
+		return nil, string(delivery.NoTarget)
+	}
+	if denial := job.takeRetry(delivery.Broken, now); denial != "" {
+		next.Withdraw()
+		return nil, denial
+	}
+	if !job.relay.Budgets.Allow(job.service.Name, now) {
+		next.Withdraw()
+		job.relay.Budgets.Return(job.service.Name, now, now)
+		return nil, deniedByBudget
+	}
+	return &reservation{assignment: next, at: now}, ""
+}
+
+// takeNext uses the reserved target for the next attempt, if it may still get requests.
+func (job *job) takeNext(now time.Time) bool {
+	if job.next == nil {
+		return false
+	}
+	next := job.next.assignment
+	job.next = nil
+	if !next.Usable(now) {
+		next.Withdraw() // its retry remains for the target that is chosen instead
+		return false
+	}
+	job.attempt = attempt{assignment: next}
+	return true
+}
+
+// endWrite records that the caller has taken what was written.
+func (job *job) endWrite() {
+	job.writing.Store(false)
+	job.attempt.assignment.Received(time.Now())
+}
+
+// recordSilence records that a target was left because it was silent. After an attempt
+// that was not rejected, the retry for returning to such a target is given back.
+func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
+	if outcome != delivery.NotRun && outcome != delivery.NotSent {
+		job.returnSpareRetry(now)
+	}
+	if errors.Is(result, errTimeout) && job.next != nil {
+		job.left = append(job.left, assignment.ID)
+		job.spareRetryAt = job.next.at
+	}
+}
+
+func (job *job) returnSpareRetry(now time.Time) {
+	if !job.spareRetryAt.IsZero() {
+		job.relay.Budgets.Return(job.service.Name, job.spareRetryAt, now)
+		job.spareRetryAt = time.Time{}
+	}
+}
+
+// retryLeft makes the targets that were left because they were silent eligible again.
+// It returns false if there are none.
+func (job *job) retryLeft() bool {
+	if len(job.left) == 0 {
+		return false
+	}
+	job.tried = slices.DeleteFunc(job.tried, func(id string) bool { return slices.Contains(job.left, id) })
+	job.left = nil
+	return true
+}
+
+// releaseNext gives up a reserved target and the reserved retries that are not used.
+func (job *job) releaseNext() {
+	now := time.Now()
+	if job.next == nil {
+		job.returnSpareRetry(now)
+		return
+	}
+	job.next.assignment.Withdraw()
+	for range 2 { // as taken by reserveNext
+		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
+	}
+	job.next, job.spareRetryAt = nil, time.Time{}
+}
+
+// maxSilence returns how long a working target may send nothing on any connection.
+func (job *job) maxSilence() time.Duration {
+	now := time.Now()
+	allowed := max(minSilence, 2*job.route.LatencyTarget.After(now).Sub(now))
+	if job.request.Prompt != nil {
+		allowed = minSilence + job.route.GapTarget.After(now).Sub(now) +
+			time.Duration(job.request.Prompt.Input/minPrefillRate)*time.Millisecond
+	}
+	return allowed
+}
--- a/roster/target.go
+++ b/roster/target.go
@@ -212,6 +212,8 @@
 	promptPending bool
 	trial         bool // the first request after a rest
 	ended         bool
+	// trialBefore is when the next trial request was due before this one was assigned.
+	trialBefore time.Time
 }
 
 // PromptProcessed records that the target has processed the prompt.
@@ -266,6 +268,13 @@
 	}
 }
 
+// Usable reports whether the target may still get new requests.
+func (assignment *Assignment) Usable(now time.Time) bool {
+	assignment.roster.mu.Lock()
+	defer assignment.roster.mu.Unlock()
+	return assignment.target.usable(now) && !now.Before(assignment.target.pausedUntil)
+}
+
 // Unreachable reports whether the target is marked unreachable.
 func (assignment *Assignment) Unreachable() bool {
 	assignment.roster.mu.Lock()
@@ -306,3 +315,18 @@
 		assignment.target.rest.endTrial()
 	}
 }
+
+// Withdraw ends an assignment whose request is not sent, as if it had not been made.
+func (assignment *Assignment) Withdraw() {
+	if assignment.ended {
+		return
+	}
+	assignment.End()
+	assignment.roster.mu.Lock()
+	defer assignment.roster.mu.Unlock()
+	target := assignment.target
+	target.begunSinceReport = max(0, target.begunSinceReport-1)
+	if target.ejected() {
+		target.ejectedUntil = assignment.trialBefore
+	}
+}
