Test that a reserved next target is not used after it left or rests

Change: none of the code; takeNext asks Assignment.Usable, which asks the availability.

Result: TestReservedTargetThatLeavesOrRestsIsNotUsed passes.

--- a/relay/availability_test.go
+++ b/relay/availability_test.go
@@ -175,3 +175,25 @@
 		}
 	}
 }
+
+// Guards against a target that was reserved for the next attempt and gets the request
+// although it left, or asked for a rest, in the meantime.
+func TestReservedTargetThatLeavesOrRestsIsNotUsed(t *testing.T) {
+	for name, head := range map[string]target.Head{
+		"leaves": {Draining: true}, "rests": {NotRun: true, RestUntil: time.Now().Add(time.Hour)},
+	} {
+		attempt := newSilentAttempt(t, 10, "e1", "e22", "e333")
+		job := attempt.job
+		next, denial := job.reserveNext(&job.attempt.assignment, time.Now())
+		if next == nil {
+			t.Fatalf("%s: got no reserved target: %s", name, denial)
+		}
+		job.relay.ObserveHead(&next.assignment, next.assignment.ID, head, time.Now())
+		job.next = next
+		job.tried = append(job.tried, job.attempt.assignment.ID)
+		if ok, err := job.ChooseTarget(t.Context()); !ok || err != nil || job.attempt.assignment.ID == next.assignment.ID {
+			t.Errorf("%s: got target %q, %t, %v, want the third", name, job.attempt.assignment.ID, ok, err)
+		}
+		attempt.monitor.stop()
+	}
+}
