--- a/relay/availability.go
+++ b/relay/availability.go
@@ -70,6 +70,19 @@
 	return until.Sub(now).Milliseconds()
 }
 
+// mayHold reports whether the request may still wait for a target at the given
+// time.
+func (job *job) mayHold(now time.Time) bool {
+	if _, withheld := job.relay.Roster.RestEnd(job.service.Name, now); withheld || job.reservation != nil {
+		return job.awaitsRest(now)
+	}
+	if job.holdDeadline.IsZero() {
+		latencyTarget := job.route.LatencyTarget.After(now).Sub(now)
+		job.holdDeadline = now.Add(min(latencyTarget/holdDivisor, maxHold))
+	}
+	return now.Before(job.holdDeadline)
+}
+
 // awaitsRest reports whether the request may still wait for the end of a rest. At the
 // end a target gets one request, so one request may wait for each target: it is served
 // then unless the target is lost. All others are refused at once.
--- a/relay/job.go
+++ b/relay/job.go
@@ -226,19 +226,6 @@
 	}
 }
 
-// mayHold reports whether the request may still wait for a target at the given
-// time.
-func (job *job) mayHold(now time.Time) bool {
-	if _, withheld := job.relay.Roster.RestEnd(job.service.Name, now); withheld || job.reservation != nil {
-		return job.awaitsRest(now)
-	}
-	if job.holdDeadline.IsZero() {
-		latencyTarget := job.route.LatencyTarget.After(now).Sub(now)
-		job.holdDeadline = now.Add(min(latencyTarget/holdDivisor, maxHold))
-	}
-	return now.Before(job.holdDeadline)
-}
-
 // checkWait refuses a request whose estimated wait at its target exceeds the
 // maximum wait of its route, and releases the assignment. Without this limit all
 // later requests would be late too, and targets would process late requests instead
