--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,9 @@
 	Fetches       expvar.Int  // requests sent with the instruction to fetch KV cache from another target
 	Unreachable   expvar.Int  // targets that accept no connections
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
+	Leaving       expvar.Int  // targets that leave
+	Resting       expvar.Int  // targets that rest or return from a rest
+	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	// Records of where streams began, sent to other VMs and received from them, and
 	// batches of them that a VM did not confirm.
@@ -78,7 +81,7 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(),
+		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
 		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
@@ -113,6 +116,7 @@
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
 		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
 		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
+		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/relay/job.go
+++ b/relay/job.go
@@ -46,7 +46,9 @@
 	// holdDeadline is the time until which the request may wait for a target. It is
 	// zero until the request first has to wait.
 	holdDeadline time.Time
-	delivery     delivery.Delivery
+	// reservation is held while the request waits for the end of a target's rest.
+	reservation *roster.Reservation
+	delivery    delivery.Delivery
 	// targetFull is set once a target rejected the request for lack of capacity.
 	targetFull bool
 	// started is set once a part of the answer was sent to the caller, first at
@@ -87,7 +89,10 @@
 	// limitEstimate is the estimate of the account's tokens and demand because of
 	// which the request was refused; nil otherwise.
 	limitEstimate *quota.Estimate
-	attempt       attempt
+	// restEnd is the first end of a rest, if all targets rest when the request is
+	// refused; zero otherwise.
+	restEnd time.Time
+	attempt attempt
 }
 
 // attempt is the state of the attempt at the current target.
@@ -142,6 +147,8 @@
 		return append(fields, job.waitFields()...)
 	case job.limitEstimate != nil:
 		return append(fields, job.rateFields()...)
+	case !job.restEnd.IsZero():
+		fields = append(fields, event.F("all_rest_until", job.restEnd))
 	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
@@ -182,6 +189,7 @@
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
 	defer cancel()
 	defer job.releaseNext()
+	defer job.releaseReservation()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
 	err := job.findOrigin(ctx)
 	if err == nil {
@@ -190,6 +198,7 @@
 	if err == nil {
 		return nil
 	}
+	job.delayRetry(refusal.From(err), time.Now())
 	if job.delivery.Runs() == 0 && job.charged > 0 {
 		job.relay.Limits.Refund(job.account.Name, job.charged, time.Now())
 	}
@@ -222,6 +231,7 @@
 		now := time.Now()
 		assignment, ok := job.relay.Roster.Choose(job.criteria(now), now)
 		if ok {
+			job.releaseReservation()
 			job.attempt = attempt{assignment: assignment}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
@@ -237,16 +247,6 @@
 	}
 }
 
-// mayHold reports whether the request may still wait for a target at the given
-// time.
-func (job *job) mayHold(now time.Time) bool {
-	if job.holdDeadline.IsZero() {
-		latencyTarget := job.route.LatencyTarget.After(now).Sub(now)
-		job.holdDeadline = now.Add(min(latencyTarget/holdDivisor, maxHold))
-	}
-	return now.Before(job.holdDeadline)
-}
-
 // checkWait refuses a request whose estimated wait at its target exceeds the
 // maximum wait of its route, and releases the assignment. Without this limit all
 // later requests would be late too, and targets would process late requests instead
@@ -271,7 +271,7 @@
 // criteria returns what the request requires of a target.
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
-		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried,
+		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Reservation: job.reservation,
 	}
 	if software := job.software.Load(); software != nil {
 		criteria.FixedSoftware, criteria.Software = true, *software
@@ -348,45 +348,9 @@
 		assignment.MarkMismatched(now)
 		return
 	}
-	job.targetFull = true
-}
-
-// What may deny a retry, as named in the log.
-const (
-	deniedByQuarantine = "quarantine"
-	deniedByBudget     = "budget"
-)
-
-// AllowRetry implements delivery.Sender. The retry of a reserved target was taken out
-// of the budget before.
-func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
-	if job.next != nil && !job.blocked(now) {
-		return true
+	if job.attempt.head.RestUntil.IsZero() {
+		job.targetFull = true
 	}
-	if !job.spareRetryAt.IsZero() && outcome == delivery.NotRun {
-		job.spareRetryAt = time.Time{}
-		return true
-	}
-	job.retryDenial = job.takeRetry(outcome, now)
-	return job.retryDenial == ""
-}
-
-// takeRetry takes a retry out of the budget. It returns what denies it, or an empty
-// string.
-func (job *job) takeRetry(outcome delivery.Outcome, now time.Time) string {
-	if outcome != delivery.NotRun && job.blocked(now) {
-		return deniedByQuarantine
-	}
-	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		return deniedByBudget
-	}
-	job.relay.Metrics.Retries.Add(1)
-	return ""
-}
-
-// blocked reports whether the quarantine blocks the request.
-func (job *job) blocked(now time.Time) bool {
-	return job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
 }
 
 // Started implements delivery.Sender.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/roster"
 )
@@ -59,12 +57,6 @@
 	return silenceMonitor
 }
 
-// reservation is the target that is reserved for the next attempt, and when.
-type reservation struct {
-	assignment roster.Assignment
-	at         time.Time
-}
-
 // stop ends the monitoring and returns the reservation, or nil.
 func (silenceMonitor *silenceMonitor) stop() *reservation {
 	silenceMonitor.mu.Lock()
@@ -115,96 +107,6 @@
 		event.F("silent_ms", silence.Milliseconds()), event.F("retry_denied_by", denial))
 }
 
-// reserveNext reserves another target than the current one for the request. It takes
-// two retries out of the budget: that target may reject the request, which then returns
-// to the current one. If that is not possible it returns nil and the reason. It is
-// called while the attempt at the current target runs.
-func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*reservation, string) {
-	criteria := job.criteria(now)
-	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
-	next, ok := job.relay.Roster.Choose(criteria, now)
-	if !ok {
-		return nil, string(delivery.NoTarget)
-	}
-	if denial := job.takeRetry(delivery.Broken, now); denial != "" {
-		next.Withdraw()
-		return nil, denial
-	}
-	if !job.relay.Budgets.Allow(job.service.Name, now) {
-		next.Withdraw()
-		job.relay.Budgets.Return(job.service.Name, now, now)
-		return nil, deniedByBudget
-	}
-	return &reservation{assignment: next, at: now}, ""
-}
-
-// takeNext uses the reserved target for the next attempt, if it may still get requests
-// and has the software version of the stream, which may have begun since.
-func (job *job) takeNext(now time.Time) bool {
-	if job.next == nil {
-		return false
-	}
-	next := job.next.assignment
-	job.next = nil
-	software := job.software.Load()
-	if !next.Usable(now) || software != nil && *software != next.Software {
-		next.Withdraw() // its retry remains for the target that is chosen instead
-		return false
-	}
-	job.attempt = attempt{assignment: next}
-	return true
-}
-
-// endWrite records that the caller has taken what was written.
-func (job *job) endWrite() {
-	job.writing.Store(false)
-	job.attempt.assignment.Received(time.Now())
-}
-
-// recordSilence records that a target was left because it was silent. After an attempt
-// that was not rejected, the retry for returning to such a target is given back.
-func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
-	if outcome != delivery.NotRun && outcome != delivery.NotSent {
-		job.returnSpareRetry(now)
-	}
-	if errors.Is(result, errTimeout) && job.next != nil {
-		job.left = append(job.left, assignment.ID)
-		job.spareRetryAt = job.next.at
-	}
-}
-
-func (job *job) returnSpareRetry(now time.Time) {
-	if !job.spareRetryAt.IsZero() {
-		job.relay.Budgets.Return(job.service.Name, job.spareRetryAt, now)
-		job.spareRetryAt = time.Time{}
-	}
-}
-
-// retryLeft makes the targets that were left because they were silent eligible again.
-// It returns false if there are none.
-func (job *job) retryLeft() bool {
-	if len(job.left) == 0 {
-		return false
-	}
-	job.tried = slices.DeleteFunc(job.tried, func(id string) bool { return slices.Contains(job.left, id) })
-	job.left = nil
-	return true
-}
-
-// releaseNext gives up a reserved target and the reserved retries that are not used.
-func (job *job) releaseNext() {
-	now := time.Now()
-	if job.next == nil {
-		job.returnSpareRetry(now)
-		return
-	}
-	job.next.assignment.Withdraw()
-	for range 2 { // as taken by reserveNext
-		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
-	}
-	job.next, job.spareRetryAt = nil, time.Time{}
-}
-
 // maxSilence returns how long a working target may send nothing on any connection.
 func (job *job) maxSilence() time.Duration {
 	now := time.Now()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -53,16 +53,19 @@
 	Models  []Model
 	// Software is the version of the target's software. Empty text is a version too.
 	Software string
-	// Draining targets finish their running requests and then leave.
+	// Draining targets finish their running requests and then leave. In Entries it is
+	// also set for targets that said so in an answer or to another VM.
 	Draining bool
 	// StartTime distinguishes processes that used the same ID.
 	StartTime int64
 	// Running is the number of requests at the target. Unreachable is set for
 	// targets that accept no connections, Ejected for those that fail too many
-	// requests, both as observed by this VM. Only Entries sets these fields.
+	// requests, Resting for those that rest or return from a rest, all as observed by
+	// this VM. Only Entries sets these fields.
 	Running     int
 	Unreachable bool
 	Ejected     bool
+	Resting     bool
 }
 
 // Roster holds the targets known to one VM. It is safe for concurrent use.
@@ -84,11 +87,16 @@
 	// listedSince is the time since which every change of the complete list is known;
 	// zero before the first list.
 	listedSince time.Time
+	// leaving holds the newest start of each target that is known to leave.
+	leaving map[string]leavingStart
 }
 
 // New returns an empty roster for a VM in the zone.
 func New(zone string) *Roster {
-	return &Roster{zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{}, versions: map[string]softwareVersions{}}
+	return &Roster{
+		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
+		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{},
+	}
 }
 
 // PlatformDown records that the platform does not answer; since is when it last did.
@@ -132,13 +140,15 @@
 	roster.listedSince = now
 }
 
-// Put adds or updates one registration.
-func (roster *Roster) Put(entry Entry, now time.Time) {
+// Put adds or updates one registration. The second result reports whether the
+// target's availability changed.
+func (roster *Roster) Put(entry Entry, now time.Time) (Change, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	roster.put(entry, now)
+	change, changed := roster.put(entry, now)
 	roster.index()
 	roster.recordVersions(now)
+	return change, changed
 }
 
 // Remove records that a registration was removed.
@@ -153,7 +163,9 @@
 }
 
 // put adds or updates a target. The caller holds mu.
-func (roster *Roster) put(entry Entry, now time.Time) {
+func (roster *Roster) put(entry Entry, now time.Time) (Change, bool) {
+	draining := entry.Draining
+	entry.Draining = roster.leaves(entry)
 	known, ok := roster.targets[entry.ID]
 	if !ok || known.entry.StartTime != entry.StartTime || known.entry.Software != entry.Software || known.entry.Address != entry.Address {
 		known = newTarget(entry)
@@ -161,6 +173,10 @@
 	}
 	known.removed, known.dropAt = false, time.Time{}
 	known.update(entry, now)
+	if draining {
+		return roster.markLeaving(known, SourceRegistration, now)
+	}
+	return Change{}, false
 }
 
 // remove marks a target as removed or, within the grace period after an outage,
@@ -171,22 +187,29 @@
 		return
 	}
 	target.removed = true
-	if target.inFlight == 0 {
+	if target.unused(now) {
 		delete(roster.targets, target.entry.ID)
 	}
 }
 
+// unused reports whether a removed target may be forgotten. The rest of a target that
+// registers again is not over because of that.
+func (target *Target) unused(now time.Time) bool {
+	return target.inFlight == 0 && target.rest.availability(now) != Resting
+}
+
 // Sweep drops expired registrations whose targets did not register again, and
 // removed targets that have no requests in flight.
 func (roster *Roster) Sweep(now time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	roster.forgetLeaving(now)
 	changed := false
 	for id, target := range roster.targets {
 		if !target.dropAt.IsZero() && !now.Before(target.dropAt) {
 			target.removed, target.dropAt, changed = true, time.Time{}, true
 		}
-		if target.removed && target.inFlight == 0 {
+		if target.removed && target.unused(now) {
 			delete(roster.targets, id)
 			changed = true
 		}
@@ -227,11 +250,14 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	entries := make([]Entry, 0, len(roster.targets))
+	now := time.Now()
 	for _, target := range roster.targets {
 		if !target.removed {
 			entry := target.entry
 			entry.Models = append([]Model(nil), entry.Models...)
-			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(time.Now()), target.unreachable, target.ejected()
+			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
+			availability := target.availability(now)
+			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
 	}
--- a/roster/target.go
+++ b/roster/target.go
@@ -65,6 +65,7 @@
 	removed bool
 	dropAt  time.Time // when an expired registration is dropped; zero unless expired
 	rollout rollout
+	rest    rest
 
 	inFlight int
 	// pendingTokens is the number of prompt tokens that this VM sent and the target
@@ -152,7 +153,7 @@
 // usable reports whether the target may get new requests, disregarding pauses and
 // ejection.
 func (target *Target) usable(now time.Time) bool {
-	return !target.removed && !target.entry.Draining && !target.unreachable && !target.awaitsWeights(now)
+	return !target.removed && target.availability(now) == Available && !target.unreachable && !target.awaitsWeights(now)
 }
 
 // awaitsWeights reports whether the target is loading weights that it is not yet
@@ -211,6 +212,7 @@
 	target        *Target
 	tokens        int
 	promptPending bool
+	trial         bool // the first request after a rest
 	ended         bool
 	// trialBefore is when the next trial request was due before this one was assigned.
 	trialBefore time.Time
@@ -311,6 +313,9 @@
 	defer assignment.roster.mu.Unlock()
 	assignment.finishPrompt()
 	assignment.target.inFlight--
+	if assignment.trial {
+		assignment.target.rest.endTrial()
+	}
 }
 
 // Withdraw ends an assignment whose request is not sent, as if it had not been made.
