--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -178,6 +178,12 @@
 	return nil
 }
 
+// endWrite records that the caller has taken what was written.
+func (job *job) endWrite() {
+	job.writing.Store(false)
+	job.attempt.assignment.Received(time.Now())
+}
+
 // deliver sends the caller a complete answer.
 func (job *job) deliver(head target.Head, body []byte) error {
 	job.started, job.firstSentAt = true, time.Now()
--- a/relay/job.go
+++ b/relay/job.go
@@ -74,7 +74,7 @@
 	failedHead *target.Head
 	failedBody []byte
 	// next is the target that is reserved for the next attempt; nil if there is none.
-	next *reservation
+	next *nextTarget
 	// left holds the targets that were left because they were silent. They may be
 	// tried again when no other target takes the request. The retry for that was taken
 	// out of the budget at spareRetryAt, which is zero if there is none.
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -17,18 +17,24 @@
 	deniedByBudget     = "budget"
 )
 
-// AllowRetry implements delivery.Sender. The retry of a reserved target was taken out
-// of the budget before.
+// AllowRetry implements delivery.Sender. The retries at a reserved target and back at
+// the silent one were taken out of the budget before.
 func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
-	if job.next != nil && !job.blocked(now) {
+	switch {
+	case job.next != nil && !job.blocked(now):
+		job.relay.Metrics.Retries.Add(1)
 		return true
-	}
-	if !job.spareRetryAt.IsZero() && outcome == delivery.NotRun {
+	case !job.spareRetryAt.IsZero() && outcome == delivery.NotRun:
 		job.spareRetryAt = time.Time{}
+		job.relay.Metrics.Retries.Add(1)
 		return true
 	}
 	job.retryDenial = job.takeRetry(outcome, now)
-	return job.retryDenial == ""
+	if job.retryDenial != "" {
+		return false
+	}
+	job.relay.Metrics.Retries.Add(1)
+	return true
 }
 
 // takeRetry takes a retry out of the budget. It returns what denies it, or an empty
@@ -40,7 +46,6 @@
 	if !job.relay.Budgets.Allow(job.service.Name, now) {
 		return deniedByBudget
 	}
-	job.relay.Metrics.Retries.Add(1)
 	return ""
 }
 
@@ -49,17 +54,17 @@
 	return job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
 }
 
-// reservation is the target that is reserved for the next attempt, and when.
-type reservation struct {
+// nextTarget is the target that is reserved for the next attempt.
+type nextTarget struct {
 	assignment roster.Assignment
-	at         time.Time
+	reservedAt time.Time
 }
 
 // reserveNext reserves another target than the current one for the request. It takes
 // two retries out of the budget: that target may reject the request, which then returns
 // to the current one. If that is not possible it returns nil and the reason. It is
 // called while the attempt at the current target runs.
-func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*reservation, string) {
+func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*nextTarget, string) {
 	criteria := job.criteria(now)
 	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
 	next, ok := job.relay.Roster.Choose(criteria, now)
@@ -75,7 +80,7 @@
 		job.relay.Budgets.Return(job.service.Name, now, now)
 		return nil, deniedByBudget
 	}
-	return &reservation{assignment: next, at: now}, ""
+	return &nextTarget{assignment: next, reservedAt: now}, ""
 }
 
 // takeNext uses the reserved target for the next attempt, if it may still get requests
@@ -95,12 +100,6 @@
 	return true
 }
 
-// endWrite records that the caller has taken what was written.
-func (job *job) endWrite() {
-	job.writing.Store(false)
-	job.attempt.assignment.Received(time.Now())
-}
-
 // recordSilence records that a target was left because it was silent. After an attempt
 // that was not rejected, the retry for returning to such a target is given back.
 func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
@@ -109,7 +108,7 @@
 	}
 	if errors.Is(result, errTimeout) && job.next != nil {
 		job.left = append(job.left, assignment.ID)
-		job.spareRetryAt = job.next.at
+		job.spareRetryAt = job.next.reservedAt
 	}
 }
 
@@ -139,8 +138,8 @@
 		return
 	}
 	job.next.assignment.Withdraw()
-	for range 2 { // as taken by reserveNext
-		job.relay.Budgets.Return(job.service.Name, job.next.at, now)
+	for range 2 { // as many as reserveNext took
+		job.relay.Budgets.Return(job.service.Name, job.next.reservedAt, now)
 	}
 	job.next, job.spareRetryAt = nil, time.Time{}
 }
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -41,7 +41,7 @@
 	mu      sync.Mutex // guards the fields below
 	timer   *time.Timer
 	stopped bool
-	next    *reservation
+	next    *nextTarget
 	logged  bool // whether the log states that the attempt continues
 }
 
@@ -57,8 +57,8 @@
 	return silenceMonitor
 }
 
-// stop ends the monitoring and returns the reservation, or nil.
-func (silenceMonitor *silenceMonitor) stop() *reservation {
+// stop ends the monitoring and returns the reserved target, or nil.
+func (silenceMonitor *silenceMonitor) stop() *nextTarget {
 	silenceMonitor.mu.Lock()
 	defer silenceMonitor.mu.Unlock()
 	silenceMonitor.stopped = true
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -38,9 +36,6 @@
 	// originMargin is how much longer than its request a stream's origin is kept and
 	// searched for: the clocks of VMs and their lists of targets differ by less.
 	originMargin = 5 * time.Second
-	// maxOriginKey is the longest key, in bytes, under which an origin is recorded as
-	// it is. Longer ones are hashed, since parts of them are text of the caller.
-	maxOriginKey = 96
 )
 
 // resumesFields returns the log field that names the earlier request whose stream
@@ -100,12 +95,8 @@
 	if job.account != nil {
 		account = job.account.Name
 	}
-	key := strconv.Quote(account) + "/" + job.streamID() // quoted, because names may contain slashes
-	if len(key) <= maxOriginKey {
-		return key
-	}
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	// Quoted, because names may contain slashes.
+	return origin.ID(strconv.Quote(account) + "/" + job.streamID())
 }
 
 // recordOrigin records where the stream begins if the next attempt brings its first
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -29,7 +29,7 @@
 		t.Fatal("got no target, want the only one")
 	}
 	targets.Put(roster.Entry{ID: "old", Service: "notes", Software: "v1"}, now)
-	job.next = &reservation{assignment: next, at: now}
+	job.next = &nextTarget{assignment: next, reservedAt: now}
 	job.fixSoftware("v1")
 	ok, err := job.ChooseTarget(t.Context())
 	if err != nil || !ok || job.attempt.assignment.ID != "old" || job.next != nil {
@@ -227,7 +227,7 @@
 		}
 	}
 	for _, key := range origins.sought {
-		if len(key) > maxOriginKey || strings.HasPrefix(key, `"t2"`) {
+		if len(key) > origin.MaxIDBytes || strings.HasPrefix(key, `"t2"`) {
 			t.Errorf("got key %.100q, want a short one of the request's account", key)
 		}
 	}
