Do not let a stream wait for a target that rests longer

What callers saw: a stream whose only targets of its software version rest for long was held for 2 s and then ended, instead of at once. Found on joining versions with rests. Test TestRegisteredLeavesOutLongRests: true for a target that rests for 1 s, before.

--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -72,7 +72,7 @@
 	if job.targetFull {
 		criteria.Tried = job.tried
 	}
-	return now.Before(job.softwareDeadline) && job.relay.Roster.Registered(criteria)
+	return now.Before(job.softwareDeadline) && job.relay.Roster.Registered(criteria, job.softwareDeadline)
 }
 
 // takesUp reports whether the request takes up a stream that another one began.
@@ -166,7 +166,7 @@
 	}
 	job.service = service
 	job.fixSoftware(found.Software)
-	if !job.relay.Roster.Registered(roster.Criteria{Service: service.Name, FixedSoftware: true, Software: found.Software}) {
+	if !job.relay.Roster.Registered(roster.Criteria{Service: service.Name, FixedSoftware: true, Software: found.Software}, time.Now().Add(softwareWait)) {
 		return refuseTakeUp("no target has the software version that began the stream")
 	}
 	return nil
--- a/roster/software.go
+++ b/roster/software.go
@@ -33,13 +33,13 @@
 }
 
 // Registered reports whether a target of the service is registered that is not
-// draining, has the required software version and was not tried. Unlike Choose it
-// counts targets that can take no request at the moment.
-func (roster *Roster) Registered(criteria Criteria) bool {
+// draining, does not rest at the given time, has the required software version and was
+// not tried. Unlike Choose it counts targets that can take no request at the moment.
+func (roster *Roster) Registered(criteria Criteria, at time.Time) bool {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	return slices.ContainsFunc(roster.services[criteria.Service], func(target *Target) bool {
-		return !target.removed && !target.entry.Draining && target.hasSoftware(criteria) && !slices.Contains(criteria.Tried, target.entry.ID)
+		return !target.removed && !target.entry.Draining && !target.rest.until.After(at) && target.hasSoftware(criteria) && !slices.Contains(criteria.Tried, target.entry.ID)
 	})
 }
 
--- a/roster/software_test.go
+++ b/roster/software_test.go
@@ -53,27 +53,43 @@
 	criteria := Criteria{Service: "notes", FixedSoftware: true, Software: "v1"}
 	assignment := choose(t, roster, criteria, start)
 	assignment.Failed(true, start)
-	if _, ok := roster.Choose(criteria, start); ok || !roster.Registered(criteria) {
+	if _, ok := roster.Choose(criteria, start); ok || !roster.Registered(criteria, start) {
 		t.Error("got an unreachable target chosen or not registered, want it registered only")
 	}
 	tried := criteria
 	tried.Tried = []string{"e1"}
-	if roster.Registered(tried) {
+	if roster.Registered(tried, start) {
 		t.Error("got a tried target registered, want none")
 	}
 	draining := softwareEntry("e1", "v1")
 	draining.Draining = true
 	roster.Put(draining, start)
-	if roster.Registered(criteria) {
+	if roster.Registered(criteria, start) {
 		t.Error("got a draining target registered, want none")
 	}
 	roster.Put(softwareEntry("e3", "v1"), start)
 	roster.Remove("e3", start)
-	if roster.Registered(criteria) {
+	if roster.Registered(criteria, start) {
 		t.Error("got a removed target registered, want none")
 	}
 }
 
+// Guards against a stream that waits for a target which wants nothing for longer than the
+// stream can wait.
+func TestRegisteredLeavesOutLongRests(t *testing.T) {
+	roster := New("a")
+	roster.Put(softwareEntry("e1", "v1"), start)
+	criteria := Criteria{Service: "notes", FixedSoftware: true, Software: "v1"}
+	assignment := choose(t, roster, criteria, start)
+	assignment.Observe(Announcement{RestUntil: start.Add(time.Second), Rejected: true}, start)
+	assignment.End()
+	for after, want := range map[time.Duration]bool{0: false, 999 * time.Millisecond: false, time.Second: true, 2 * time.Second: true} {
+		if got := roster.Registered(criteria, start.Add(after)); got != want {
+			t.Errorf("by %s: got %t for a target that rests for 1 s, want %t", after, got, want)
+		}
+	}
+}
+
 // Guards against take-ups that are sent to any target although two software versions
 // served while the stream may have begun.
 func TestSeveralCountsVersionsThatWereListed(t *testing.T) {
