--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -102,7 +102,7 @@
 // recordOrigin records where the stream begins if the next attempt brings its first
 // event. The origin of a stream that is taken up is recorded already if it is known.
 func (job *job) recordOrigin(assignment *roster.Assignment) {
-	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == originKnown {
+	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == origin.Known.String() {
 		return
 	}
 	job.attempts++
@@ -112,13 +112,6 @@
 	})
 }
 
-// What is known of the stream that a request takes up, as named in the log.
-const (
-	originKnown   = "known"
-	originSingle  = "single"
-	originUnknown = "unknown"
-)
-
 // findOrigin makes a request that takes up a stream go on at the service and the
 // software version that began it. It refuses the request if they are not known or no
 // longer serve.
@@ -127,17 +120,16 @@
 		return nil
 	}
 	found, knowledge := job.lookUpOrigin(ctx)
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return delivery.ContextRefusal(ctx).WithOutcome(refusal.NotRun)
-	case knowledge == origin.Known:
-		job.originKnowledge = originKnown
+	}
+	job.originKnowledge = knowledge.String()
+	switch knowledge {
+	case origin.Known:
 		return job.goOnAt(found)
-	case knowledge == origin.Single:
-		job.originKnowledge = originSingle
+	case origin.Single:
 		return job.goOnAtOnlySoftware()
 	}
-	job.originKnowledge = originUnknown
 	return refuseTakeUp("it is not known which software version began the stream")
 }
 
