--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -206,13 +206,15 @@
 	if job.relay.client(assignment).Reachable(ctx, now.Add(deathProbeTimeout)) {
 		return
 	}
+	job.attempt.died = true
 	job.relay.Metrics.TargetDeaths.Add(1)
 	death := assignment.ID + "/" + job.request.ID
 	state, changed := job.relay.Quarantine.RecordDeath(job.digest, death, now)
 	if !changed {
 		return
 	}
-	job.relay.Log.Emit(event.TargetDied, event.F("target", assignment.ID), event.F("request", job.request.ID))
+	job.relay.Log.Emit(event.TargetDied, event.F("target", assignment.ID), event.F("started", assignment.StartTime), event.F("request", job.request.ID),
+		event.F("parts", job.request.loggedParts()))
 	job.relay.DeathReporter.ReportDeath(ctx, job.digest, death, state)
 	if state == quarantine.Blocked {
 		job.relay.Log.Emit(event.Quarantined, event.F("request", job.request.ID))
--- a/relay/job.go
+++ b/relay/job.go
@@ -99,6 +99,7 @@
 type attempt struct {
 	assignment roster.Assignment
 	head       target.Head
+	died       bool // the target accepted no connections after the attempt had broken
 }
 
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
@@ -372,6 +373,6 @@
 func (job *job) logAttempt(assignment *roster.Assignment, err error) {
 	fields := append(job.request.resumesFields(),
 		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
-		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID))
+		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
 	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/bramleygw/bramleygw/prefix"
@@ -61,6 +63,31 @@
 	return uint64(prefix.Seed(cacheScope, prompt.Model, last.ID))
 }
 
+// sharedParts returns the IDs of the parts that other requests may share, each once.
+// There are none if the request has no prompt.
+func (request *Request) sharedParts() []string {
+	if request.Prompt == nil {
+		return nil
+	}
+	var ids []string
+	for i, part := range request.Prompt.Parts {
+		if i < len(request.Prompt.Parts)-1 && !slices.Contains(ids, part.ID) {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
+// maxLoggedParts is the maximum length, in bytes, of the logged IDs of parts: they are
+// text of the caller, and log lines are bounded.
+const maxLoggedParts = 256
+
+// loggedParts returns the IDs of the shared parts for the log.
+func (request *Request) loggedParts() string {
+	text := strings.Join(request.sharedParts(), ",")
+	return text[:min(len(text), maxLoggedParts)]
+}
+
 // maxUnsharedFraction is the largest unshared fraction with which a prompt is still
 // saved in a KV cache store. Saved tokens that no other request shares take the
 // space of shared ones. docs/MEASUREMENTS.md has the figures.
--- a/roster/target.go
+++ b/roster/target.go
@@ -199,6 +199,8 @@
 	Zone    string
 	// Software is the version of the target's software.
 	Software string
+	// StartTime distinguishes processes that used the same ID.
+	StartTime int64
 	// Weights is the version of the model's weights that the target has; 0 for
 	// plain services.
 	Weights uint64
