--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -65,6 +65,12 @@
 	Quarantined     = register(606, "request_quarantined", LevelWarn, "a request was in flight at two targets when they failed and is now refused", "inspect the caller's request; the quarantine entry expires by itself")
 )
 
+// Events of parts of prompts that crash targets.
+var (
+	PartBlocked = register(607, "part_blocked", LevelWarn, "a part of prompts is refused: targets died whenever a prompt with it ran; the source is deaths, another VM or the store", "find out with request_refused who sends the part; it is accepted again at the time in the fields, or once a prompt with it is answered")
+	PartCleared = register(608, "part_cleared", LevelInfo, "a part of prompts is no longer refused: a prompt with it was answered", "none")
+)
+
 // Events of targets and KV cache stores: registration and reachability.
 var (
 	TargetListed     = register(610, "target_listed", LevelInfo, "a target's registration is new or changed", "none")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/cockroachdb/errors"
 )
@@ -348,7 +349,7 @@
 }
 
 // HandleNotice implements peer.Handler.
-func (gateway *Gateway) HandleNotice(notice peer.Notice) {
+func (gateway *Gateway) HandleNotice(notice peer.Notice) peer.NoticeReply {
 	gateway.applyTargetUpdates(notice.Targets)
 	if notice.Relay {
 		notice.Relay = false
@@ -358,6 +359,7 @@
 	for _, charge := range notice.Charges {
 		gateway.suspects.RecordDeath(quarantine.Digest(charge.Digest), charge.Death, now)
 	}
+	return gateway.mergeParts(notice, now)
 }
 
 // Lend implements peer.Handler. This VM holds no rights and lends nothing.
@@ -369,6 +371,10 @@
 func (gateway *Gateway) AcceptReturn(int, quota.Share, float64) {}
 
 // ReportDeath implements relay.DeathReporter.
-func (gateway *Gateway) ReportDeath(ctx context.Context, digest quarantine.Digest, death string, _ quarantine.State) {
-	gateway.notify(ctx, peer.Notice{Charges: []peer.Charge{{Digest: string(digest), Death: death}}})
+func (gateway *Gateway) ReportDeath(ctx context.Context, death relay.Death) {
+	notice := peer.Notice{Charges: []peer.Charge{{Digest: string(death.Digest), Death: death.Request}}}
+	if len(death.Parts) > 0 {
+		notice.PartDeaths = []peer.PartDeath{{Death: death.Target, Parts: death.Parts}}
+	}
+	gateway.notify(ctx, notice)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 	members     *membership.Table
 	zones       *zoneTable
 	suspects    *quarantine.Tracker
+	parts       *quarantine.Parts
 	clients     *relay.Clients
 	cacheStores *cacheStores
 	origins     *origins
@@ -162,6 +163,7 @@
 	gateway.members.Zone = vm.AvailabilityZone
 	gateway.zones = newZoneTable()
 	gateway.suspects = quarantine.NewTracker()
+	gateway.parts = quarantine.NewParts()
 	gateway.clients = relay.NewClients(gateway.TargetDialect)
 	gateway.cacheStores = newCacheStores(gateway.Log)
 	gateway.dialer = peer.NewDialer(nil)
@@ -172,7 +174,7 @@
 	gateway.heartbeatFailures = map[netip.AddrPort]int{}
 	gateway.relay = &relay.Relay{
 		Bounds: vm.Bounds, Roster: gateway.roster, Limits: gateway.limits, Weights: gateway.weights,
-		Stores: gateway.cacheStores, Quarantine: gateway.suspects, DeathReporter: gateway, Clients: gateway.clients,
+		Stores: gateway.cacheStores, Quarantine: gateway.suspects, Parts: gateway.parts, DeathReporter: gateway, Clients: gateway.clients,
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.callerServer.Relay = gateway.relay
@@ -332,6 +334,8 @@
 		now := time.Now()
 		gateway.roster.Sweep(now)
 		gateway.origins.sweep(now)
+		gateway.parts.Sweep(now)
+		gateway.reportParts(ctx, now)
 		gateway.logReachability(&detector, now)
 		gateway.updateVMCount(now)
 		listed := gateway.updateTargetMetrics()
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -59,12 +59,12 @@
 		// Leave part of the time for the remaining representatives.
 		deadline := time.Now().Add(notifyTimeout * time.Duration(i+1) / time.Duration(len(representatives)+1))
 		attemptCtx, cancel := context.WithDeadline(ctx, deadline)
-		err := gateway.dialer.Notify(attemptCtx, representative.Address, notice)
+		reply, err := gateway.dialer.Notify(attemptCtx, representative.Address, notice)
 		cancel()
+		gateway.endNotice(representative.Address, reply, err)
 		if err == nil {
 			return
 		}
-		gateway.logNotifyFailure(representative.Address, err)
 	}
 }
 
@@ -83,9 +83,14 @@
 }
 
 func (gateway *Gateway) broadcast(ctx context.Context, addresses []netip.AddrPort, notice peer.Notice) {
-	gateway.dialer.Broadcast(ctx, addresses, notice, gateway.logNotifyFailure)
+	gateway.dialer.Broadcast(ctx, addresses, notice, gateway.endNotice)
 }
 
-func (gateway *Gateway) logNotifyFailure(address netip.AddrPort, err error) {
-	gateway.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+// endNotice merges the reply to a notice, or logs its error.
+func (gateway *Gateway) endNotice(address netip.AddrPort, reply peer.NoticeReply, err error) {
+	if err != nil {
+		gateway.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+		return
+	}
+	gateway.mergeAnswers(reply.AnsweredParts, time.Now())
 }
--- /dev/null
+++ b/gateway/parts.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/quarantine"
+)
+
+// The ways in which a VM learns that a part of prompts crashes targets, for the log.
+const (
+	partSourceDeaths = "deaths"
+	partSourcePeer   = "peer"
+)
+
+// reportParts reports to the other VMs which parts of prompts this VM found to crash
+// targets, and which not.
+func (gateway *Gateway) reportParts(ctx context.Context, now time.Time) {
+	blocked, cleared := gateway.parts.Changes(now)
+	if len(blocked) == 0 && len(cleared) == 0 {
+		return
+	}
+	notice := peer.Notice{BlockedParts: toBlockedParts(blocked, now)}
+	for _, part := range blocked {
+		gateway.logBlockedPart(part, partSourceDeaths)
+	}
+	for _, part := range cleared {
+		gateway.Log.Emit(event.PartCleared, event.F("part", loggedPart(part)))
+		notice.AnsweredParts = append(notice.AnsweredParts, peer.PartAnswer{Part: part})
+	}
+	gateway.notify(ctx, notice)
+}
+
+// mergeParts records what another VM reports of parts of prompts. The reply states
+// which of the parts that were in flight at deaths were answered.
+func (gateway *Gateway) mergeParts(notice peer.Notice, now time.Time) peer.NoticeReply {
+	var reply peer.NoticeReply
+	for _, death := range notice.PartDeaths {
+		gateway.parts.RecordDeath(death.Death, death.Parts, false, now)
+		for _, answer := range gateway.parts.Answers(death.Parts) {
+			reply.AnsweredParts = append(reply.AnsweredParts, peer.PartAnswer{Part: answer.Part, Age: now.Sub(answer.At)})
+		}
+	}
+	gateway.mergeAnswers(notice.AnsweredParts, now)
+	gateway.mergeBlocked(notice.BlockedParts, now)
+	return reply
+}
+
+// mergeAnswers records which parts of prompts other VMs saw answered.
+func (gateway *Gateway) mergeAnswers(answers []peer.PartAnswer, now time.Time) {
+	merged := make([]quarantine.Answer, len(answers))
+	for i, answer := range answers {
+		merged[i] = quarantine.Answer{Part: answer.Part, At: now.Add(-answer.Age)}
+	}
+	gateway.parts.MergeAnswers(merged, now)
+}
+
+// mergeBlocked blocks the parts of prompts that another VM reports as blocked.
+func (gateway *Gateway) mergeBlocked(parts []peer.BlockedPart, now time.Time) {
+	for _, part := range parts {
+		blocked := quarantine.BlockedPart{Part: part.Part, Until: now.Add(part.Left)}
+		if gateway.parts.Block(blocked, now) {
+			gateway.logBlockedPart(blocked, partSourcePeer)
+		}
+	}
+}
+
+func toBlockedParts(blocked []quarantine.BlockedPart, now time.Time) []peer.BlockedPart {
+	parts := make([]peer.BlockedPart, len(blocked))
+	for i, part := range blocked {
+		parts[i] = peer.BlockedPart{Part: part.Part, Left: part.Until.Sub(now)}
+	}
+	return parts
+}
+
+func (gateway *Gateway) logBlockedPart(part quarantine.BlockedPart, source string) {
+	gateway.Log.Emit(event.PartBlocked, event.F("part", loggedPart(part.Part)), event.F("until", part.Until), event.F("source", source))
+}
+
+// maxLoggedPart is the maximum length, in bytes, of the logged ID of a part: it is text
+// of a caller, and log lines are bounded.
+const maxLoggedPart = 64
+
+func loggedPart(id string) string {
+	return id[:min(len(id), maxLoggedPart)]
+}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -153,17 +153,13 @@
 }
 
 // Notify sends a notice to another VM.
-func (dialer *Dialer) Notify(ctx context.Context, address netip.AddrPort, notice Notice) error {
+func (dialer *Dialer) Notify(ctx context.Context, address netip.AddrPort, notice Notice) (NoticeReply, error) {
 	client, err := dialer.client(address)
 	if err != nil {
-		return err
-	}
-	request := &peerpb.Notice{Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay}
-	for _, charge := range notice.Charges {
-		request.Charges = append(request.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
+		return NoticeReply{}, err
 	}
-	_, err = client.Notify(ctx, request)
-	return errors.Wrap(err, "notify VM")
+	reply, err := client.Notify(ctx, encodeNotice(notice))
+	return NoticeReply{AnsweredParts: decodeAnswers(reply.GetAnsweredParts())}, errors.Wrap(err, "notify VM")
 }
 
 // Snapshot requests the objects of another VM that are newer than a version or, where
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -29,6 +29,7 @@
 	}
 	encoded.Positions = encodePositions(heartbeat.Positions)
 	encoded.Backlogs = encodeBacklogs(heartbeat.Backlogs)
+	encoded.BlockedParts = encodeBlocked(heartbeat.BlockedParts)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -62,6 +63,7 @@
 	}
 	heartbeat.Positions = decodePositions(encoded.GetPositions())
 	heartbeat.Backlogs = decodeBacklogs(encoded.GetBacklogs())
+	heartbeat.BlockedParts = decodeBlocked(encoded.GetBlockedParts())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
--- /dev/null
+++ b/peer/encode_notice.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/bramleygw/bramleygw/peer/peerpb"
+)
+
+func encodeNotice(notice Notice) *peerpb.Notice {
+	encoded := &peerpb.Notice{
+		Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay,
+		BlockedParts: encodeBlocked(notice.BlockedParts), AnsweredParts: encodeAnswers(notice.AnsweredParts),
+	}
+	for _, charge := range notice.Charges {
+		encoded.Charges = append(encoded.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
+	}
+	for _, death := range notice.PartDeaths {
+		encoded.PartDeaths = append(encoded.PartDeaths, &peerpb.PartDeath{Death: death.Death, Parts: death.Parts})
+	}
+	return encoded
+}
+
+func decodeNotice(encoded *peerpb.Notice) Notice {
+	notice := Notice{
+		Objects: decodeObjects(encoded.GetObjects()), Targets: decodeTargets(encoded.GetTargets()), Relay: encoded.GetRelay(),
+		BlockedParts: decodeBlocked(encoded.GetBlockedParts()), AnsweredParts: decodeAnswers(encoded.GetAnsweredParts()),
+	}
+	for _, charge := range encoded.GetCharges() {
+		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
+	}
+	for _, death := range encoded.GetPartDeaths() {
+		notice.PartDeaths = append(notice.PartDeaths, PartDeath{Death: death.GetDeath(), Parts: death.GetParts()})
+	}
+	return notice
+}
+
+func encodeBlocked(parts []BlockedPart) []*peerpb.BlockedPart {
+	encoded := make([]*peerpb.BlockedPart, len(parts))
+	for i, blocked := range parts {
+		encoded[i] = &peerpb.BlockedPart{Part: blocked.Part, LeftMs: milliseconds(blocked.Left)}
+	}
+	return encoded
+}
+
+func decodeBlocked(encoded []*peerpb.BlockedPart) []BlockedPart {
+	var parts []BlockedPart
+	for _, blocked := range encoded {
+		left := time.Duration(blocked.GetLeftMs()) * time.Millisecond
+		parts = append(parts, BlockedPart{Part: blocked.GetPart(), Left: min(left, maxWireDuration)})
+	}
+	return parts
+}
+
+func encodeAnswers(answers []PartAnswer) []*peerpb.PartAnswer {
+	encoded := make([]*peerpb.PartAnswer, len(answers))
+	for i, answer := range answers {
+		encoded[i] = &peerpb.PartAnswer{Part: answer.Part, AgeMs: milliseconds(answer.Age)}
+	}
+	return encoded
+}
+
+func decodeAnswers(encoded []*peerpb.PartAnswer) []PartAnswer {
+	var answers []PartAnswer
+	for _, answer := range encoded {
+		answers = append(answers, PartAnswer{Part: answer.GetPart(), Age: time.Duration(answer.GetAgeMs()) * time.Millisecond})
+	}
+	return answers
+}
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/origin"
@@ -33,6 +34,7 @@
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
 			Spending: spending, Backlogs: backlogs,
 		}},
+		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}},
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
@@ -80,3 +82,21 @@
 		t.Errorf("got a record that is left %v, want %v", got, time.Minute)
 	}
 }
+
+// Each field of a notice must survive encoding and decoding.
+func TestNoticeRoundTrip(t *testing.T) {
+	want := Notice{
+		Objects: []catalog.Object{{ID: "o1", Version: 3, Spec: []byte("{}")}}, Charges: []Charge{{"d1", "i-1/r1"}},
+		Targets: []TargetUpdate{{Target: "i-1", Model: "m", Weights: 3}}, PartDeaths: []PartDeath{{Death: "i-1/5", Parts: []string{"p1", "p2"}}},
+		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}}, AnsweredParts: []PartAnswer{{Part: "p2", Age: time.Second}}, Relay: true,
+	}
+	fields := reflect.ValueOf(want)
+	for i := range fields.NumField() {
+		if fields.Field(i).IsZero() {
+			t.Errorf("got zero value for field %s, want one that tests its encoding", fields.Type().Field(i).Name)
+		}
+	}
+	if got := decodeNotice(encodeNotice(want)); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -49,10 +49,11 @@
 	handler.returned += tokens
 }
 
-func (handler *handler) HandleNotice(notice Notice) {
+func (handler *handler) HandleNotice(notice Notice) NoticeReply {
 	handler.mu.Lock()
 	defer handler.mu.Unlock()
 	handler.notices = append(handler.notices, notice)
+	return NoticeReply{AnsweredParts: notice.AnsweredParts}
 }
 
 func (handler *handler) Objects(objects.Version, []objects.Position) ([]catalog.Object, objects.Version) {
@@ -124,7 +125,7 @@
 		t.Errorf("got %v returned %v, want 4", handler.returned, err)
 	}
 	notice := Notice{Objects: handler.objects[:1], Charges: []Charge{{"d", "e1/1"}}}
-	if err := dialer.Notify(ctx, address, notice); err != nil || len(handler.notices) != 1 || handler.notices[0].Charges[0] != notice.Charges[0] {
+	if _, err := dialer.Notify(ctx, address, notice); err != nil || len(handler.notices) != 1 || handler.notices[0].Charges[0] != notice.Charges[0] {
 		t.Errorf("got %+v %v, want the notice", handler.notices, err)
 	}
 	objects, version, err := dialer.Snapshot(ctx, address, 0, nil)
@@ -195,8 +196,10 @@
 	unreachable := netip.MustParseAddrPort("0.0.0.0:0")
 	var failures []netip.AddrPort
 	notice := Notice{Charges: []Charge{{"d", "e1/1"}}}
-	confirmed := dialer.Broadcast(t.Context(), []netip.AddrPort{firstAddress, unreachable, secondAddress}, notice, func(address netip.AddrPort, _ error) {
-		failures = append(failures, address)
+	confirmed := dialer.Broadcast(t.Context(), []netip.AddrPort{firstAddress, unreachable, secondAddress}, notice, func(address netip.AddrPort, _ NoticeReply, err error) {
+		if err != nil {
+			failures = append(failures, address)
+		}
 	})
 	if confirmed != 2 || len(first.notices) != 1 || len(second.notices) != 1 {
 		t.Errorf("got %d VMs confirmed, %d and %d notices, want 2, 1 and 1", confirmed, len(first.notices), len(second.notices))
--- a/peer/server.go
+++ b/peer/server.go
@@ -72,6 +72,9 @@
 	Representatives []membership.Peer
 	// ZoneSummaries are the aggregated reports of availability zones.
 	ZoneSummaries []ZoneSummary
+	// BlockedParts are the blocked parts of prompts, for a receiver that has just
+	// started.
+	BlockedParts []BlockedPart
 }
 
 // ZoneSummary aggregates the reports of an availability zone's VMs.
@@ -136,12 +139,42 @@
 	Death  string // identifies the death
 }
 
+// PartDeath reports the shared parts of a prompt that was in flight on a target when the
+// target died.
+type PartDeath struct {
+	Death string // identifies the death
+	Parts []string
+}
+
+// NoticeReply reports when the receiver last knew of answered prompts with the parts in
+// the notice's PartDeaths.
+type NoticeReply struct {
+	AnsweredParts []PartAnswer
+}
+
+// BlockedPart is a part of prompts that crashes targets.
+type BlockedPart struct {
+	Part string
+	Left time.Duration // until the block ends
+}
+
+// PartAnswer states how long ago a prompt with a part was last answered.
+type PartAnswer struct {
+	Part string
+	Age  time.Duration
+}
+
 // Notice reports changed objects, deaths of targets and updates of targets' weights to
 // another VM.
 type Notice struct {
 	Objects []catalog.Object
 	Charges []Charge
 	Targets []TargetUpdate
+	// PartDeaths, BlockedParts and AnsweredParts report parts of prompts that may
+	// crash targets, that do, and that do not.
+	PartDeaths    []PartDeath
+	BlockedParts  []BlockedPart
+	AnsweredParts []PartAnswer
 	// Relay is set when the receiver must forward the notice to the other VMs of its
 	// availability zone.
 	Relay bool
@@ -156,7 +189,7 @@
 	// AcceptReturn accepts unused tokens of a right.
 	AcceptReturn(right int, share quota.Share, tokens float64)
 	// HandleNotice processes a notice.
-	HandleNotice(notice Notice)
+	HandleNotice(notice Notice) NoticeReply
 	// Objects returns the version of the newest object and all objects that are newer
 	// than a version or, where there are several collections, than the positions.
 	Objects(above objects.Version, known []objects.Position) ([]catalog.Object, objects.Version)
@@ -222,12 +255,8 @@
 
 // Notify implements peerpb.PeerServer.
 func (service *service) Notify(_ context.Context, request *peerpb.Notice) (*peerpb.NoticeReply, error) {
-	notice := Notice{Objects: decodeObjects(request.GetObjects()), Targets: decodeTargets(request.GetTargets()), Relay: request.GetRelay()}
-	for _, charge := range request.GetCharges() {
-		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
-	}
-	service.handler.HandleNotice(notice)
-	return &peerpb.NoticeReply{}, nil
+	reply := service.handler.HandleNotice(decodeNotice(request))
+	return &peerpb.NoticeReply{AnsweredParts: encodeAnswers(reply.AnsweredParts)}, nil
 }
 
 // Snapshot implements peerpb.PeerServer.
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,403 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// blockingPartDeaths is the number of deaths from which a part is blocked that was
+	// in a prompt at each of them and in no answered one since the first. It is larger
+	// for parts that were answered before, and for parts whose deaths another part
+	// explains as well: the next death may tell them apart.
+	blockingPartDeaths     = 3
+	blockingAnsweredDeaths = 5
+	blockingTiedDeaths     = 5
+	// settleTime is how long after its first report a death is not counted: the other
+	// VMs report what they had in flight there. It is longer than they wait for notices.
+	settleTime = 200 * time.Millisecond
+	// minOtherAnswers is the number of answered prompts without the part since its
+	// first death. Without it, an outage of all targets would block every part.
+	minOtherAnswers = 5
+	// partMemory is how long deaths and answers are remembered.
+	partMemory = time.Hour
+	// maxParts and maxDeaths limit what is remembered; the oldest is evicted.
+	maxParts  = 10000
+	maxDeaths = 256
+)
+
+// Answer states when a prompt with a part was last answered.
+type Answer struct {
+	Part string
+	At   time.Time
+}
+
+// BlockedPart is a part of prompts that crashes targets.
+type BlockedPart struct {
+	Part  string
+	Until time.Time
+}
+
+// Parts finds and blocks the parts of prompts that crash targets, whatever else the
+// prompts hold. A part is blocked that was in flight at several deaths, if no prompt
+// with it was answered since the first of them and no other part explains more of the
+// deaths. An answered prompt clears its parts. Parts is safe for concurrent use.
+type Parts struct {
+	mu     sync.Mutex // guards the fields below
+	parts  map[string]*part
+	deaths map[string]*partDeath
+	// answers is the number of prompts that this VM saw answered.
+	answers uint64
+	// settlesAt is when the next death can be counted; zero if none can.
+	settlesAt time.Time
+	// blocked and cleared are the changes that other VMs do not know yet.
+	blocked []BlockedPart
+	cleared []string
+}
+
+// part is what is known of one part.
+type part struct {
+	used         time.Time
+	answered     time.Time // when a prompt with it was last answered; zero if never
+	lastDeath    time.Time
+	blockedUntil time.Time
+	// deaths are those at which a prompt with it was in flight, without those before an
+	// answer and without those that a blocked part explains.
+	deaths []*partDeath
+}
+
+// partDeath is the death of one start of a target.
+type partDeath struct {
+	at    time.Time
+	parts map[string]bool // of the prompts in flight
+	// local is set if this VM had one of these prompts in flight.
+	local bool
+	// explained is set if one of the parts is blocked.
+	explained bool
+	// answersBefore is the number of answered prompts when the death was reported.
+	answersBefore uint64
+}
+
+// NewParts returns a Parts that knows no part.
+func NewParts() *Parts {
+	return &Parts{parts: map[string]*part{}, deaths: map[string]*partDeath{}}
+}
+
+// Blocked returns the first of the parts that is blocked, and until when.
+func (parts *Parts) Blocked(ids []string, now time.Time) (BlockedPart, bool) {
+	if len(ids) == 0 {
+		return BlockedPart{}, false
+	}
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	parts.settle(now)
+	for _, id := range ids {
+		if known, ok := parts.parts[id]; ok && now.Before(known.blockedUntil) {
+			return BlockedPart{Part: id, Until: known.blockedUntil}, true
+		}
+	}
+	return BlockedPart{}, false
+}
+
+// RecordDeath records that a prompt with the parts was in flight when a target died.
+// death identifies the target's start; local is set if the prompt was this VM's.
+func (parts *Parts) RecordDeath(death string, ids []string, local bool, now time.Time) {
+	if len(ids) == 0 {
+		return
+	}
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	known, ok := parts.deaths[death]
+	if !ok {
+		parts.evictDeath()
+		known = &partDeath{at: now, parts: map[string]bool{}, answersBefore: parts.answers}
+		parts.deaths[death] = known
+		if settles := now.Add(settleTime); parts.settlesAt.IsZero() || settles.Before(parts.settlesAt) {
+			parts.settlesAt = settles
+		}
+	}
+	known.local = known.local || local
+	for _, id := range ids {
+		entry := parts.get(id, now)
+		entry.lastDeath = now
+		if known.parts[id] {
+			continue
+		}
+		known.parts[id] = true
+		if !known.explained && known.at.After(entry.answered) {
+			entry.deaths = append(entry.deaths, known)
+		}
+		if now.Before(entry.blockedUntil) {
+			parts.explain(id)
+		}
+	}
+}
+
+// RecordAnswer records that a prompt with the parts was answered completely at this VM.
+func (parts *Parts) RecordAnswer(ids []string, now time.Time) {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	parts.answers++
+	for _, id := range ids {
+		if parts.answer(id, now, now) {
+			parts.cleared = append(parts.cleared, id)
+		}
+	}
+}
+
+// MergeAnswers records when other VMs last saw prompts with parts answered.
+func (parts *Parts) MergeAnswers(answers []Answer, now time.Time) {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	for _, answer := range answers {
+		parts.answer(answer.Part, answer.At, now)
+		parts.cleared = slices.DeleteFunc(parts.cleared, func(id string) bool { return id == answer.Part })
+	}
+}
+
+// Answers returns when prompts with the parts were last answered, for those that were.
+func (parts *Parts) Answers(ids []string) []Answer {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	var answers []Answer
+	for _, id := range ids {
+		if entry, ok := parts.parts[id]; ok && !entry.answered.IsZero() {
+			answers = append(answers, Answer{Part: id, At: entry.answered})
+		}
+	}
+	return answers
+}
+
+// answer records an answer at a time and drops the deaths before it. It reports whether
+// the part was blocked and no longer is. The caller holds mu.
+func (parts *Parts) answer(id string, at, now time.Time) bool {
+	entry := parts.get(id, now)
+	if !at.After(entry.answered) {
+		return false
+	}
+	entry.answered = at
+	entry.deaths = slices.DeleteFunc(entry.deaths, func(death *partDeath) bool { return !death.at.After(at) })
+	if !now.Before(entry.blockedUntil) || !at.After(entry.lastDeath) {
+		return false
+	}
+	entry.blockedUntil = time.Time{}
+	return true
+}
+
+// Block blocks a part that another VM found or that was stored. It returns false if that
+// was known.
+func (parts *Parts) Block(blocked BlockedPart, now time.Time) bool {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	entry := parts.get(blocked.Part, now)
+	if !blocked.Until.After(entry.blockedUntil) || !now.Before(blocked.Until) {
+		return false
+	}
+	wasBlocked := now.Before(entry.blockedUntil)
+	entry.blockedUntil, entry.lastDeath = blocked.Until, now
+	parts.explain(blocked.Part)
+	return !wasBlocked
+}
+
+// AllBlocked returns the parts that are blocked now.
+func (parts *Parts) AllBlocked(now time.Time) []BlockedPart {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	var blocked []BlockedPart
+	for id, entry := range parts.parts {
+		if now.Before(entry.blockedUntil) {
+			blocked = append(blocked, BlockedPart{Part: id, Until: entry.blockedUntil})
+		}
+	}
+	return blocked
+}
+
+// Changes returns the parts that this VM blocked or cleared since the last call.
+func (parts *Parts) Changes(now time.Time) (blocked []BlockedPart, cleared []string) {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	parts.settle(now)
+	blocked, cleared = parts.blocked, parts.cleared
+	parts.blocked, parts.cleared = nil, nil
+	return blocked, cleared
+}
+
+// settle blocks parts if deaths can be counted that could not before. The caller holds
+// mu.
+func (parts *Parts) settle(now time.Time) {
+	if parts.settlesAt.IsZero() || now.Before(parts.settlesAt) {
+		return
+	}
+	parts.settlesAt = time.Time{}
+	for _, death := range parts.deaths {
+		if settles := death.at.Add(settleTime); settles.After(now) && (parts.settlesAt.IsZero() || settles.Before(parts.settlesAt)) {
+			parts.settlesAt = settles
+		}
+	}
+	for {
+		found := parts.culprits(now)
+		if len(found) == 0 {
+			return
+		}
+		for _, id := range found {
+			blocked := BlockedPart{Part: id, Until: now.Add(blockTime)}
+			parts.parts[id].blockedUntil = blocked.Until
+			parts.blocked = append(parts.blocked, blocked)
+		}
+		for _, id := range found {
+			parts.explain(id)
+		}
+	}
+}
+
+// culprits returns the part that explains the most deaths, if these are enough to block
+// it: several parts if they cannot be told apart. The caller holds mu.
+func (parts *Parts) culprits(now time.Time) []string {
+	var found []string
+	most := 0
+	for id, entry := range parts.parts {
+		count := parts.countDeaths(entry, now)
+		if count == 0 || count < most {
+			continue
+		}
+		if count > most {
+			found, most = nil, count
+		}
+		found = append(found, id)
+	}
+	if len(found) > 1 && most < blockingTiedDeaths {
+		return parts.untied(found)
+	}
+	return found
+}
+
+// untied returns the first of the parts none of whose deaths another one shares. The
+// caller holds mu.
+func (parts *Parts) untied(ids []string) []string {
+	for _, id := range ids {
+		shared := slices.ContainsFunc(ids, func(other string) bool {
+			return other != id && slices.ContainsFunc(parts.parts[id].deaths, func(death *partDeath) bool { return death.parts[other] })
+		})
+		if !shared {
+			return []string{id}
+		}
+	}
+	return nil
+}
+
+// countDeaths returns the number of deaths that the part explains, or 0 if they are not
+// enough to block it. Deaths within retryDelay of another are not enough: one fault may
+// have stopped several targets. Only a VM that had such a prompt in flight decides: the
+// others told it which parts they saw answered. The caller holds mu.
+func (parts *Parts) countDeaths(entry *part, now time.Time) int {
+	needed := blockingPartDeaths
+	if !entry.answered.IsZero() {
+		needed = blockingAnsweredDeaths
+	}
+	if len(entry.deaths) < needed || now.Before(entry.blockedUntil) {
+		return 0
+	}
+	slices.SortFunc(entry.deaths, func(first, second *partDeath) int { return first.at.Compare(second.at) })
+	count, separate, local := 0, 0, false
+	var last time.Time
+	for _, death := range entry.deaths {
+		if death.at.Add(settleTime).After(now) {
+			break
+		}
+		count, local = count+1, local || death.local
+		if last.IsZero() || death.at.Sub(last) >= retryDelay {
+			separate, last = separate+1, death.at
+		}
+	}
+	if separate < needed || !local || parts.answers-entry.deaths[0].answersBefore < minOtherAnswers {
+		return 0
+	}
+	return count
+}
+
+// explain drops the deaths at which the blocked part was in flight from all parts. The
+// caller holds mu.
+func (parts *Parts) explain(blocked string) {
+	for _, death := range parts.deaths {
+		death.explained = death.explained || death.parts[blocked]
+	}
+	for _, entry := range parts.parts {
+		entry.deaths = slices.DeleteFunc(entry.deaths, func(death *partDeath) bool { return death.explained })
+	}
+}
+
+// get returns the entry of a part, and creates it if there is none. The caller holds mu.
+func (parts *Parts) get(id string, now time.Time) *part {
+	entry, ok := parts.parts[id]
+	if !ok {
+		parts.evictPart(now)
+		entry = &part{}
+		parts.parts[id] = entry
+	}
+	entry.used = now
+	return entry
+}
+
+// evictPart makes room for one part: it deletes the one that was not used for longest
+// among a few, for there are many. The caller holds mu.
+func (parts *Parts) evictPart(now time.Time) {
+	const examined = 16
+	if len(parts.parts) < maxParts {
+		return
+	}
+	victim, count := "", 0
+	for id, entry := range parts.parts {
+		if len(entry.deaths) > 0 || now.Before(entry.blockedUntil) {
+			continue
+		}
+		if victim == "" || entry.used.Before(parts.parts[victim].used) {
+			victim = id
+		}
+		if count++; count == examined {
+			break
+		}
+	}
+	delete(parts.parts, victim)
+}
+
+// evictDeath makes room for one death: it deletes the oldest. The caller holds mu.
+func (parts *Parts) evictDeath() {
+	if len(parts.deaths) < maxDeaths {
+		return
+	}
+	oldest := ""
+	for id, death := range parts.deaths {
+		if oldest == "" || death.at.Before(parts.deaths[oldest].at) {
+			oldest = id
+		}
+	}
+	parts.forget(oldest)
+}
+
+// forget deletes a death. The caller holds mu.
+func (parts *Parts) forget(id string) {
+	death := parts.deaths[id]
+	delete(parts.deaths, id)
+	for name := range death.parts {
+		if entry, ok := parts.parts[name]; ok {
+			entry.deaths = slices.DeleteFunc(entry.deaths, func(known *partDeath) bool { return known == death })
+		}
+	}
+}
+
+// Sweep drops what was not used within partMemory.
+func (parts *Parts) Sweep(now time.Time) {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	for id, death := range parts.deaths {
+		if now.Sub(death.at) > partMemory {
+			parts.forget(id)
+		}
+	}
+	for id, entry := range parts.parts {
+		if now.Sub(entry.used) > partMemory && !now.Before(entry.blockedUntil) {
+			delete(parts.parts, id)
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/parts_fleet_test.go
@@ -0,0 +1,224 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	simulationStep = 5 * time.Millisecond
+	contactTime    = 3 * time.Second
+	// crashDelay is the time from the start of a run to the crash, downTime the time
+	// until the target is back.
+	crashDelay = 60 * time.Millisecond
+	downTime   = 3 * time.Second
+	// maxLateCrashing is the number of requests with the part that may reach targets
+	// later than contactTime after the fifth crash.
+	maxLateCrashing = 3
+	crashing        = "crashing"
+)
+
+// simulatedRequest is one request in flight.
+type simulatedRequest struct {
+	vm, target int
+	parts      []string
+	ends       time.Time
+	crashes    bool
+	attempts   int
+}
+
+// simulation is a fleet in virtual time: each VM has its own Parts and learns of the
+// deaths at the others after a delay.
+type simulation struct {
+	random   *rand.Rand
+	now      time.Time
+	vms      []*Parts
+	starts   []int       // number of starts, by target
+	upAt     []time.Time // when the target serves again
+	running  []*simulatedRequest
+	messages map[time.Time][]func()
+
+	deaths          []time.Time
+	sentLate        int
+	sound, refusals int
+}
+
+func newSimulation(seed uint64, vms, targets int) *simulation {
+	simulation := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), messages: map[time.Time][]func(){},
+		starts: make([]int, targets), upAt: make([]time.Time, targets),
+	}
+	for range vms {
+		simulation.vms = append(simulation.vms, NewParts())
+	}
+	return simulation
+}
+
+// send chooses a target, mostly the home of the prompt's last shared part, and begins
+// the request there.
+func (simulation *simulation) send(request *simulatedRequest, home int) {
+	request.crashes = request.parts[len(request.parts)-1] == crashing
+	if _, blocked := simulation.vms[request.vm].Blocked(request.parts, simulation.now); blocked {
+		if !request.crashes {
+			simulation.refusals++
+		}
+		return
+	}
+	if simulation.random.IntN(8) == 0 {
+		home = simulation.random.IntN(len(simulation.upAt))
+	}
+	for range simulation.upAt {
+		if !simulation.upAt[home].After(simulation.now) {
+			break
+		}
+		home = (home + 1) % len(simulation.upAt)
+	}
+	request.target = home
+	request.ends = simulation.now.Add(time.Duration(80+simulation.random.IntN(500)) * time.Millisecond)
+	if request.crashes {
+		request.ends = simulation.now.Add(crashDelay)
+		if len(simulation.deaths) >= 5 && simulation.now.Sub(simulation.deaths[4]) > contactTime {
+			simulation.sentLate++
+		}
+	}
+	request.attempts++
+	simulation.running = append(simulation.running, request)
+}
+
+// later calls a function after a delay, as a message between VMs.
+func (simulation *simulation) later(function func()) {
+	at := simulation.now.Add(time.Duration(1+simulation.random.IntN(20)) * simulationStep)
+	simulation.messages[at] = append(simulation.messages[at], function)
+}
+
+// kill ends a target and all that runs there.
+func (simulation *simulation) kill(target int) {
+	death := fmt.Sprint(target, "/", simulation.starts[target])
+	simulation.starts[target]++
+	simulation.upAt[target] = simulation.now.Add(downTime)
+	simulation.deaths = append(simulation.deaths, simulation.now)
+	var victims, left []*simulatedRequest
+	for _, request := range simulation.running {
+		if request.target == target {
+			victims = append(victims, request)
+		} else {
+			left = append(left, request)
+		}
+	}
+	simulation.running = left
+	for _, victim := range victims {
+		simulation.report(victim, death)
+		if victim.attempts < 3 && simulation.random.IntN(2) == 0 {
+			simulation.send(victim, simulation.random.IntN(len(simulation.upAt)))
+		}
+	}
+}
+
+// report records a death at the VM of a request and tells the others, which answer.
+func (simulation *simulation) report(victim *simulatedRequest, death string) {
+	reporter := simulation.vms[victim.vm]
+	reporter.RecordDeath(death, victim.parts, true, simulation.now)
+	for _, other := range simulation.vms {
+		if other != reporter {
+			simulation.later(func() {
+				other.RecordDeath(death, victim.parts, false, simulation.now)
+				reporter.MergeAnswers(other.Answers(victim.parts), simulation.now)
+			})
+		}
+	}
+}
+
+// tell sends what a VM blocked or cleared to the others.
+func (simulation *simulation) tell(vm *Parts) {
+	blocked, cleared := vm.Changes(simulation.now)
+	for _, other := range simulation.vms {
+		for _, part := range blocked {
+			simulation.later(func() { other.Block(part, simulation.now) })
+		}
+		for _, part := range cleared {
+			at := simulation.now
+			simulation.later(func() { other.MergeAnswers([]Answer{{Part: part, At: at}}, simulation.now) })
+		}
+	}
+}
+
+// run plays the given time. crashRate and soundRate are requests a second.
+func (simulation *simulation) run(length time.Duration, crashRate, soundRate int) {
+	stepsPerSecond := int(time.Second / simulationStep)
+	for end := simulation.now.Add(length); simulation.now.Before(end); simulation.now = simulation.now.Add(simulationStep) {
+		for _, function := range simulation.messages[simulation.now] {
+			function()
+		}
+		delete(simulation.messages, simulation.now)
+		if simulation.now.UnixMilli()%200 == 0 {
+			for _, vm := range simulation.vms {
+				simulation.tell(vm)
+			}
+		}
+		for count := soundRate; count > 0; count -= stepsPerSecond {
+			if simulation.random.IntN(stepsPerSecond) < count {
+				subject := simulation.random.IntN(60)
+				simulation.sound++
+				simulation.send(&simulatedRequest{vm: simulation.random.IntN(len(simulation.vms)), parts: []string{"all", "first", fmt.Sprint("subject", subject)}}, subject%len(simulation.upAt))
+			}
+		}
+		if simulation.random.IntN(stepsPerSecond) < crashRate {
+			simulation.send(&simulatedRequest{vm: simulation.random.IntN(len(simulation.vms)), parts: []string{"all", "first", crashing}}, 0)
+		}
+		simulation.finish()
+	}
+}
+
+// finish ends the requests that are due.
+func (simulation *simulation) finish() {
+	var left []*simulatedRequest
+	crashed := map[int]bool{}
+	for _, request := range simulation.running {
+		switch {
+		case request.ends.After(simulation.now):
+			left = append(left, request)
+		case request.crashes:
+			crashed[request.target] = true
+			left = append(left, request)
+		default:
+			simulation.vms[request.vm].RecordAnswer(request.parts, simulation.now)
+		}
+	}
+	simulation.running = left
+	for target := range simulation.upAt {
+		if crashed[target] {
+			simulation.kill(target)
+		}
+	}
+}
+
+// Guards against the loss of one target after another to requests with one part in
+// common, and against the refusal of sound requests that share the other parts.
+func TestFleetStopsPartThatCrashesTargets(t *testing.T) {
+	for _, test := range []struct {
+		vms, targets, crashRate, soundRate int
+		seeds                              uint64
+	}{
+		{6, 12, 3, 130, 4}, {6, 12, 20, 130, 4}, {8, 9, 1, 75, 4}, {78, 60, 4, 500, 2}, {295, 153, 10, 1200, 1},
+	} {
+		for seed := range test.seeds {
+			t.Run(fmt.Sprintf("%d VMs, %d a second, seed %d", test.vms, test.crashRate, seed), func(t *testing.T) {
+				simulation := newSimulation(seed, test.vms, test.targets)
+				simulation.run(3*time.Second, 0, test.soundRate)
+				simulation.run(20*time.Second, test.crashRate, test.soundRate)
+				if len(simulation.deaths) < 3 {
+					t.Fatalf("got %d deaths, want some", len(simulation.deaths))
+				}
+				if simulation.sentLate > maxLateCrashing {
+					t.Errorf("got %d requests sent late, want %d at most; %d deaths", simulation.sentLate, maxLateCrashing, len(simulation.deaths))
+				}
+				if simulation.refusals > 0 {
+					t.Errorf("got %d of %d sound requests refused, want none", simulation.refusals, simulation.sound)
+				}
+				t.Logf("%d deaths, %d sound requests", len(simulation.deaths), simulation.sound)
+			})
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,8 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
@@ -150,6 +148,7 @@
 func (job *job) Event(text []byte) error {
 	now := time.Now()
 	job.attempt.assignment.PromptProcessed(now)
+	job.attempt.events = true
 	id := eventID(text)
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
@@ -195,28 +194,3 @@
 	}
 	return nil
 }
-
-// recordDeath records a target's death in the quarantine, against the request, if
-// the target no longer accepts connections.
-func (job *job) recordDeath(ctx context.Context, assignment *roster.Assignment, result error) {
-	if !errors.Is(result, target.ErrConnectionLost) {
-		return
-	}
-	now := time.Now()
-	if job.relay.client(assignment).Reachable(ctx, now.Add(deathProbeTimeout)) {
-		return
-	}
-	job.attempt.died = true
-	job.relay.Metrics.TargetDeaths.Add(1)
-	death := assignment.ID + "/" + job.request.ID
-	state, changed := job.relay.Quarantine.RecordDeath(job.digest, death, now)
-	if !changed {
-		return
-	}
-	job.relay.Log.Emit(event.TargetDied, event.F("target", assignment.ID), event.F("started", assignment.StartTime), event.F("request", job.request.ID),
-		event.F("parts", job.request.loggedParts()))
-	job.relay.DeathReporter.ReportDeath(ctx, job.digest, death, state)
-	if state == quarantine.Blocked {
-		job.relay.Log.Emit(event.Quarantined, event.F("request", job.request.ID))
-	}
-}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -100,7 +100,7 @@
 	route.Timeout, route.LatencyTarget = settings.Span(20*time.Second), settings.Span(5*time.Second)
 	bounds := settings.Bounds{RetryReserve: 1000, RetryWindow: settings.Span(time.Second)}
 	relay := &Relay{
-		Bounds: bounds, Roster: roster.New("a"), Quarantine: quarantine.NewTracker(), Clients: NewClients(testDialect{}),
+		Bounds: bounds, Roster: roster.New("a"), Quarantine: quarantine.NewTracker(), Parts: quarantine.NewParts(), Clients: NewClients(testDialect{}),
 		DeathReporter: ignoredDeaths{}, Budgets: NewBudgets(bounds, func() int { return 1 }), Metrics: metric.New(t.Name()),
 	}
 	relay.Configure(routing.NewTable(routing.Config{
@@ -113,7 +113,7 @@
 // ignoredDeaths implements DeathReporter.
 type ignoredDeaths struct{}
 
-func (ignoredDeaths) ReportDeath(context.Context, quarantine.Digest, string, quarantine.State) {}
+func (ignoredDeaths) ReportDeath(context.Context, Death) {}
 
 // addTarget registers a target that serves.
 func (fixture *fixture) addTarget(t *testing.T, service, software string) *standinTarget {
--- a/relay/job.go
+++ b/relay/job.go
@@ -38,7 +38,12 @@
 	account *routing.Account // nil on open routes
 	service *routing.Service // nil when the route's service is not configured
 
-	digest   quarantine.Digest
+	digest quarantine.Digest
+	// parts are the IDs of the parts of the prompt that other requests may share.
+	// blockedPart is one of them that is blocked, for the log.
+	parts       []string
+	blockedPart string
+
 	deadline time.Time
 	charged  float64 // tokens deducted from the account's limit
 
@@ -99,13 +104,14 @@
 type attempt struct {
 	assignment roster.Assignment
 	head       target.Head
+	events     bool // at least one event was received
 	died       bool // the target accepted no connections after the attempt had broken
 }
 
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
 	job := &job{
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
-		deadline: limitDeadline(request, route), lastEventID: request.LastEventID,
+		deadline: limitDeadline(request, route), lastEventID: request.LastEventID, parts: request.sharedParts(),
 	}
 	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
@@ -143,6 +149,9 @@
 	if job.account != nil {
 		fields = append(fields, event.F("client_account", job.account.Name))
 	}
+	if job.blockedPart != "" {
+		fields = append(fields, event.F("blocked_part", loggedPart(job.blockedPart)))
+	}
 	switch {
 	case job.refusedWait > 0:
 		return append(fields, job.waitFields()...)
@@ -217,11 +226,30 @@
 	return job.delivery.Run(ctx)
 }
 
-// ChooseTarget implements delivery.Sender. A request that has run nowhere and finds
-// no target is held for a short time, in case a target is about to load new
+// ChooseTarget implements delivery.Sender. Whatever the request waited for, it is not
+// sent if a part of its prompt was blocked in the meantime.
+func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
+	ok, err := job.chooseTarget(ctx)
+	if !ok || err != nil {
+		return ok, err
+	}
+	blocked := job.checkParts(time.Now())
+	if blocked == nil {
+		return true, nil
+	}
+	job.attempt.assignment.Withdraw()
+	if job.delivery.Runs() > 0 {
+		job.retryDenial = deniedByQuarantine
+		return false, nil
+	}
+	return false, blocked
+}
+
+// chooseTarget chooses the next target. A request that has run nowhere and finds no
+// target is held for a short time, in case a target is about to load new
 // weights, to report its weights or to become reachable again. A stream that has begun
 // is held for longer, because only targets of its software version may take it.
-func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
+func (job *job) chooseTarget(ctx context.Context) (bool, error) {
 	if job.service == nil {
 		return false, nil
 	}
@@ -306,6 +334,7 @@
 	switch outcome {
 	case delivery.Answered:
 		assignment.Succeeded(now)
+		job.recordAnswer(now)
 		return outcome, nil
 	case delivery.CallerGone:
 		return outcome, nil
--- /dev/null
+++ b/relay/quarantine.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/quarantine"
+	"github.com/bramleygw/bramleygw/refusal"
+	"github.com/bramleygw/bramleygw/roster"
+	"github.com/bramleygw/bramleygw/target"
+)
+
+// checkParts refuses the request if a part of its prompt is blocked.
+func (job *job) checkParts(now time.Time) error {
+	blocked, ok := job.relay.Parts.Blocked(job.parts, now)
+	if !ok {
+		return nil
+	}
+	job.blockedPart = blocked.Part
+	return refusal.New(refusal.Quarantined, "targets died while prompts with a part of this one ran; change the prompt")
+}
+
+// recordAnswer records that the parts of an answered prompt do not crash targets. An
+// empty stream shows nothing: one without length ends like this when its target dies.
+func (job *job) recordAnswer(now time.Time) {
+	head := &job.attempt.head
+	if len(job.parts) > 0 && head.Status == http.StatusOK && (job.attempt.events || !head.Stream) {
+		job.relay.Parts.RecordAnswer(job.parts, now)
+	}
+}
+
+// recordDeath records a target's death in the quarantine, against the request and the
+// parts of its prompt, if the target no longer accepts connections.
+func (job *job) recordDeath(ctx context.Context, assignment *roster.Assignment, result error) {
+	if !errors.Is(result, target.ErrConnectionLost) {
+		return
+	}
+	now := time.Now()
+	if job.relay.client(assignment).Reachable(ctx, now.Add(deathProbeTimeout)) {
+		return
+	}
+	job.attempt.died = true
+	job.relay.Metrics.TargetDeaths.Add(1)
+	death := Death{
+		Digest: job.digest, Request: assignment.ID + "/" + job.request.ID,
+		Target: assignment.ID + "/" + strconv.FormatInt(assignment.StartTime, 10), Parts: job.parts,
+	}
+	state, changed := job.relay.Quarantine.RecordDeath(job.digest, death.Request, now)
+	if !changed {
+		return
+	}
+	job.relay.Parts.RecordDeath(death.Target, job.parts, true, now)
+	job.relay.Log.Emit(event.TargetDied, event.F("target", assignment.ID), event.F("started", assignment.StartTime), event.F("request", job.request.ID),
+		event.F("parts", job.request.loggedParts()))
+	job.relay.DeathReporter.ReportDeath(ctx, death)
+	if state == quarantine.Blocked {
+		job.relay.Log.Emit(event.Quarantined, event.F("request", job.request.ID))
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,9 +53,20 @@
 	Named(model string, at time.Time) uint64
 }
 
+// Death is the death of a target with a request in flight.
+type Death struct {
+	Digest quarantine.Digest // of the request
+	// Request identifies the death of the target under this request, Target that of
+	// the target's start, whatever was in flight there.
+	Request string
+	Target  string
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []string
+}
+
 // DeathReporter reports to the other VMs that a target died while it ran a request.
 type DeathReporter interface {
-	ReportDeath(ctx context.Context, digest quarantine.Digest, death string, state quarantine.State)
+	ReportDeath(ctx context.Context, death Death)
 }
 
 // CacheStores provides the KV cache stores.
@@ -73,6 +84,7 @@
 	Weights       Weights
 	Stores        CacheStores
 	Quarantine    *quarantine.Tracker
+	Parts         *quarantine.Parts
 	DeathReporter DeathReporter
 	Clients       *Clients
 	Budgets       *Budgets
@@ -210,10 +222,10 @@
 }
 
 func (relay *Relay) checkQuarantine(job *job) error {
-	if relay.Quarantine.State(job.digest, job.request.Arrived) != quarantine.Blocked {
-		return nil
+	if relay.Quarantine.State(job.digest, job.request.Arrived) == quarantine.Blocked {
+		return refusal.New(refusal.Quarantined, "targets died while this request ran; change the request")
 	}
-	return refusal.New(refusal.Quarantined, "targets died while this request ran; change the request")
+	return job.checkParts(job.request.Arrived)
 }
 
 func (relay *Relay) checkLimit(job *job) error {
--- a/relay/request.go
+++ b/relay/request.go
@@ -84,7 +84,10 @@
 
 // loggedParts returns the IDs of the shared parts for the log.
 func (request *Request) loggedParts() string {
-	text := strings.Join(request.sharedParts(), ",")
+	return loggedPart(strings.Join(request.sharedParts(), ","))
+}
+
+func loggedPart(text string) string {
 	return text[:min(len(text), maxLoggedParts)]
 }
 
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -49,9 +49,10 @@
 	return ""
 }
 
-// blocked reports whether the quarantine blocks the request.
+// blocked reports whether the quarantine blocks the request or a part of its prompt.
 func (job *job) blocked(now time.Time) bool {
-	return job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
+	_, partBlocked := job.relay.Parts.Blocked(job.parts, now)
+	return partBlocked || job.relay.Quarantine.State(job.digest, now) == quarantine.Blocked
 }
 
 // nextTarget is the target that is reserved for the next attempt.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -153,7 +153,7 @@
 }
 
 // HandleNotice implements peer.Handler.
-func (router *Router) HandleNotice(notice peer.Notice) {
+func (router *Router) HandleNotice(notice peer.Notice) peer.NoticeReply {
 	for _, object := range notice.Objects {
 		if router.store.ApplyUnordered(object) {
 			router.adoptWithdrawal(object)
@@ -163,6 +163,7 @@
 	for _, charge := range notice.Charges {
 		router.quarantine.RecordDeath(quarantine.Digest(charge.Digest), charge.Death, now)
 	}
+	return peer.NoticeReply{}
 }
 
 // Lend implements peer.Handler. It applies the account limits that this VM has,
@@ -201,8 +202,10 @@
 func (router *Router) notify(ctx context.Context, notice peer.Notice) int {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	return router.dialer.Broadcast(ctx, router.members.Addresses(time.Now()), notice, func(address netip.AddrPort, err error) {
-		router.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+	return router.dialer.Broadcast(ctx, router.members.Addresses(time.Now()), notice, func(address netip.AddrPort, _ peer.NoticeReply, err error) {
+		if err != nil {
+			router.Log.Emit(event.PeerNotTold, event.F("peer", address.String()), event.Err(err))
+		}
 	})
 }
 
