Keep the parts that crash targets over restarts of VMs

Cause: what a VM learned of requests that crash targets lives in its memory alone. Class: state that must last kept on a VM without a disk.

Change: the VM that finds a part writes it to the store; replies to the heartbeats of a VM that has run for less than 10 s name all blocked parts; a VM that got no such reply from one that ran for longer lists them in the store, unless the whole system starts for the first time. Writes wait for the store for a minute, are bounded, and their loss is logged. The entry is removed once a prompt with the part is answered, or by a VM that finds it expired.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,8 +67,9 @@
 
 // Events of parts of prompts that crash targets.
 var (
-	PartBlocked = register(607, "part_blocked", LevelWarn, "a part of prompts is refused: targets died whenever a prompt with it ran; the source is deaths, another VM or the store", "find out with request_refused who sends the part; it is accepted again at the time in the fields, or once a prompt with it is answered")
-	PartCleared = register(608, "part_cleared", LevelInfo, "a part of prompts is no longer refused: a prompt with it was answered", "none")
+	PartBlocked   = register(607, "part_blocked", LevelWarn, "a part of prompts is refused: targets died whenever a prompt with it ran; the source is deaths, another VM or the store", "find out with request_refused who sends the part; it is accepted again at the time in the fields, or once a prompt with it is answered")
+	PartNotStored = register(609, "part_not_stored", LevelWarn, "a change of the refused parts of prompts could not be stored within a minute; VMs that start learn of it from other VMs alone", "check the platform")
+	PartCleared   = register(608, "part_cleared", LevelInfo, "a part of prompts is no longer refused: a prompt with it was answered", "none")
 )
 
 // Events of targets and KV cache stores: registration and reachability.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -256,6 +256,7 @@
 	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.newHeartbeat(other.Zone))
 	if err == nil {
 		gateway.mergeHeartbeat(reply)
+		gateway.partStore.recordReply(reply.Uptime)
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
@@ -311,6 +312,7 @@
 		gateway.addNamedWeights(named.Model, named.Version, now.Add(-named.Age))
 	}
 	gateway.applyTargetUpdates(heartbeat.Targets)
+	gateway.mergeBlocked(heartbeat.BlockedParts, now)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
 		case gateway.fetchAddresses <- heartbeat.Address:
@@ -340,7 +342,12 @@
 // HandleHeartbeat implements peer.Handler.
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
 	gateway.mergeHeartbeat(heartbeat)
-	return gateway.newHeartbeat(heartbeat.Zone)
+	reply := gateway.newHeartbeat(heartbeat.Zone)
+	if heartbeat.Uptime < partsSendTime {
+		now := time.Now()
+		reply.BlockedParts = toBlockedParts(gateway.parts.AllBlocked(now), now)
+	}
+	return reply
 }
 
 // Objects implements peer.Handler.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	zones       *zoneTable
 	suspects    *quarantine.Tracker
 	parts       *quarantine.Parts
+	partStore   *partStore
 	clients     *relay.Clients
 	cacheStores *cacheStores
 	origins     *origins
@@ -164,6 +165,7 @@
 	gateway.zones = newZoneTable()
 	gateway.suspects = quarantine.NewTracker()
 	gateway.parts = quarantine.NewParts()
+	gateway.partStore = newPartStore(gateway)
 	gateway.clients = relay.NewClients(gateway.TargetDialect)
 	gateway.cacheStores = newCacheStores(gateway.Log)
 	gateway.dialer = peer.NewDialer(nil)
@@ -275,6 +277,7 @@
 		gateway.peerServer.Run, gateway.readinessServer.run, gateway.runConfigs, gateway.runTargets, gateway.runWeights,
 		gateway.runRegistration, gateway.runHeartbeats, gateway.runFetches, gateway.runRoll, gateway.runSweep,
 		gateway.cacheStores.run, gateway.runReloads, gateway.runProbes, gateway.origins.run,
+		gateway.partStore.run,
 	}
 	if gateway.metricsServer != nil {
 		loops = append(loops, gateway.metricsServer.run)
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -9,7 +9,8 @@
 	"github.com/bramleygw/bramleygw/quarantine"
 )
 
-// The ways in which a VM learns that a part of prompts crashes targets, for the log.
+// The ways in which a VM learns that a part of prompts crashes targets, for the log; see
+// also partSourceStore.
 const (
 	partSourceDeaths = "deaths"
 	partSourcePeer   = "peer"
@@ -18,6 +19,7 @@
 // reportParts reports to the other VMs which parts of prompts this VM found to crash
 // targets, and which not.
 func (gateway *Gateway) reportParts(ctx context.Context, now time.Time) {
+	gateway.metrics.BlockedParts.Set(int64(len(gateway.parts.AllBlocked(now))))
 	blocked, cleared := gateway.parts.Changes(now)
 	if len(blocked) == 0 && len(cleared) == 0 {
 		return
@@ -25,10 +27,12 @@
 	notice := peer.Notice{BlockedParts: toBlockedParts(blocked, now)}
 	for _, part := range blocked {
 		gateway.logBlockedPart(part, partSourceDeaths)
+		gateway.partStore.add(partWrite{part: part.Part, until: part.Until})
 	}
 	for _, part := range cleared {
 		gateway.Log.Emit(event.PartCleared, event.F("part", loggedPart(part)))
 		notice.AnsweredParts = append(notice.AnsweredParts, peer.PartAnswer{Part: part})
+		gateway.partStore.add(partWrite{part: part})
 	}
 	gateway.notify(ctx, notice)
 }
@@ -60,10 +64,13 @@
 // mergeBlocked blocks the parts of prompts that another VM reports as blocked.
 func (gateway *Gateway) mergeBlocked(parts []peer.BlockedPart, now time.Time) {
 	for _, part := range parts {
-		blocked := quarantine.BlockedPart{Part: part.Part, Until: now.Add(part.Left)}
-		if gateway.parts.Block(blocked, now) {
-			gateway.logBlockedPart(blocked, partSourcePeer)
-		}
+		gateway.blockPart(quarantine.BlockedPart{Part: part.Part, Until: now.Add(part.Left)}, partSourcePeer, now)
+	}
+}
+
+func (gateway *Gateway) blockPart(part quarantine.BlockedPart, source string, now time.Time) {
+	if gateway.parts.Block(part, now) {
+		gateway.logBlockedPart(part, source)
 	}
 }
 
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -51,6 +51,8 @@
 	// versions that operators named, on platforms that store them.
 	Targets Collection = "targets"
 	Weights Collection = "weights"
+	// Quarantines contains the parts of prompts that crash targets.
+	Quarantines Collection = "quarantines"
 )
 
 // APIPath is the path prefix of the collections.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -241,7 +241,7 @@
 			return
 		}
 		for _, id := range found {
-			blocked := BlockedPart{Part: id, Until: now.Add(blockTime)}
+			blocked := BlockedPart{Part: id, Until: now.Add(BlockTime)}
 			parts.parts[id].blockedUntil = blocked.Until
 			parts.blocked = append(parts.blocked, blocked)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -29,8 +29,9 @@
 const (
 	// suspectTime is how long a request stays suspect after a death.
 	suspectTime = 10 * time.Minute
-	// blockTime is how long a request stays blocked after its last counted death.
-	blockTime = time.Hour
+	// BlockTime is how long a request stays blocked after its last counted death, and a
+	// part of prompts after it was blocked.
+	BlockTime = time.Hour
 	// blockingDeaths is the number of deaths from which a request is blocked.
 	blockingDeaths = 2
 	// retryDelay is how long a suspect waits after a death before it is retried. It
@@ -122,7 +123,7 @@
 	current.lastDeath = now
 	current.expires = now.Add(suspectTime)
 	if current.deaths >= blockingDeaths {
-		current.expires = now.Add(blockTime)
+		current.expires = now.Add(BlockTime)
 	}
 	return stateAfter(current.deaths), true
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -22,7 +22,7 @@
 		{"two deaths of one target", []string{"e1/1", "e1/2"}, 0, Blocked},
 		{"suspect state expires", []string{"e1/1"}, suspectTime, Clear},
 		{"block outlasts suspect state", []string{"e1/1", "e2/1"}, suspectTime, Blocked},
-		{"block expires", []string{"e1/1", "e2/1"}, blockTime, Clear},
+		{"block expires", []string{"e1/1", "e2/1"}, BlockTime, Clear},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
