Notice a target's death within a stream that has no length

When its target dies within an event the stream ends early, but the error was not that of a broken connection: the target stayed in use, no death was counted, and requests went on to it.

Cause: recordDeath and the roster ask for ErrConnectionLost, and forwardEvents returned ErrIncomplete alone. Class: two errors for one event, of which the reader knows one.

Change: the early end of an unframed stream is a broken connection too. The end of a framed stream within an event is not: its target may be well.

TestUnframedAnswers failed for both broken streams, and TestDeathWithinUnframedStreamIsRecorded (0 deaths recorded, want 1); both pass.

--- a/target/forward.go
+++ b/target/forward.go
@@ -45,7 +45,7 @@
 			body = bytes.NewReader(response.Body()) // a short stream with a Content-Length
 		}
 		if head.Stream {
-			return forwardEvents(body, receiver)
+			return endedBy(response, forwardEvents(body, receiver))
 		}
 		text, err := readBuffered(response, body)
 		answer = text
@@ -54,6 +54,19 @@
 	return head, answer, err
 }
 
+// unframed is fasthttp's content length of an answer with neither a length nor chunks,
+// which ends with its connection.
+const unframed = -2
+
+// endedBy marks the error of a stream that ended early as a broken connection if its end
+// was that of the connection.
+func endedBy(response *fasthttp.Response, err error) error {
+	if errors.Is(err, ErrIncomplete) && response.Header.ContentLength() == unframed {
+		return errors.Mark(err, ErrConnectionLost)
+	}
+	return err
+}
+
 func readBuffered(response *fasthttp.Response, body io.Reader) ([]byte, error) {
 	if body == nil {
 		return append([]byte(nil), response.Body()...), nil
