--- a/relay/availability.go
+++ b/relay/availability.go
@@ -15,10 +15,11 @@
 // contact.
 type Observer interface {
 	Observe(announcement roster.Announcement, now time.Time) (roster.Change, bool)
+	ObserveLimit(rate float64, now time.Time) (roster.LimitChange, bool)
 }
 
-// maxProblemLines is the maximum number of log lines per second about rests that were
-// not used as they are.
+// maxProblemLines is the maximum number of log lines per second about rests and limits
+// that were not used as they are.
 const maxProblemLines = 10
 
 // ObserveHead records what the head of a target's answer says about further requests.
@@ -35,6 +36,30 @@
 	if change, changed := observer.Observe(announcement, now); changed {
 		relay.RecordAvailability(change, now)
 	}
+	if head.LimitProblem != "" {
+		relay.logLimitProblem(id, head, now)
+	}
+	if change, changed := observer.ObserveLimit(head.Limit, now); changed {
+		relay.RecordLimit(change)
+	}
+}
+
+func (relay *Relay) logLimitProblem(id string, head target.Head, now time.Time) {
+	skipped, ok := relay.problemSampler.Allow(now, maxProblemLines)
+	if !ok {
+		return
+	}
+	relay.Log.Emit(event.LimitNotTaken, event.F("target", id), event.F("value", head.LimitProblem), event.F("limit", head.Limit), event.F("skipped", skipped))
+}
+
+// RecordLimit logs a change of the limit that a target names.
+func (relay *Relay) RecordLimit(change roster.LimitChange) {
+	fields := []event.Field{event.F("target", change.Target), event.F("service", change.Service), event.F("source", string(change.Source))}
+	if change.Rate == 0 {
+		relay.Log.Emit(event.TargetUnlimited, fields...)
+		return
+	}
+	relay.Log.Emit(event.TargetLimited, append(fields, event.F("limit", change.Rate))...)
 }
 
 func (relay *Relay) logRestProblem(id string, head target.Head, now time.Time) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,7 +98,8 @@
 	running atomic.Int64
 	// answeredSampler limits the log lines about answered requests.
 	answeredSampler event.Sampler
-	// problemSampler limits the log lines about rests that were not used as they are.
+	// problemSampler limits the log lines about rests and limits that were not used as
+	// they are.
 	problemSampler event.Sampler
 	waitCorrector  waitCorrector
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -66,6 +66,7 @@
 	dropAt  time.Time // when an expired registration is dropped; zero unless expired
 	rollout rollout
 	rest    rest
+	limit   limit
 
 	inFlight int
 	// pendingTokens is the number of prompt tokens that this VM sent and the target
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -27,6 +27,11 @@
 	// RestProblem is a text about a rest that was not used as it is, or empty.
 	RestUntil   time.Time
 	RestProblem string
+	// Limit is the number of requests a second that the target takes from all VMs
+	// together, as long as its answers say so; 0 for none. LimitProblem is a text about
+	// a limit that was not used as it is, or empty.
+	Limit        float64
+	LimitProblem string
 	// Load is the target's load report; valid when HasLoad is set.
 	HasLoad bool
 	Load    Load
