Keep the limits that targets name, over all VMs

Cause: the header was not read, and nothing was shared about what a target may get. Class: a rule over the whole fleet kept by no VM. A check on each VM alone would not have been enough: six VMs that each keep the limit send six times as much.

Change: a limit belongs to one start of a target; the newest word counts and is told to all VMs in heartbeats, with its age. A few VMs share a limit equally, the first in rendezvous order (in a large fleet of the target's zone, whose VMs know each other): twice the limit and two, so that their first requests together stay within it. Each may send one request at once. Every choice of a target asks, and a limited target is no home of prefixes. It is asked before others when it has said nothing for 2 s, so that the end of its limit is learned. If all targets of a service are at their limits, a request that would not get one in time is refused at once.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -285,6 +285,7 @@
 	for _, departure := range gateway.roster.Departures(now.Add(-namedWeightsSendTime)) {
 		heartbeat.Targets = append(heartbeat.Targets, peer.TargetUpdate{Target: departure.Target, Leaving: true, StartTime: departure.StartTime})
 	}
+	heartbeat.TargetLimits = gateway.toTargetLimits(now)
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
 	if hierarchical {
 		heartbeat.IsRepresentative = gateway.members.IsRepresentative(now)
@@ -313,6 +314,7 @@
 	}
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
+	gateway.mergeTargetLimits(heartbeat.TargetLimits, now)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
 		case gateway.fetchAddresses <- heartbeat.Address:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -339,6 +339,7 @@
 		gateway.origins.sweep(now)
 		gateway.parts.Sweep(now)
 		gateway.reportParts(ctx, now)
+		gateway.updateLimitShares(now)
 		gateway.logReachability(&detector, now)
 		gateway.updateVMCount(now)
 		listed := gateway.updateTargetMetrics()
@@ -369,5 +370,6 @@
 	count(&gateway.metrics.Ejected, func(entry roster.Entry) bool { return entry.Ejected })
 	count(&gateway.metrics.Leaving, func(entry roster.Entry) bool { return entry.Draining })
 	count(&gateway.metrics.Resting, func(entry roster.Entry) bool { return entry.Resting })
+	count(&gateway.metrics.Limited, func(entry roster.Entry) bool { return entry.Limited })
 	return listed
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -43,6 +43,7 @@
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
 	Leaving       expvar.Int  // targets that leave
 	Resting       expvar.Int  // targets that rest or return from a rest
+	Limited       expvar.Int  // targets that name a limit
 	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
 	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
@@ -118,6 +119,7 @@
 		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
 		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
 		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
+		{"targets_limited", &set.Limited},
 		{"parts_blocked", &set.BlockedParts},
 	}
 	for _, entry := range metrics {
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -30,6 +30,7 @@
 	encoded.Positions = encodePositions(heartbeat.Positions)
 	encoded.Backlogs = encodeBacklogs(heartbeat.Backlogs)
 	encoded.BlockedParts = encodeBlocked(heartbeat.BlockedParts)
+	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -64,6 +65,7 @@
 	heartbeat.Positions = decodePositions(encoded.GetPositions())
 	heartbeat.Backlogs = decodeBacklogs(encoded.GetBacklogs())
 	heartbeat.BlockedParts = decodeBlocked(encoded.GetBlockedParts())
+	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -167,6 +169,23 @@
 	return decoded
 }
 
+func encodeLimits(limits []TargetLimit) []*peerpb.TargetLimit {
+	encoded := make([]*peerpb.TargetLimit, len(limits))
+	for i, limit := range limits {
+		encoded[i] = &peerpb.TargetLimit{Target: limit.Target, StartTime: limit.StartTime, Rate: limit.Rate, AgeMs: milliseconds(limit.Age)}
+	}
+	return encoded
+}
+
+func decodeLimits(encoded []*peerpb.TargetLimit) []TargetLimit {
+	var limits []TargetLimit
+	for _, limit := range encoded {
+		age := time.Duration(limit.GetAgeMs()) * time.Millisecond
+		limits = append(limits, TargetLimit{Target: limit.GetTarget(), StartTime: limit.GetStartTime(), Rate: limit.GetRate(), Age: age})
+	}
+	return limits
+}
+
 func encodePositions(positions []objects.Position) []*peerpb.Position {
 	encoded := make([]*peerpb.Position, len(positions))
 	for i, position := range positions {
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -35,6 +35,7 @@
 			Spending: spending, Backlogs: backlogs,
 		}},
 		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}},
+		TargetLimits: []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -75,6 +75,8 @@
 	// BlockedParts are the blocked parts of prompts, for a receiver that has just
 	// started.
 	BlockedParts []BlockedPart
+	// TargetLimits are the limits that targets name or lately ceased to name.
+	TargetLimits []TargetLimit
 }
 
 // ZoneSummary aggregates the reports of an availability zone's VMs.
@@ -127,6 +129,15 @@
 	StartTime int64
 }
 
+// TargetLimit is the number of requests a second that one start of a target takes from
+// all VMs together; 0 if it no longer names one.
+type TargetLimit struct {
+	Target    string
+	StartTime int64
+	Rate      float64
+	Age       time.Duration // since the target last said so
+}
+
 // PeerAge is the age of a VM's last heartbeat.
 type PeerAge struct {
 	Name string
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// maxLimitDelay is the longest time to retry of a refusal because of targets' limits.
+const maxLimitDelay = time.Second
+
 func restMS(until, now time.Time) int64 {
 	if until.IsZero() {
 		return 0
@@ -105,6 +108,9 @@
 		latencyTarget := job.route.LatencyTarget.After(now).Sub(now)
 		job.holdDeadline = now.Add(min(latencyTarget/holdDivisor, maxHold))
 	}
+	if end, limited := job.relay.Roster.LimitEnd(job.service.Name, now); limited && (end.IsZero() || end.After(job.holdDeadline)) {
+		return false
+	}
 	return now.Before(job.holdDeadline)
 }
 
@@ -142,17 +148,21 @@
 	}
 }
 
-// delayRetry corrects the time to retry of a refusal: if all targets rest, none takes
-// a request before the first rest ends.
+// delayRetry corrects the time to retry of a refusal: if all targets rest or are at their
+// limits, none takes a request before the first of them may get one.
 func (job *job) delayRetry(refused *refusal.Refusal, now time.Time) {
 	if refused.Code != refusal.NoTarget || job.service == nil {
 		return
 	}
-	end, withheld := job.relay.Roster.RestEnd(job.service.Name, now)
-	if !withheld {
-		return
+	end, resting := job.relay.Roster.RestEnd(job.service.Name, now)
+	if resting {
+		job.restEnd = end
+	} else {
+		end, job.limited = job.relay.Roster.LimitEnd(job.service.Name, now)
+		if latest := now.Add(maxLimitDelay); end.After(latest) {
+			end = latest // other VMs have shares of their own
+		}
 	}
-	job.restEnd = end
 	if refused.RetryAt.Before(end) {
 		refused.RetryAt = end.Add(rand.N(delivery.RetryAfter))
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -97,6 +97,8 @@
 	// restEnd is the first end of a rest, if all targets rest when the request is
 	// refused; zero otherwise.
 	restEnd time.Time
+	// limited is set if all targets are at their limits when the request is refused.
+	limited bool
 	attempt attempt
 }
 
@@ -159,6 +161,8 @@
 		return append(fields, job.rateFields()...)
 	case !job.restEnd.IsZero():
 		fields = append(fields, event.F("all_rest_until", job.restEnd))
+	case job.limited:
+		fields = append(fields, event.F("all_at_limit", true))
 	}
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -26,6 +26,8 @@
 	oldWeightsCost = 60_000
 	// queuedCost is what one request in a target's queue adds.
 	queuedCost = 45_000
+	// recheckCost puts a target before others whose limit may be over.
+	recheckCost = -1
 )
 
 // Criteria holds the requirements of a request and the properties by which the
@@ -81,6 +83,7 @@
 		assignment.Home = home.entry.Address
 	}
 	assignment.trial = best.rest.beginTrial(now)
+	best.limit.take()
 	best.begin(criteria.Tokens, now)
 	return assignment, true
 }
@@ -105,7 +108,8 @@
 }
 
 // home returns the target that should hold the prefix: the first in rendezvous
-// order among the usable targets that are neither paused nor ejected, or nil.
+// order among the usable targets that are neither paused nor ejected nor limited, or
+// nil.
 func (roster *Roster) home(targets []*Target, criteria Criteria, now time.Time) *Target {
 	if criteria.Prefix == 0 {
 		return nil
@@ -117,7 +121,7 @@
 		if home != nil && score <= highest {
 			continue // the cheaper check first: it excludes most targets
 		}
-		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() {
+		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.rate == 0 {
 			home, highest = target, score
 		}
 	}
@@ -193,7 +197,7 @@
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
 	criteria, now := search.criteria, search.now
-	if !target.usable(now) || now.Before(target.pausedUntil) || !target.hasSoftware(criteria) {
+	if !target.usable(now) || now.Before(target.pausedUntil) || !target.hasSoftware(criteria) || !target.limit.allows(now) {
 		return false
 	}
 	if !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)) {
@@ -218,6 +222,9 @@
 
 // cost estimates the time to the first token plus the penalties of the choice.
 func (roster *Roster) cost(target *Target, criteria Criteria, home *Target, now time.Time) int {
+	if target.limit.recheckDue(now) {
+		return recheckCost
+	}
 	cost := 0
 	if target.entry.Zone != roster.zone {
 		cost += crossZoneCost
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -60,12 +60,13 @@
 	StartTime int64
 	// Running is the number of requests at the target. Unreachable is set for
 	// targets that accept no connections, Ejected for those that fail too many
-	// requests, Resting for those that rest or return from a rest, all as observed by
-	// this VM. Only Entries sets these fields.
+	// requests, Resting for those that rest or return from a rest, Limited for those
+	// that name a limit, all as observed by this VM or others. Only Entries sets these fields.
 	Running     int
 	Unreachable bool
 	Ejected     bool
 	Resting     bool
+	Limited     bool
 }
 
 // Roster holds the targets known to one VM. It is safe for concurrent use.
@@ -192,10 +193,11 @@
 	}
 }
 
-// unused reports whether a removed target may be forgotten. The rest of a target that
-// registers again is not over because of that.
+// unused reports whether a removed target may be forgotten. The rest or the limit of a
+// target that registers again is not over because of that.
 func (target *Target) unused(now time.Time) bool {
-	return target.inFlight == 0 && target.rest.availability(now) != Resting
+	limited := target.limit.rate > 0 && now.Sub(target.limit.learned) < limitRetention
+	return target.inFlight == 0 && target.rest.availability(now) != Resting && !limited
 }
 
 // Sweep drops expired registrations whose targets did not register again, and
@@ -257,6 +259,7 @@
 			entry.Models = append([]Model(nil), entry.Models...)
 			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
 			availability := target.availability(now)
+			entry.Limited = target.limit.rate > 0
 			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
--- a/roster/target.go
+++ b/roster/target.go
@@ -331,6 +331,7 @@
 	defer assignment.roster.mu.Unlock()
 	target := assignment.target
 	target.begunSinceReport = max(0, target.begunSinceReport-1)
+	target.limit.give()
 	if target.ejected() {
 		target.ejectedUntil = assignment.trialBefore
 	}
