Retry suspects of different VMs on different targets, also in a young fleet

Cause, from the trace of both failures: 0.3 s after the first death all three VMs retried suspects on ledger-3, each of them because it was its preferred target. membership.Preferred counts other VMs only once they are listed for 2 s, but its own always, so each VM of a young fleet takes every target for its own. Ruled out: the second, unpreferred pass (no retry in either trace used it).

Change: the targets are assigned by membership.Assigned, which all VMs that know the same others compute alike at once, as evenly as possible; a suspect uses another target only 2 s after its earliest retry.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,7 +13,6 @@
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/placement"
-	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/retry"
@@ -26,6 +25,10 @@
 	// maxTargetWait is how long a request waits for a target to become available
 	// again.
 	maxTargetWait = 2 * time.Second
+	// sharedTargetDelay is how long a suspect waits for a target that is assigned to this
+	// VM before it may use one on which a suspect of another VM may run. Within this time
+	// a request that crashes targets is found by its second run.
+	sharedTargetDelay = 2 * time.Second
 	// firstEventTimeout bounds the wait for the first event of a stream.
 	firstEventTimeout = 10 * time.Second
 )
@@ -58,28 +61,32 @@
 }
 
 // selectTarget returns the next target. A suspect gets a target on which no other
-// suspect runs, and holds it until release is called. Targets for which this VM is
-// the preferred member come first. A suspect gets no target before its earliest
-// retry time.
+// suspect runs, and holds it until release is called: one of those that are assigned to
+// this VM or, after sharedTargetDelay, any. It gets no target before its earliest retry
+// time.
 func (job *job) selectTarget() (state *placement.State, release func()) {
 	now := time.Now()
 	if !job.suspect {
 		return job.dispatcher.Policy.Choose(job.pool.Pool, &job.placementRequest, now), func() {}
 	}
-	if now.Before(job.dispatcher.Quarantine.EarliestRetry(job.Digest)) {
+	earliest := job.dispatcher.Quarantine.EarliestRetry(job.Digest)
+	if now.Before(earliest) {
 		return nil, func() {}
 	}
+	assigned := job.assignedTargets(now)
 	tried := job.placementRequest.Tried
 	defer func() { job.placementRequest.Tried = tried }()
-	for _, preferredOnly := range []bool{true, false} {
+	for _, assignedOnly := range []bool{true, false} {
+		if !assignedOnly && now.Before(earliest.Add(sharedTargetDelay)) {
+			break
+		}
 		job.placementRequest.Tried = tried
 		for range job.pool.States() {
 			state := job.dispatcher.Policy.Choose(job.pool.Pool, &job.placementRequest, now)
 			if state == nil {
 				break
 			}
-			preferred := job.dispatcher.Members.Preferred(int(uint32(prefix.Digest(state.Name))), now) == job.dispatcher.VM
-			if (preferred || !preferredOnly) && job.dispatcher.Quarantine.ReserveTarget(state.Name, job.Digest) {
+			if (assigned[state.Name] || !assignedOnly) && job.dispatcher.Quarantine.ReserveTarget(state.Name, job.Digest) {
 				return state, func() { job.dispatcher.Quarantine.ReleaseTarget(state.Name) }
 			}
 			job.placementRequest.Tried = append(job.placementRequest.Tried[:len(job.placementRequest.Tried):len(job.placementRequest.Tried)], state)
@@ -88,6 +95,16 @@
 	return nil, func() {}
 }
 
+// assignedTargets returns the targets of the pool on which this VM alone runs suspects.
+func (job *job) assignedTargets(now time.Time) map[string]bool {
+	states := job.pool.States()
+	names := make([]string, len(states))
+	for i, state := range states {
+		names[i] = state.Name
+	}
+	return job.dispatcher.Members.Assigned(names, now)
+}
+
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	state := job.state
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,8 +3,8 @@
 // When a target dies, each request that was in flight there is marked suspect. A
 // suspect that is in flight at a second death is blocked on all VMs for a limited
 // time. To avoid blocking other requests that merely ran on the same target, a
-// suspect is retried only on a target where no other suspect runs, and for such retries
-// each VM prefers the targets that rendezvous hashing assigns to it. The retry is delayed
+// suspect is retried only on a target where no other suspect runs: on one that is
+// assigned to this VM, as long as there is such a target. The retry is delayed
 // because a fault that stops several targets together would otherwise also stop the target
 // of the retry while the suspect runs there. The design and its alternatives are described
 // in docs/design/quarantine.md.
