Count orders in flight against the limit of loads

Cause: an order counted from its reply on. Steps follow each other every 25 ms; the loop skips targets with a call in flight, but the roll had spent its budget on them again, or on others once the targets' running requests had changed their order.

Change: an order counts from when it is returned as a step until its reply or Withdraw, which the loop calls for orders that it does not send.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -173,6 +173,8 @@
 	var orders []rollout.Step
 	for _, step := range steps {
 		switch {
+		case rollLoop.inFlight[step.Target] && !step.Poll:
+			rollLoop.roll.Withdraw(step.Target)
 		case rollLoop.inFlight[step.Target]:
 		case step.Poll:
 			rollLoop.inFlight[step.Target] = true
@@ -181,7 +183,13 @@
 			orders = append(orders, step)
 		}
 	}
-	if len(orders) == 0 || !rollLoop.prepareOrders(ctx, orders) {
+	if len(orders) == 0 {
+		return
+	}
+	if !rollLoop.prepareOrders(ctx, orders) {
+		for _, step := range orders {
+			rollLoop.roll.Withdraw(step.Target)
+		}
 		return
 	}
 	for _, step := range orders {
--- a/rollout/limit.go
+++ b/rollout/limit.go
@@ -13,14 +13,14 @@
 		}
 		reachable++
 		state, ok := roll.states[targets[i].ID]
-		if !ok || state.orderedAt.IsZero() {
+		if !ok || !state.ordered() {
 			if targets[i].Resting {
 				resting++
 			}
 			continue
 		}
 		ordered++
-		if now.Sub(state.orderedAt) < assumedLoadTime {
+		if state.sent || now.Sub(state.orderedAt) < assumedLoadTime {
 			loading++
 		}
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -143,9 +143,15 @@
 	assumedLoadTime = 400 * time.Millisecond
 )
 
+// ordered reports whether an order was sent and no report shows yet that it was lost.
+func (state *targetState) ordered() bool {
+	return state.sent || !state.orderedAt.IsZero()
+}
+
 // targetState is the progress of one target in a roll.
 type targetState struct {
 	desired      Weights
+	sent         bool      // an order was returned as a step, and its reply is not known yet
 	orderedAt    time.Time // when the reply to the order came or was lost; zero before
 	polledAt     time.Time // when the target was last polled
 	reportUsable bool      // a report without Busy came since the last order
@@ -205,7 +211,8 @@
 	return NamedWeights{}, false
 }
 
-// NextSteps returns the steps to carry out now, at most one for each target.
+// NextSteps returns the steps to carry out now, at most one for each target. Each order
+// must be followed by HandleReply or Withdraw.
 func (roll *Roll) NextSteps(targets []Target, named []NamedWeights, now time.Time) []Step {
 	roll.prune(targets, named)
 	var outdated []*Target
@@ -259,7 +266,7 @@
 				continue
 			}
 			reachable++
-			if state, ok := roll.states[targets[i].ID]; version >= weights.Version || ok && !state.orderedAt.IsZero() {
+			if state, ok := roll.states[targets[i].ID]; version >= weights.Version || ok && state.ordered() {
 				ordered++
 			}
 		}
@@ -282,10 +289,10 @@
 	case !ok:
 		state = &targetState{desired: weights.Weights}
 		roll.states[target.ID] = state
-	case state.orderedAt.IsZero():
+	case !state.ordered():
 		state.desired = weights.Weights // a newer version may have been requested
 	}
-	if now.Before(state.retryAt) {
+	if state.sent || now.Before(state.retryAt) {
 		return Step{}, false
 	}
 	step := Step{Target: target.ID, Weights: state.desired}
@@ -293,7 +300,7 @@
 		if !budget.take(weights.Model) {
 			return Step{}, false
 		}
-		step.Sequence = state.sequence
+		step.Sequence, state.sent = state.sequence, true
 		return step, true
 	}
 	if now.Sub(state.polledAt) < pollInterval {
@@ -319,12 +326,20 @@
 	}
 }
 
+// Withdraw records that an order which NextSteps returned was not sent.
+func (roll *Roll) Withdraw(id string) {
+	if state, ok := roll.states[id]; ok {
+		state.sent = false
+	}
+}
+
 // HandleReply records a target's reply to an order.
 func (roll *Roll) HandleReply(id string, reply Reply, now time.Time) {
 	state, ok := roll.states[id]
 	if !ok {
 		return
 	}
+	state.sent = false
 	switch reply {
 	case Accepted, Done, Lost:
 		state.orderedAt, state.reportUsable = now, false
