--- a/history/history.go
+++ b/history/history.go
@@ -157,7 +157,7 @@
 				counted = counted[1:]
 			}
 			if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; limit > 0 && float64(len(counted)) > allowed {
-				violations = append(violations, Violation{"LIMIT", arrival.At, fmt.Sprintf("%s, limited to %v a second, got %d requests in %v, allowed %.0f", target, limit, len(counted), limitWindow, allowed)})
+				violations = append(violations, Violation{"LIMIT", arrival.At, fmt.Sprintf("%s, limited to %v a second, got %d requests in %v, allowed %.1f", target, limit, len(counted), limitWindow, allowed)})
 				counted = nil
 			}
 			switch {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -20,8 +20,10 @@
 	// minOtherAnswers is the number of answered prompts without the part since its
 	// first death. Without it, an outage of all targets would block every part.
 	minOtherAnswers = 5
-	// partMemory is how long deaths and answers are remembered.
-	partMemory = time.Hour
+	// partMemory is how long deaths and answers are remembered. What is older is
+	// dropped every sweepInterval.
+	partMemory    = time.Hour
+	sweepInterval = time.Minute
 	// maxParts and maxDeaths limit what is remembered; the oldest is evicted.
 	maxParts  = 10000
 	maxDeaths = 256
@@ -47,10 +49,13 @@
 	mu     sync.Mutex // guards the fields below
 	parts  map[string]*part
 	deaths map[string]*partDeath
+	// blockedIDs are the IDs of the blocked parts, and of some that no longer are.
+	blockedIDs map[string]bool
 	// answers is the number of prompts that this VM saw answered.
 	answers uint64
 	// settlesAt is when the next death can be counted; zero if none can.
 	settlesAt time.Time
+	sweptAt   time.Time
 	// blocked and cleared are the changes that other VMs do not know yet.
 	blocked []BlockedPart
 	cleared []string
@@ -81,7 +86,7 @@
 
 // NewParts returns a Parts that knows no part.
 func NewParts() *Parts {
-	return &Parts{parts: map[string]*part{}, deaths: map[string]*partDeath{}}
+	return &Parts{parts: map[string]*part{}, deaths: map[string]*partDeath{}, blockedIDs: map[string]bool{}}
 }
 
 // Blocked returns the first of the parts that is blocked, and until when.
@@ -196,18 +201,21 @@
 	}
 	wasBlocked := now.Before(entry.blockedUntil)
 	entry.blockedUntil, entry.lastDeath = blocked.Until, now
+	parts.blockedIDs[blocked.Part] = true
 	parts.explain(blocked.Part)
 	return !wasBlocked
 }
 
-// AllBlocked returns the parts that are blocked now.
+// AllBlocked returns the parts that are blocked now, in no order.
 func (parts *Parts) AllBlocked(now time.Time) []BlockedPart {
 	parts.mu.Lock()
 	defer parts.mu.Unlock()
 	var blocked []BlockedPart
-	for id, entry := range parts.parts {
-		if now.Before(entry.blockedUntil) {
+	for id := range parts.blockedIDs {
+		if entry, ok := parts.parts[id]; ok && now.Before(entry.blockedUntil) {
 			blocked = append(blocked, BlockedPart{Part: id, Until: entry.blockedUntil})
+		} else {
+			delete(parts.blockedIDs, id)
 		}
 	}
 	return blocked
@@ -243,6 +251,7 @@
 		for _, id := range found {
 			blocked := BlockedPart{Part: id, Until: now.Add(BlockTime)}
 			parts.parts[id].blockedUntil = blocked.Until
+			parts.blockedIDs[id] = true
 			parts.blocked = append(parts.blocked, blocked)
 		}
 		for _, id := range found {
@@ -390,6 +399,10 @@
 func (parts *Parts) Sweep(now time.Time) {
 	parts.mu.Lock()
 	defer parts.mu.Unlock()
+	if now.Sub(parts.sweptAt) < sweepInterval {
+		return
+	}
+	parts.sweptAt = now
 	for id, death := range parts.deaths {
 		if now.Sub(death.at) > partMemory {
 			parts.forget(id)
