--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -51,7 +51,8 @@
 // Parts finds and blocks the parts of prompts that crash targets, whatever else the
 // prompts hold. A part is blocked that was in flight at several deaths, if no prompt
 // with it was answered since the first of them, no other part explains more of the
-// deaths, and fewer targets died without it. An answered prompt clears its parts. Parts is safe for concurrent use.
+// deaths, and fewer faults stopped targets without it. An answered prompt clears its
+// parts. Parts is safe for concurrent use.
 type Parts struct {
 	mu     sync.Mutex // guards the fields below
 	parts  map[string]*part
