--- a/relay/job.go
+++ b/relay/job.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/delivery"
-	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
@@ -144,60 +143,6 @@
 	return ""
 }
 
-// fields returns the log fields that describe the request.
-func (job *job) fields() []event.Field {
-	fields := []event.Field{event.F("route", job.route.Name), event.F("runs", job.delivery.Runs()), event.F("rejections", job.delivery.Rejections())}
-	fields = append(fields, job.takeUpFields()...)
-	if job.account != nil {
-		fields = append(fields, event.F("client_account", job.account.Name))
-	}
-	if job.blockedPart != "" {
-		fields = append(fields, event.F("blocked_part", loggedPart(job.blockedPart)))
-	}
-	switch {
-	case job.refusedWait > 0:
-		return append(fields, job.waitFields()...)
-	case job.limitEstimate != nil:
-		return append(fields, job.rateFields()...)
-	case !job.restEnd.IsZero():
-		fields = append(fields, event.F("all_rest_until", job.restEnd))
-	case job.limited:
-		fields = append(fields, event.F("all_at_limit", true))
-	}
-	if len(job.tried) > 0 {
-		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
-	}
-	if reason := job.delivery.EndReason(); reason != "" {
-		fields = append(fields, event.F("end_reason", string(reason)))
-	}
-	if job.retryDenial != "" {
-		fields = append(fields, event.F("retry_denied_by", job.retryDenial))
-	}
-	return fields
-}
-
-// rateFields returns the log fields of a request that was refused because of its
-// account's rate limit.
-func (job *job) rateFields() []event.Field {
-	return []event.Field{
-		event.F("tokens", int(job.charge())), event.F("spare_tokens", int(job.limitEstimate.Spare)),
-		event.F("rate", int(job.account.Rate)), event.F("demand", int(job.limitEstimate.Demand)),
-		event.F("counts_age_ms", job.limitEstimate.CountsAge.Milliseconds()), event.F("fleet_heard", job.limitEstimate.FleetReachable),
-	}
-}
-
-// waitFields returns the log fields of a request that was refused because its
-// estimated wait was too long.
-func (job *job) waitFields() []event.Field {
-	now := time.Now()
-	assignment := &job.attempt.assignment
-	return []event.Field{
-		event.F("target", assignment.ID), event.F("estimated_wait_ms", assignment.Wait.Milliseconds()),
-		event.F("corrected_wait_ms", job.refusedWait.Milliseconds()),
-		event.F("allowed_wait_ms", job.route.MaxWait.After(now).Sub(now).Milliseconds()),
-	}
-}
-
 // serve sends the request to targets until one answers or the request ends.
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
@@ -402,10 +347,3 @@
 	}
 	return true, nil
 }
-
-func (job *job) logAttempt(assignment *roster.Assignment, err error) {
-	fields := append(job.request.resumesFields(),
-		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
-		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
-	job.relay.Log.Emit(event.AttemptFailed, fields...)
-}
