--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -310,7 +310,7 @@
 		gateway.roster.SetBacklogs(heartbeat.Name, fromBacklogs(heartbeat.Backlogs), now)
 	}
 	for _, named := range heartbeat.NamedWeights {
-		gateway.addNamedWeights(named.Model, named.Version, now.Add(-named.Age))
+		gateway.addNamedWeights(named.Model, named.Version, sourceVM, now.Add(-named.Age))
 	}
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -138,7 +138,7 @@
 	if !listedBefore {
 		learnedAt = learnedAt.Add(-assumedWeightsAge)
 	}
-	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), learnedAt)
+	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), sourceList, learnedAt)
 	if collection == objects.Targets {
 		gateway.roster.RecordList(gateway.completeSince(listedBefore))
 	}
@@ -175,7 +175,7 @@
 		return err
 	}
 	gateway.recordStoreAnswer()
-	gateway.applyChanges(gateway.mirror.Apply(collection, events, version), time.Now())
+	gateway.applyChanges(gateway.mirror.Apply(collection, events, version), sourceWatch, time.Now())
 	if len(events) > 0 {
 		retry.Wait(ctx, time.Now().Add(collectionSync.batchDelay()))
 	}
@@ -205,9 +205,16 @@
 	}
 }
 
+// The sources of changes, for the log.
+const (
+	sourceList  = "list"
+	sourceWatch = "watch"
+	sourceVM    = "vm"
+)
+
 // applyChanges puts changes into effect. learnedAt is the time from which named
 // weights count as known.
-func (gateway *Gateway) applyChanges(changes []mirror.Change, learnedAt time.Time) {
+func (gateway *Gateway) applyChanges(changes []mirror.Change, source string, learnedAt time.Time) {
 	now := time.Now()
 	for _, change := range changes {
 		switch change.Collection {
@@ -216,7 +223,7 @@
 		case objects.Targets:
 			gateway.applyTarget(change, now)
 		case objects.Weights:
-			gateway.applyWeights(change, learnedAt)
+			gateway.applyWeights(change, source, learnedAt)
 		}
 	}
 }
@@ -279,7 +286,7 @@
 	}
 }
 
-func (gateway *Gateway) applyWeights(change mirror.Change, learnedAt time.Time) {
+func (gateway *Gateway) applyWeights(change mirror.Change, source string, learnedAt time.Time) {
 	if change.Removed {
 		return // named versions stay in effect after the object is deleted
 	}
@@ -288,20 +295,24 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	gateway.addNamedWeights(model, version, learnedAt)
+	gateway.addNamedWeights(model, version, source, learnedAt)
 }
 
 // addNamedWeights records that a weight version was named at the given time or
 // earlier.
-func (gateway *Gateway) addNamedWeights(model string, version uint64, at time.Time) {
-	if !gateway.weights.add(model, version, at) {
+func (gateway *Gateway) addNamedWeights(model string, version uint64, source string, at time.Time) {
+	fields := []event.Field{event.F("model", model), event.F("weights", version), event.F("source", source), event.F("age_ms", time.Since(at).Milliseconds())}
+	newest, dated := gateway.weights.add(model, version, at)
+	if dated {
+		gateway.Log.Emit(event.WeightsDated, fields...)
+	}
+	if !newest {
 		return
 	}
 	gauge := new(expvar.Int)
 	gauge.Set(int64(version))
 	gateway.metrics.Weights.Set(model, gauge)
-	gateway.Log.Emit(event.WeightsNamed, event.F("model", model), event.F("weights", version),
-		event.F("age_ms", time.Since(at).Milliseconds()))
+	gateway.Log.Emit(event.WeightsNamed, fields...)
 }
 
 // runFetches fetches changes from other VMs that hold newer objects.
@@ -325,5 +336,5 @@
 	}
 	changes := gateway.mirror.Merge(fetched)
 	gateway.Log.Emit(event.ConfigFromPeer, event.F("version", uint64(version)), event.F("from", address.String()), event.F("changes", len(changes)))
-	gateway.applyChanges(changes, time.Now())
+	gateway.applyChanges(changes, sourceVM, time.Now())
 }
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -25,8 +25,9 @@
 }
 
 // add records that a version was named at the given time or earlier. It returns
-// whether the version is the newest of its model and was unknown.
-func (namedWeights *namedWeights) add(model string, version uint64, at time.Time) bool {
+// whether the version is the newest of its model and was unknown, and whether it was
+// known with a later time.
+func (namedWeights *namedWeights) add(model string, version uint64, at time.Time) (newest, dated bool) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	versions := namedWeights.named[model]
@@ -35,12 +36,12 @@
 			continue
 		}
 		if earlier := at.Before(versions[i].Learned); !earlier {
-			return false
+			return false, false
 		}
 		versions[i].Learned = at
-		return false
+		return false, true
 	}
-	newest := len(versions) == 0 || versions[len(versions)-1].Version < version
+	newest = len(versions) == 0 || versions[len(versions)-1].Version < version
 	versions = append(versions, rollout.NamedWeights{Weights: rollout.Weights{Model: model, Version: version}, Learned: at})
 	sort.Slice(versions, func(i, j int) bool { return versions[i].Version < versions[j].Version })
 	for len(versions) > 1 && at.Sub(versions[1].Learned) > replacedRetention {
@@ -51,7 +52,7 @@
 		close(namedWeights.changed)
 		namedWeights.changed = make(chan struct{})
 	}
-	return newest
+	return newest, false
 }
 
 // recent returns the versions named after the given time, to send to other VMs.
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -35,11 +35,15 @@
 // which versions were named earlier, and when.
 func TestNamedUsesEarlierTimesFromOtherVMs(t *testing.T) {
 	namedWeights := newNamedWeights()
-	if !namedWeights.add("m", 4, secondsAfterStart(9)) {
-		t.Error("got false for the first version, want true")
-	}
-	if namedWeights.add("m", 3, secondsAfterStart(5)) || namedWeights.add("m", 4, secondsAfterStart(8)) {
-		t.Error("got true for a version that is older or known, want false")
+	for _, test := range []struct {
+		version               uint64
+		at                    float64
+		wantNewest, wantDated bool
+	}{{4, 9, true, false}, {3, 5, false, false}, {4, 8, false, true}, {4, 8.5, false, false}} {
+		newest, dated := namedWeights.add("m", test.version, secondsAfterStart(test.at))
+		if newest != test.wantNewest || dated != test.wantDated {
+			t.Errorf("version %d at %.1f s: got newest %t and dated %t, want %t and %t", test.version, test.at, newest, dated, test.wantNewest, test.wantDated)
+		}
 	}
 	if got := namedWeights.Named("m", secondsAfterStart(5)); got != 3 {
 		t.Errorf("got version %d at 5 s, want 3", got)
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -78,6 +78,7 @@
 		Software: best.entry.Software, StartTime: best.entry.StartTime, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true, trialBefore: best.ejectedUntil,
 	}
 	assignment.Weights, _ = best.weights(criteria.Model)
+	assignment.RequiredWeights = criteria.RequiredWeights
 	assignment.Wait = time.Duration(best.waitMicros(now)) * time.Microsecond
 	if home != nil && home != best {
 		assignment.Home = home.entry.Address
--- a/roster/target.go
+++ b/roster/target.go
@@ -205,6 +205,8 @@
 	// Weights is the version of the model's weights that the target has; 0 for
 	// plain services.
 	Weights uint64
+	// RequiredWeights is the oldest version that the request allows; 0 for any.
+	RequiredWeights uint64
 	// Wait estimates how long the target processes other prompts first.
 	Wait time.Duration
 	// Home is the address of the target that should hold the prompt's prefix; the
