--- /dev/null
+++ b/gateway/weights_age_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleygw/bramleygw/objects"
+)
+
+// weightsBound is the platform's bound on the use of replaced weights.
+const weightsBound = 6 * time.Second
+
+// Guards against requests that begin on replaced weights: a VM that was not there when a
+// version was named took the naming for younger than it was.
+func TestVMRequiresWeightsNamedInItsAbsence(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// named names the version; it returns the VM once that knows the version.
+		named func(ctx context.Context, store *fakeStore) *Gateway
+	}{
+		{"VM restarts", func(ctx context.Context, store *fakeStore) *Gateway {
+			store.put(objects.Weights, 2)
+			sleep(13 * time.Second)
+			return startVM(ctx, "vm", store)
+		}},
+		{"VM is cut off from the store and the other VMs", func(ctx context.Context, store *fakeStore) *Gateway {
+			gateway := startVM(ctx, "vm", store)
+			sleep(time.Second)
+			store.mu.Lock()
+			store.hungFrom, store.hungUntil = time.Now(), time.Now().Add(15*time.Second)
+			store.mu.Unlock()
+			store.put(objects.Weights, 2)
+			sleep(15 * time.Second)
+			return gateway
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				store := newFakeStore()
+				store.put(objects.Configs, 1)
+				store.put(objects.Weights, 1)
+				gateway := test.named(ctx, store)
+				const step = 100 * time.Millisecond
+				for range 10 * time.Second / step {
+					sleep(step)
+					synctest.Wait()
+					if newest, _ := gateway.weights.newest(); len(newest) == 0 || newest[0].Version != 2 {
+						continue // not received yet
+					}
+					if got := gateway.weights.Named("m", time.Now().Add(-weightsBound)); got != 2 {
+						t.Fatalf("got version %d required of targets, want 2: it was named longer ago than the bound", got)
+					}
+				}
+			})
+		})
+	}
+}
