Do not take weights for just named because a VM has just heard of them

Cause: the store does not say when a version was named. A VM that started took a version in its first list for 2 s old, and one in a later list, in a watch after a cut or in objects from another VM for just named. Heartbeats correct this, but for 10 s after the naming only.

Now a version whose naming was not observed has no time and counts as old, so that it is required at once; another VM that knows the time tells it, as before. Answers of the store that follow each other within 8 s count as observed: heartbeats cover the rest.

The new TestRestartedVMLearnsFromOthersWhenWeightsWereNamed sees to it that a VM that restarts soon after a naming uses replaced weights for as long as the others.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,7 +93,7 @@
 // Weights events.
 var (
 	WeightsNamed = register(620, "weights_named", LevelInfo, "operators named a new weights version", "none")
-	WeightsDated = register(629, "weights_dated", LevelInfo, "another VM knows that a weights version was named earlier than this VM did", "none")
+	WeightsDated = register(629, "weights_dated", LevelInfo, "another VM told when a weights version was named: earlier than this VM knew, or at all", "none")
 	OrderGiven   = register(621, "order_given", LevelInfo, "an order was sent to a target", "none")
 	OrderFailed  = register(622, "order_failed", LevelWarn, "a target did not answer a poll or an order", "check the target; the poll or order is retried")
 	LeaseTaken   = register(623, "lease_taken", LevelInfo, "this VM acquired the lease and now sends the orders", "none")
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -48,10 +48,6 @@
 	promptWatchers = 12
 	// fetchTimeout bounds fetching changes from another VM.
 	fetchTimeout = time.Second
-	// assumedWeightsAge is the assumed age of named weights that a VM finds in its
-	// first list, until another VM reports the actual time: about as long as the
-	// restart of a process takes.
-	assumedWeightsAge = 2 * time.Second
 )
 
 var storeBackoff = retry.Backoff{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
@@ -133,18 +129,23 @@
 		return err
 	}
 	gateway.recordStoreAnswer()
-	learnedAt := time.Now()
 	_, listedBefore := gateway.mirror.SyncedVersion(collection)
-	if !listedBefore {
-		learnedAt = learnedAt.Add(-assumedWeightsAge)
-	}
-	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), sourceList, learnedAt)
+	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), sourceList, gateway.namedAt(collection))
 	if collection == objects.Targets {
 		gateway.roster.RecordList(gateway.completeSince(listedBefore))
 	}
 	return nil
 }
 
+// namedAt returns the time at which weights were named that an answer shows for the first
+// time, after an answer of the store for the collection.
+func (gateway *Gateway) namedAt(collection objects.Collection) time.Time {
+	if collection != objects.Weights {
+		return time.Time{}
+	}
+	return gateway.weights.recordSync(time.Now())
+}
+
 // completeSince returns the time since which the list of targets that was just received
 // and its changes are complete. Nothing was missed before the first list of a system
 // that has not run before.
@@ -175,7 +176,7 @@
 		return err
 	}
 	gateway.recordStoreAnswer()
-	gateway.applyChanges(gateway.mirror.Apply(collection, events, version), sourceWatch, time.Now())
+	gateway.applyChanges(gateway.mirror.Apply(collection, events, version), sourceWatch, gateway.namedAt(collection))
 	if len(events) > 0 {
 		retry.Wait(ctx, time.Now().Add(collectionSync.batchDelay()))
 	}
@@ -212,9 +213,9 @@
 	sourceVM    = "vm"
 )
 
-// applyChanges puts changes into effect. learnedAt is the time from which named
-// weights count as known.
-func (gateway *Gateway) applyChanges(changes []mirror.Change, source string, learnedAt time.Time) {
+// applyChanges puts changes into effect. namedAt is the time at which weights among them
+// were named; zero if it is not known.
+func (gateway *Gateway) applyChanges(changes []mirror.Change, source string, namedAt time.Time) {
 	now := time.Now()
 	for _, change := range changes {
 		switch change.Collection {
@@ -223,7 +224,7 @@
 		case objects.Targets:
 			gateway.applyTarget(change, now)
 		case objects.Weights:
-			gateway.applyWeights(change, source, learnedAt)
+			gateway.applyWeights(change, source, namedAt)
 		}
 	}
 }
@@ -286,7 +287,7 @@
 	}
 }
 
-func (gateway *Gateway) applyWeights(change mirror.Change, source string, learnedAt time.Time) {
+func (gateway *Gateway) applyWeights(change mirror.Change, source string, namedAt time.Time) {
 	if change.Removed {
 		return // named versions stay in effect after the object is deleted
 	}
@@ -295,13 +296,16 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	gateway.addNamedWeights(model, version, source, learnedAt)
+	gateway.addNamedWeights(model, version, source, namedAt)
 }
 
 // addNamedWeights records that a weight version was named at the given time or
-// earlier.
+// earlier; a zero time means that the time is not known.
 func (gateway *Gateway) addNamedWeights(model string, version uint64, source string, at time.Time) {
-	fields := []event.Field{event.F("model", model), event.F("weights", version), event.F("source", source), event.F("age_ms", time.Since(at).Milliseconds())}
+	fields := []event.Field{event.F("model", model), event.F("weights", version), event.F("source", source), event.F("age_known", !at.IsZero())}
+	if !at.IsZero() {
+		fields = append(fields, event.F("age_ms", time.Since(at).Milliseconds()))
+	}
 	newest, dated := gateway.weights.add(model, version, at)
 	if dated {
 		gateway.Log.Emit(event.WeightsDated, fields...)
@@ -336,5 +340,5 @@
 	}
 	changes := gateway.mirror.Merge(fetched)
 	gateway.Log.Emit(event.ConfigFromPeer, event.F("version", uint64(version)), event.F("from", address.String()), event.F("changes", len(changes)))
-	gateway.applyChanges(changes, sourceVM, time.Now())
+	gateway.applyChanges(changes, sourceVM, time.Time{}) // heartbeats tell when weights were named
 }
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -12,21 +12,41 @@
 // which targets may still start requests on a replaced version.
 const replacedRetention = time.Minute
 
+// maxSyncGap is the time between two answers of the store within which a version that
+// the second one shows counts as just named: other VMs still tell this VM if it was named
+// at the beginning of that time.
+const maxSyncGap = namedWeightsSendTime - lossTimeout
+
 // namedWeights holds the weight versions that operators named. It is safe for
 // concurrent use.
 type namedWeights struct {
-	mu      sync.Mutex                        // guards the fields below
-	named   map[string][]rollout.NamedWeights // by model, oldest first
-	changed chan struct{}
+	mu       sync.Mutex                        // guards the fields below
+	named    map[string][]rollout.NamedWeights // by model, oldest first
+	changed  chan struct{}
+	syncedAt time.Time // when the store last answered
 }
 
 func newNamedWeights() *namedWeights {
 	return &namedWeights{named: map[string][]rollout.NamedWeights{}, changed: make(chan struct{})}
 }
 
-// add records that a version was named at the given time or earlier. It returns
-// whether the version is the newest of its model and was unknown, and whether it was
-// known with a later time.
+// recordSync records an answer of the store and returns the time at which a version that
+// it shows for the first time was named: now, or zero if it may have been named at any
+// time, because this VM has just started or was cut off.
+func (namedWeights *namedWeights) recordSync(now time.Time) time.Time {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	before := namedWeights.syncedAt
+	namedWeights.syncedAt = now
+	if before.IsZero() || now.Sub(before) > maxSyncGap {
+		return time.Time{}
+	}
+	return now
+}
+
+// add records that a version was named at the given time or earlier; a zero time means
+// that the time is not known. It returns whether the version is the newest of its model
+// and was unknown, and whether it was known with a later time or with none.
 func (namedWeights *namedWeights) add(model string, version uint64, at time.Time) (newest, dated bool) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
@@ -35,7 +55,7 @@
 		if versions[i].Version != version {
 			continue
 		}
-		if earlier := at.Before(versions[i].Learned); !earlier {
+		if learned := versions[i].Learned; at.IsZero() || !learned.IsZero() && !at.Before(learned) {
 			return false, false
 		}
 		versions[i].Learned = at
@@ -70,7 +90,8 @@
 	return recent
 }
 
-// Named implements relay.Weights.
+// Named implements relay.Weights. A version that was named at an unknown time counts as
+// named before any time, so that it is required at once.
 func (namedWeights *namedWeights) Named(model string, at time.Time) uint64 {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// Guards against refused requests: a VM that restarts soon after a version was named, while
+// most targets have the one before, uses these for as long as the other VMs do.
+func TestRestartedVMLearnsFromOthersWhenWeightsWereNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Configs, 1)
+		other := startVM(ctx, "other", store)
+		sleep(time.Second)
+		store.put(objects.Weights, 2)
+		synctest.Wait()
+		namedAt := time.Now()
+		for _, restartAfter := range []time.Duration{time.Second, 3 * time.Second, 9 * time.Second} {
+			sleep(time.Until(namedAt.Add(restartAfter)))
+			restarted := startVM(ctx, "vm", store)
+			synctest.Wait()
+			if got := restarted.weights.Named("m", namedAt.Add(-time.Hour)); got != 2 {
+				t.Errorf("restart after %v: got version %d in force before another VM was heard, want 2", restartAfter, got)
+			}
+			restarted.HandleHeartbeat(other.newHeartbeat(""))
+			if got := restarted.weights.Named("m", namedAt.Add(-time.Millisecond)); got != 0 {
+				t.Errorf("restart after %v: got version %d in force before it was named, want 0", restartAfter, got)
+			}
+			if got := restarted.weights.Named("m", namedAt.Add(time.Millisecond)); got != 2 {
+				t.Errorf("restart after %v: got version %d in force after it was named, want 2", restartAfter, got)
+			}
+		}
+	})
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -53,7 +53,8 @@
 // model.
 type NamedWeights struct {
 	Weights
-	// Learned is when this VM learned of the version.
+	// Learned is when this VM learned of the version. It is zero if the version was
+	// named before, at an unknown time.
 	Learned time.Time
 }
 
