Do not use a target whose weights are not known if a version is required

A target whose registration does not list the model counted as new enough, and got the request without the version that it is to check, so that it could begin on any weights. Found by looking for the same cause elsewhere, not seen by callers.

TestTargetWithUnknownWeightsIsNotUsedIfAVersionIsRequired failed before: got a target whose weights are not known, want none. As long as no version is required, as for models of which none was named, such a target is used as before.

--- a/roster/choose.go
+++ b/roster/choose.go
@@ -216,9 +216,10 @@
 }
 
 // hasRequiredWeights reports whether the target's weights may be used for the request.
+// Unknown weights may not if a version is required.
 func (target *Target) hasRequiredWeights(criteria Criteria) bool {
-	weights, ok := target.weights(criteria.Model)
-	return !ok || weights >= criteria.RequiredWeights
+	weights, _ := target.weights(criteria.Model)
+	return weights >= criteria.RequiredWeights
 }
 
 // cost estimates the time to the first token plus the penalties of the choice.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// Guards against requests that begin on replaced weights: the registration of a target
+// does not say which weights it has, so nothing makes the target check the version.
+func TestTargetWithUnknownWeightsIsNotUsedIfAVersionIsRequired(t *testing.T) {
+	roster := New("a")
+	entry := engineEntry("e1", "a", 1)
+	entry.Models = nil
+	roster.Put(entry, start)
+	if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m", NewestWeights: 2, RequiredWeights: 2}, start); ok {
+		t.Error("got a target whose weights are not known, want none")
+	}
+	choose(t, roster, Criteria{Model: "m"}, start)
+}
+
 // All VMs must choose the same home for a prefix, because a target that gets a request
 // with the prefix elsewhere fetches the prefix from the home.
 func TestAllVMsAgreeOnPrefixHome(t *testing.T) {
