Keep the former version of weights while the time of the newest is unknown

A VM that restarts shortly after a naming is told of two versions in one heartbeat. Its own list has the newest one without a time, and a missing time counted as more than a minute ago, so that the former version was dropped the moment it was told, and with it the requirement of that version, until the next heartbeat.

Versions are now dropped by known times alone. TestFormerVersionIsKeptWhileTimeOfNewest- IsUnknown failed before: got version 0 at 5 s, want 2.

--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -64,10 +64,7 @@
 	newest = len(versions) == 0 || versions[len(versions)-1].Version < version
 	versions = append(versions, rollout.NamedWeights{Weights: rollout.Weights{Model: model, Version: version}, Learned: at})
 	sort.Slice(versions, func(i, j int) bool { return versions[i].Version < versions[j].Version })
-	for len(versions) > 1 && at.Sub(versions[1].Learned) > replacedRetention {
-		versions = versions[1:]
-	}
-	namedWeights.named[model] = versions
+	namedWeights.named[model] = withoutReplaced(versions, at)
 	if newest {
 		close(namedWeights.changed)
 		namedWeights.changed = make(chan struct{})
@@ -75,6 +72,17 @@
 	return newest, false
 }
 
+// withoutReplaced returns the versions without those that were replaced more than
+// replacedRetention before the given time.
+func withoutReplaced(versions []rollout.NamedWeights, at time.Time) []rollout.NamedWeights {
+	for i := len(versions) - 1; i > 0; i-- {
+		if learned := versions[i].Learned; !learned.IsZero() && at.Sub(learned) > replacedRetention {
+			return versions[i:]
+		}
+	}
+	return versions
+}
+
 // recent returns the versions named after the given time, to send to other VMs.
 func (namedWeights *namedWeights) recent(after time.Time) []rollout.NamedWeights {
 	namedWeights.mu.Lock()
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -56,3 +56,15 @@
 		t.Errorf("got newest %+v, want only version 4", named)
 	}
 }
+
+// Guards against requests that begin on replaced weights: a heartbeat tells a restarted VM of
+// two versions, and the older one is dropped because the time of the newer one was unknown.
+func TestFormerVersionIsKeptWhileTimeOfNewestIsUnknown(t *testing.T) {
+	namedWeights := newNamedWeights()
+	namedWeights.add("m", 3, time.Time{})
+	namedWeights.add("m", 2, secondsAfterStart(1))
+	namedWeights.add("m", 3, secondsAfterStart(10))
+	if got := namedWeights.Named("m", secondsAfterStart(5)); got != 2 {
+		t.Errorf("got version %d at 5 s, want 2: it was named at 1 s", got)
+	}
+}
