Tell other VMs which weights a recently named version replaced

Requests could begin on weights that had been replaced long ago: version 2 was named 21 s ago and version 3 1 s ago, and a VM restarts. It finds version 3 alone in the store; heartbeats told it the age of version 3, and nothing of version 2, for they carried the namings of the last 10 s alone. So it allowed version 1 for 5 s more.

Heartbeats now carry the version that a recent one replaced too, with an age of 10 s if it is older or not known: it is past the bound either way.

TestRestartedVMRequiresFormerOfTwoNamedVersions failed before: got version 0 required of targets, want 2 as on the other VM.

--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -83,16 +83,22 @@
 	return versions
 }
 
-// recent returns the versions named after the given time, to send to other VMs.
+// recent returns the versions named after the given time and the ones that they
+// replaced, to send to other VMs. Earlier and unknown times are the given time.
 func (namedWeights *namedWeights) recent(after time.Time) []rollout.NamedWeights {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	var recent []rollout.NamedWeights
 	for _, versions := range namedWeights.named {
-		for _, named := range versions {
-			if named.Learned.After(after) {
-				recent = append(recent, named)
+		for i, named := range versions {
+			replaced := i+1 < len(versions) && versions[i+1].Learned.After(after)
+			if !replaced && !named.Learned.After(after) {
+				continue
 			}
+			if named.Learned.Before(after) {
+				named.Learned = after
+			}
+			recent = append(recent, named)
 		}
 	}
 	return recent
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -90,3 +90,28 @@
 		}
 	})
 }
+
+// Guards against requests that begin on replaced weights: a VM that restarts learns from the
+// others when the newest version was named, but not that the one before it is required.
+func TestRestartedVMRequiresFormerOfTwoNamedVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Configs, 1)
+		store.put(objects.Weights, 1)
+		other := startVM(ctx, "other", store)
+		sleep(time.Second)
+		store.put(objects.Weights, 2)
+		sleep(20 * time.Second)
+		store.put(objects.Weights, 3)
+		sleep(time.Second)
+		restarted := startVM(ctx, "vm", store)
+		synctest.Wait()
+		restarted.HandleHeartbeat(other.newHeartbeat(""))
+		bound := time.Now().Add(-weightsBound)
+		if want, got := other.weights.Named("m", bound), restarted.weights.Named("m", bound); got != want {
+			t.Errorf("got version %d required of targets, want %d as on the other VM", got, want)
+		}
+	})
+}
