Take weights named right after an outage of the store for just named

A VM now counts as having been there if neither the store nor another VM was silent for longer than the time for which other VMs tell of a naming. A restart, a freeze and a cut from both are gaps, also if a heartbeat arrives before the store's answer (new case of TestVMRequiresWeightsNamedInItsAbsence, which passes before and after).

TestWeightsNamedRightAfterOutageAreNotOld failed before for the outage of 15 s: got version 2 required of targets 1 s after version 2 was named, want 1.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -309,6 +309,7 @@
 		gateway.limits.UpdateCounts(source, fromSpendings(heartbeat.Spending), now, now)
 		gateway.roster.SetBacklogs(heartbeat.Name, fromBacklogs(heartbeat.Backlogs), now)
 	}
+	gateway.weights.recordContact(now)
 	for _, named := range heartbeat.NamedWeights {
 		gateway.addNamedWeights(named.Model, named.Version, sourceVM, now.Add(-named.Age))
 	}
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -12,10 +12,10 @@
 // which targets may still start requests on a replaced version.
 const replacedRetention = time.Minute
 
-// maxSyncGap is the time between two answers of the store within which a version that
-// the second one shows counts as just named: other VMs still tell this VM if it was named
-// at the beginning of that time.
-const maxSyncGap = namedWeightsSendTime - lossTimeout
+// maxContactGap is the longest time without an answer of the store and a heartbeat of
+// another VM after which other VMs still tell this one of a version that was named at the
+// beginning of that time.
+const maxContactGap = namedWeightsSendTime - lossTimeout
 
 // namedWeights holds the weight versions that operators named. It is safe for
 // concurrent use.
@@ -24,21 +24,42 @@
 	named    map[string][]rollout.NamedWeights // by model, oldest first
 	changed  chan struct{}
 	syncedAt time.Time // when the store last answered
+	// contactAt is when the store last answered or another VM was last heard. No gap in
+	// contact was longer than maxContactGap since contactSince.
+	contactAt    time.Time
+	contactSince time.Time
 }
 
 func newNamedWeights() *namedWeights {
 	return &namedWeights{named: map[string][]rollout.NamedWeights{}, changed: make(chan struct{})}
 }
 
+// recordContact records an answer of the store or a heartbeat of another VM.
+func (namedWeights *namedWeights) recordContact(now time.Time) {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	namedWeights.extendContact(now)
+}
+
+// extendContact implements recordContact. The caller holds mu.
+func (namedWeights *namedWeights) extendContact(now time.Time) {
+	if namedWeights.contactAt.IsZero() || now.Sub(namedWeights.contactAt) > maxContactGap {
+		namedWeights.contactSince = now
+	}
+	namedWeights.contactAt = now
+}
+
 // recordSync records an answer of the store and returns the time at which a version that
-// it shows for the first time was named: now, or zero if it may have been named at any
-// time, because this VM has just started or was cut off.
+// it shows for the first time was named. This is now if this VM was in contact since the
+// answer before: another VM would have told it of an earlier naming. Otherwise the time
+// is not known, which a zero time means.
 func (namedWeights *namedWeights) recordSync(now time.Time) time.Time {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
+	namedWeights.extendContact(now)
 	before := namedWeights.syncedAt
 	namedWeights.syncedAt = now
-	if before.IsZero() || now.Sub(before) > maxSyncGap {
+	if before.IsZero() || before.Before(namedWeights.contactSince) {
 		return time.Time{}
 	}
 	return now
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -35,6 +35,15 @@
 			sleep(15 * time.Second)
 			return gateway
 		}},
+		{"VM is cut off and hears another VM before the store", func(ctx context.Context, store *fakeStore) *Gateway {
+			gateway, other := startVM(ctx, "vm", store), startVM(ctx, "other", newFakeStore())
+			sleep(time.Second)
+			store.hungFrom, store.hungUntil = time.Now(), time.Now().Add(15*time.Second)
+			store.put(objects.Weights, 2)
+			sleep(15 * time.Second)
+			gateway.HandleHeartbeat(other.newHeartbeat(""))
+			return gateway
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -115,3 +124,42 @@
 		}
 	})
 }
+
+// Guards against refused requests: the store was down for all VMs, and weights that are named
+// right after it count as old on each of them, so that none uses the targets, which have
+// the version before.
+func TestWeightsNamedRightAfterOutageAreNotOld(t *testing.T) {
+	for _, outage := range []time.Duration{3 * time.Second, 15 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				store := newFakeStore()
+				store.put(objects.Configs, 1)
+				store.put(objects.Weights, 1)
+				vms := []*Gateway{startVM(ctx, "vm-0", store), startVM(ctx, "vm-1", store)}
+				sleep(time.Second)
+				store.mu.Lock()
+				store.downUntil = time.Now().Add(outage)
+				store.mu.Unlock()
+				exchangeHeartbeats(vms, outage)
+				store.put(objects.Weights, 2)
+				exchangeHeartbeats(vms, time.Second)
+				for _, vm := range vms {
+					if got := vm.weights.Named("m", time.Now().Add(-weightsBound+time.Second)); got != 1 {
+						t.Errorf("%s: got version %d required of targets 1 s after version 2 was named, want 1", vm.Settings.Name, got)
+					}
+				}
+			})
+		})
+	}
+}
+
+// exchangeHeartbeats lets time pass in which two VMs exchange heartbeats.
+func exchangeHeartbeats(vms []*Gateway, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		sleep(min(heartbeatInterval, time.Until(end)))
+		synctest.Wait()
+		vms[0].mergeHeartbeat(vms[1].HandleHeartbeat(vms[0].newHeartbeat("")))
+	}
+}
