Log why no target was taken, and which services a VM does not reach

- request_refused has not_taken: the number of targets by obstacle, from the function that decides whether a target may get a request.
- target_lost and target_reached are logged for attempts and answers too, with service, source, error, in_flight and silent_ms; availability counts them.
- service_lost (630), service_reached (631), metric services_lost.

No decision changes: the conditions of Target.usable and eligible are moved into obstacle unchanged, and Failed, Answered and markUnreachable only report in addition what they changed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -333,6 +333,7 @@
 // runSweep removes expired state.
 func (gateway *Gateway) runSweep(ctx context.Context) error {
 	var detector membership.FailureDetector
+	services := lostServices{}
 	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
 		now := time.Now()
 		gateway.roster.Sweep(now)
@@ -342,7 +343,9 @@
 		gateway.updateLimitShares(now)
 		gateway.logReachability(&detector, now)
 		gateway.updateVMCount(now)
-		listed := gateway.updateTargetMetrics()
+		entries := gateway.roster.Entries()
+		gateway.reportServices(services, entries, now)
+		listed := gateway.updateTargetMetrics(entries)
 		gateway.clients.Retain(func(id string) bool { return listed[id] })
 		gateway.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
 	}
@@ -351,9 +354,8 @@
 
 // updateTargetMetrics sets the numbers of targets by state and returns the IDs of all
 // listed targets.
-func (gateway *Gateway) updateTargetMetrics() map[string]bool {
+func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) map[string]bool {
 	listed := map[string]bool{}
-	entries := gateway.roster.Entries()
 	for _, entry := range entries {
 		listed[entry.ID] = true
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -35,17 +35,13 @@
 		return
 	}
 	client := gateway.clients.Get(probe.ID, probe.Address)
-	reached := false
-	for attempt := 0; attempt < probeAttempts && !reached; attempt++ {
-		reached = client.Reachable(ctx, time.Now().Add(probeTimeout))
+	err := client.Reach(ctx, time.Now().Add(probeTimeout))
+	for attempt := 1; attempt < probeAttempts && err != nil; attempt++ {
+		err = client.Reach(ctx, time.Now().Add(probeTimeout))
 	}
-	if !gateway.roster.RecordProbe(probe.ID, reached, time.Now()) {
-		return
-	}
-	if reached {
-		gateway.Log.Emit(event.TargetReached, event.F("target", probe.ID))
-	} else {
-		gateway.Log.Emit(event.TargetLost, event.F("target", probe.ID))
+	now := time.Now()
+	if gateway.roster.RecordProbe(probe.ID, err == nil, now) {
+		gateway.relay.RecordReachability(probe.ID, roster.SourceProbe, err, now)
 	}
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -40,6 +40,7 @@
 	Orders        expvar.Int  // orders sent
 	Fetches       expvar.Int  // requests sent with the instruction to fetch KV cache from another target
 	Unreachable   expvar.Int  // targets that accept no connections
+	LostServices  expvar.Int  // services of which this VM reaches no target
 	Ejected       expvar.Int  // targets ejected because too many of their requests failed
 	Leaving       expvar.Int  // targets that leave
 	Resting       expvar.Int  // targets that rest or return from a rest
@@ -114,7 +115,7 @@
 		{"refusals", set.Refusals}, {"first_token_ms", set.FirstTokenMS},
 		{"config_version", &set.ConfigVersion}, {"platform_silence_ms", &set.PlatformSilence},
 		{"config_applied_unix_ms", &set.ConfigApplied}, {"weights", set.Weights}, {"leads", &set.HoldsLease}, {"store_calls", set.StoreCalls},
-		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable},
+		{"orders", &set.Orders}, {"fetches", &set.Fetches}, {"targets_unreachable", &set.Unreachable}, {"services_lost", &set.LostServices},
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
 		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
 		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -134,7 +134,9 @@
 	job.attempt.head = head
 	assignment := &job.attempt.assignment
 	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting}
-	assignment.Answered(load, head.HasLoad, now)
+	if assignment.Answered(load, head.HasLoad, now) {
+		job.relay.RecordReachability(assignment.ID, roster.SourceAnswer, nil, now)
+	}
 	job.relay.ObserveHead(assignment, assignment.ID, head, now)
 	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" {
 		if weights, err := strconv.ParseUint(head.Weights, 10, 64); err == nil {
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/roster"
 )
@@ -30,9 +31,13 @@
 	if len(job.tried) > 0 {
 		fields = append(fields, event.F("target", job.tried[len(job.tried)-1]))
 	}
-	if reason := job.delivery.EndReason(); reason != "" {
+	reason := job.delivery.EndReason()
+	if reason != "" {
 		fields = append(fields, event.F("end_reason", string(reason)))
 	}
+	if reason == delivery.NoTarget {
+		fields = append(fields, event.F("not_taken", job.obstacles))
+	}
 	if job.retryDenial != "" {
 		fields = append(fields, event.F("retry_denied_by", job.retryDenial))
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -98,7 +98,9 @@
 	restEnd time.Time
 	// limited is set if all targets are at their limits when the request is refused.
 	limited bool
-	attempt attempt
+	// obstacles are why each target was not taken when none was found last.
+	obstacles map[roster.Obstacle]int
+	attempt   attempt
 }
 
 // attempt is the state of the attempt at the current target.
@@ -217,6 +219,7 @@
 			continue
 		}
 		if !job.mayWait(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
+			job.obstacles = job.relay.Roster.Obstacles(job.criteria(now), now)
 			return false, nil
 		}
 		if !job.targetFull {
@@ -288,14 +291,18 @@
 	case delivery.CallerGone:
 		return outcome, nil
 	case delivery.NotSent:
-		assignment.Failed(true, now)
+		job.recordLoss(assignment, result, now)
 	case delivery.NotRun:
 		job.handleRejection(assignment, now)
 	case delivery.FailedAnswer:
 		assignment.Failed(false, now)
 	case delivery.Broken:
 		if ctx.Err() == nil { // otherwise this VM cancelled the attempt
-			assignment.Failed(errors.Is(result, target.ErrConnectionLost), now)
+			if errors.Is(result, target.ErrConnectionLost) {
+				job.recordLoss(assignment, result, now)
+			} else {
+				assignment.Failed(false, now)
+			}
 			job.recordDeath(ctx, assignment, result)
 		}
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -41,7 +41,7 @@
 		return
 	}
 	now := time.Now()
-	if job.relay.client(assignment).Reachable(ctx, now.Add(deathProbeTimeout)) {
+	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout)) == nil {
 		return
 	}
 	job.attempt.died = true
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -197,22 +197,7 @@
 
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
-	criteria, now := search.criteria, search.now
-	if !target.usable(now) || now.Before(target.pausedUntil) || !target.hasSoftware(criteria) || !target.limit.allows(now) {
-		return false
-	}
-	if !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)) {
-		return false
-	}
-	if !target.hasRequiredWeights(criteria) {
-		return false
-	}
-	for _, tried := range criteria.Tried {
-		if tried == target.entry.ID {
-			return false
-		}
-	}
-	return true
+	return target.obstacle(search) == ""
 }
 
 // hasRequiredWeights reports whether the target's weights may be used for the request.
--- /dev/null
+++ b/roster/obstacle.go
@@ -0,0 +1,76 @@
+package roster
+
+import "time"
+
+// Obstacle is why a target may not get a request. It is empty if it may.
+type Obstacle string
+
+// The obstacles, besides the names of the availabilities.
+const (
+	ObstacleRemoved      Obstacle = "removed"
+	ObstacleUnreachable  Obstacle = "unreachable"
+	ObstacleLoading      Obstacle = "loading_weights"
+	ObstaclePaused       Obstacle = "mismatched"
+	ObstacleSoftware     Obstacle = "other_software"
+	ObstacleLimit        Obstacle = "at_limit"
+	ObstacleEjected      Obstacle = "ejected"
+	ObstacleOldWeights   Obstacle = "old_weights"
+	ObstacleAlreadyTried Obstacle = "tried"
+)
+
+// Obstacles counts the targets of the service by why none of them may get the request;
+// targets that may get it are not counted. Ejected targets may, if no other one does.
+func (roster *Roster) Obstacles(criteria Criteria, now time.Time) map[Obstacle]int {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	obstacles := map[Obstacle]int{}
+	for _, target := range roster.services[criteria.Service] {
+		if obstacle := target.obstacle(search{criteria: criteria, now: now, includeEjected: true}); obstacle != "" {
+			obstacles[obstacle]++
+		}
+	}
+	return obstacles
+}
+
+// obstacle returns why the target may not get the request, or an empty obstacle.
+func (target *Target) obstacle(search search) Obstacle {
+	criteria, now := search.criteria, search.now
+	if obstacle := target.generalObstacle(now); obstacle != "" {
+		return obstacle
+	}
+	switch {
+	case now.Before(target.pausedUntil):
+		return ObstaclePaused
+	case !target.hasSoftware(criteria):
+		return ObstacleSoftware
+	case !target.limit.allows(now):
+		return ObstacleLimit
+	case !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)):
+		return ObstacleEjected
+	case !target.hasRequiredWeights(criteria):
+		return ObstacleOldWeights
+	}
+	for _, tried := range criteria.Tried {
+		if tried == target.entry.ID {
+			return ObstacleAlreadyTried
+		}
+	}
+	return ""
+}
+
+// generalObstacle returns why the target may not get any new request, disregarding
+// pauses, limits and ejection.
+func (target *Target) generalObstacle(now time.Time) Obstacle {
+	availability := target.availability(now)
+	switch {
+	case target.removed:
+		return ObstacleRemoved
+	case availability != Available:
+		return Obstacle(availability.String())
+	case target.unreachable:
+		return ObstacleUnreachable
+	case target.awaitsWeights(now):
+		return ObstacleLoading
+	}
+	return ""
+}
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -83,9 +83,12 @@
 	target.pausedUntil = now
 }
 
-// markUnreachable marks a target unreachable and schedules a probe at once.
-func (target *Target) markUnreachable(now time.Time) {
-	if !target.unreachable {
-		target.unreachable, target.failedProbes, target.probeAt = true, 0, now
+// markUnreachable marks a target unreachable and schedules a probe at once. It reports
+// whether the target was reachable before.
+func (target *Target) markUnreachable(now time.Time) bool {
+	if target.unreachable {
+		return false
 	}
+	target.unreachable, target.failedProbes, target.probeAt = true, 0, now
+	return true
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -154,7 +154,7 @@
 // usable reports whether the target may get new requests, disregarding pauses and
 // ejection.
 func (target *Target) usable(now time.Time) bool {
-	return !target.removed && target.availability(now) == Available && !target.unreachable && !target.awaitsWeights(now)
+	return target.generalObstacle(now) == ""
 }
 
 // awaitsWeights reports whether the target is loading weights that it is not yet
@@ -245,16 +245,19 @@
 	assignment.target.lastReceived = now
 }
 
-// Answered records an answer and, if hasLoad is set, its load report.
-func (assignment *Assignment) Answered(load Load, hasLoad bool, now time.Time) {
+// Answered records an answer and, if hasLoad is set, its load report. It reports
+// whether the target was unreachable before.
+func (assignment *Assignment) Answered(load Load, hasLoad bool, now time.Time) bool {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
 	target := assignment.target
 	target.lastReceived = now
+	wasUnreachable := target.unreachable
 	target.unreachable, target.failedProbes = false, 0
 	if hasLoad {
 		target.load, target.reportedAt, target.begunSinceReport = load, now, 0
 	}
+	return wasUnreachable
 }
 
 // Succeeded records a successful request.
@@ -265,14 +268,12 @@
 }
 
 // Failed records a failed request. If unreachable is set, the target gets no new
-// requests until a probe reaches it.
-func (assignment *Assignment) Failed(unreachable bool, now time.Time) {
+// requests until a probe reaches it. It reports whether the target was reachable before.
+func (assignment *Assignment) Failed(unreachable bool, now time.Time) bool {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
 	assignment.target.recordOutcome(true, now)
-	if unreachable {
-		assignment.target.markUnreachable(now)
-	}
+	return unreachable && assignment.target.markUnreachable(now)
 }
 
 // Usable reports whether the target may still get new requests.
--- a/target/forward.go
+++ b/target/forward.go
@@ -121,14 +121,14 @@
 	return shortest
 }
 
-// Reachable reports whether a TCP connection to the target's address succeeds
-// before the deadline.
-func (client *Client) Reachable(ctx context.Context, deadline time.Time) bool {
+// Reach makes a TCP connection to the target's address before the deadline. A nil error
+// means that it succeeded.
+func (client *Client) Reach(ctx context.Context, deadline time.Time) error {
 	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", client.address.String())
 	if err != nil {
-		return false
+		return err
 	}
 	_ = conn.Close() // no data was sent
-	return true
+	return nil
 }
