Reach targets through other VMs while this VM is cut off from them

Cause: a VM had no other way to a target than its own connections.

Now the VM asks another VM for a connection to the target (gRPC stream Tunnel), once it knows from few probes that it is cut off rather than a target down: three targets became unreachable and none was reached in between. If it reaches others of the service it asks seldom, for a cut may leave some. All decisions on a request stay where it arrived; the other VM passes bytes on, tells an end from a break, refuses targets that leave or rest for it, and learns from the heads of answers. Reports and orders take no tunnels.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -75,6 +75,7 @@
 	http fasthttp.HostClient
 	conn *conn
 	used bool
+	open func() (net.Conn, error) // nil for a TCP connection to the address
 }
 
 // New returns a client for the address; it connects at the first request. A
@@ -101,6 +102,13 @@
 	return client
 }
 
+// NewOver returns a client whose connection to the address is made by open.
+func NewOver(address netip.AddrPort, open func() (net.Conn, error)) *Client {
+	client := New(address, nil)
+	client.open = open
+	return client
+}
+
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
 	return false, false
 }
@@ -110,7 +118,7 @@
 		// The library found the connection closed and tries to open another one.
 		return nil, errors.Mark(errors.New("connection was closed"), ErrDial)
 	}
-	inner, err := Dialer().Dial("tcp", address)
+	inner, err := client.connect(address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrDial)
 	}
@@ -119,6 +127,13 @@
 	return client.conn, nil
 }
 
+func (client *Client) connect(address string) (net.Conn, error) {
+	if client.open != nil {
+		return client.open()
+	}
+	return Dialer().Dial("tcp", address)
+}
+
 // Used reports whether the client has already connected.
 func (client *Client) Used() bool {
 	return client.used
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -25,11 +25,16 @@
 	return &contact{Contact: rosterContact, id: id, gateway: gateway, client: gateway.clients.Get(id, rosterContact.Address)}, true
 }
 
+// observeAny records what the head of any answer says about further requests.
+func (contact *contact) observeAny(head target.Head) {
+	contact.gateway.relay.ObserveHead(contact.Contact, contact.id, head, time.Now())
+}
+
 // observe records what the head of an answer says about further requests. An answer
 // with the ID of a request is a late one to that request.
 func (contact *contact) observe(head target.Head) {
 	if head.RequestID != "" {
 		return
 	}
-	contact.gateway.relay.ObserveHead(contact.Contact, contact.id, head, time.Now())
+	contact.observeAny(head)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 	origins     *origins
 	relay       *relay.Relay
 	dialer      *peer.Dialer
+	tunnels     *tunnels
 	metrics     *metric.Set
 
 	callerServer    *front.Server
@@ -172,12 +173,13 @@
 	gateway.metrics = metric.New(vm.Name)
 	gateway.origins = newOrigins(vm.Name, gateway.members, gateway.dialer, gateway.metrics, gateway.Log)
 	gateway.origins.versions = gateway.roster
+	gateway.tunnels = &tunnels{gateway: gateway}
 	gateway.fetchAddresses = make(chan netip.AddrPort, 1)
 	gateway.heartbeatFailures = map[netip.AddrPort]int{}
 	gateway.relay = &relay.Relay{
 		Bounds: vm.Bounds, Roster: gateway.roster, Limits: gateway.limits, Weights: gateway.weights,
 		Stores: gateway.cacheStores, Quarantine: gateway.suspects, Parts: gateway.parts, DeathReporter: gateway, Clients: gateway.clients,
-		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Metrics: gateway.metrics, Log: gateway.Log,
+		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.callerServer.Relay = gateway.relay
 }
@@ -370,6 +372,7 @@
 	}
 	count(&gateway.metrics.Unreachable, func(entry roster.Entry) bool { return entry.Unreachable })
 	count(&gateway.metrics.Ejected, func(entry roster.Entry) bool { return entry.Ejected })
+	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
 	count(&gateway.metrics.Leaving, func(entry roster.Entry) bool { return entry.Draining })
 	count(&gateway.metrics.Resting, func(entry roster.Entry) bool { return entry.Resting })
 	count(&gateway.metrics.Limited, func(entry roster.Entry) bool { return entry.Limited })
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -43,6 +43,13 @@
 	if gateway.roster.RecordProbe(probe.ID, err == nil, now) {
 		gateway.relay.RecordReachability(probe.ID, roster.SourceProbe, err, now)
 	}
+	if err == nil {
+		return
+	}
+	client.CloseIdle() // the connections may carry no data any more
+	if gateway.roster.NeedsTunnel(probe.ID, now) {
+		gateway.tunnels.find(ctx, probe.ID)
+	}
 }
 
 // queryWeights requests a report from a target that rejected a request for certain
--- /dev/null
+++ b/gateway/tunnels.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/membership"
+	"github.com/bramleygw/bramleygw/roster"
+)
+
+// A VM that is cut off from the targets of a service connects to them through other VMs
+// that reach them. All decisions on a request remain with the VM that received it; the
+// other one passes bytes on, and learns from the heads of answers what the target wants.
+
+const (
+	// tunnelTimeout bounds opening a tunnel: a connection of the other VM to the target
+	// and a round trip to that VM.
+	tunnelTimeout = 350 * time.Millisecond
+	// tunnelAttempts is the number of VMs that are asked for a tunnel in a row, of the
+	// own availability zone and of others each.
+	tunnelAttempts = 2
+	// maxTunnels is the number of tunnels that a VM carries for others at once.
+	maxTunnels = 512
+	// maxSniffedHead is the number of bytes of an answer in which its head is looked for.
+	maxSniffedHead = 16 << 10
+)
+
+// tunnels connects to targets through other VMs, and for them.
+type tunnels struct {
+	gateway *Gateway
+	carried atomic.Int64 // tunnels that this VM carries for others
+}
+
+// Open implements relay.Tunnels.
+func (tunnels *tunnels) Open(assignment *roster.Assignment) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelTimeout)
+	defer cancel()
+	tunnels.gateway.metrics.TunnelsOpened.Add(1)
+	return tunnels.gateway.dialer.Tunnel(ctx, assignment.Through, assignment.ID)
+}
+
+// find looks for a VM through which the target can be reached, and records it.
+func (tunnels *tunnels) find(ctx context.Context, id string) {
+	gateway := tunnels.gateway
+	var through netip.AddrPort
+	for _, vm := range tunnels.candidates(time.Now()) {
+		if tunnels.reaches(ctx, vm.Address, id) {
+			through = vm.Address
+			break
+		}
+	}
+	if !gateway.roster.RecordTunnel(id, through, time.Now()) {
+		return
+	}
+	if through.IsValid() {
+		gateway.Log.Emit(event.TargetTunneled, event.F("target", id), event.F("through", through.String()))
+	} else {
+		gateway.relay.RecordReachability(id, roster.SourceProbe, errNotReached, time.Now())
+	}
+}
+
+// reaches reports whether another VM connects to the target.
+func (tunnels *tunnels) reaches(ctx context.Context, through netip.AddrPort, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+	defer cancel()
+	conn, err := tunnels.gateway.dialer.Tunnel(ctx, through, id)
+	if err != nil {
+		return false // logged once no VM reaches the target
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
+// candidates returns some VMs that may reach targets: first VMs of the own availability
+// zone, then others, which may reach them if the whole zone does not.
+func (tunnels *tunnels) candidates(now time.Time) []membership.Peer {
+	members := tunnels.gateway.members
+	var near, far []membership.Peer
+	for _, vm := range members.LivePeers(now) {
+		if vm.Zone == members.Zone {
+			near = append(near, vm)
+		}
+	}
+	for _, vm := range members.Peers(now) {
+		if vm.Zone != members.Zone {
+			far = append(far, vm)
+		}
+	}
+	return append(sample(near), sample(far)...)
+}
+
+// sample returns up to tunnelAttempts of the VMs in random order.
+func sample(vms []membership.Peer) []membership.Peer {
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	return vms[:min(len(vms), tunnelAttempts)]
+}
+
+// errNotReached is logged for a target that is no longer reached through another VM.
+var errNotReached = errors.New("the target is reached neither directly nor through another VM")
+
+// errTunnelDenied is returned for a target to which this VM may or can open no connection
+// for another VM.
+var errTunnelDenied = errors.New("this VM does not reach the target or may send it nothing; use another VM")
+
+// DialTarget implements peer.Handler. The target gets no more through this VM than from
+// it: nothing while it leaves or rests.
+func (gateway *Gateway) DialTarget(ctx context.Context, id string) (net.Conn, error) {
+	return gateway.tunnels.dial(ctx, id)
+}
+
+func (tunnels *tunnels) dial(ctx context.Context, id string) (net.Conn, error) {
+	gateway := tunnels.gateway
+	contact, ok := gateway.newContact(id)
+	if !ok || !contact.Reached() {
+		return nil, errTunnelDenied
+	}
+	if tunnels.carried.Add(1) > maxTunnels {
+		tunnels.carried.Add(-1)
+		return nil, errTunnelDenied
+	}
+	conn, err := connection.Dialer().DialContext(ctx, "tcp", contact.Address.String())
+	if err != nil {
+		tunnels.carried.Add(-1)
+		return nil, errors.CombineErrors(errTunnelDenied, err)
+	}
+	gateway.metrics.TunnelsCarried.Add(1)
+	return &carriedConn{Conn: conn, tunnels: tunnels, contact: contact}, nil
+}
+
+// carriedConn is a connection to a target for another VM. It observes the head of the
+// target's answer.
+type carriedConn struct {
+	net.Conn
+	tunnels *tunnels
+	contact *contact
+
+	head    []byte
+	sniffed bool
+	closed  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (carriedConn *carriedConn) Read(buffer []byte) (int, error) {
+	count, err := carriedConn.Conn.Read(buffer)
+	if !carriedConn.sniffed {
+		carriedConn.sniff(buffer[:count])
+	}
+	return count, err
+}
+
+// sniff adds to the head of the answer and observes it once it is complete.
+func (carriedConn *carriedConn) sniff(text []byte) {
+	carriedConn.head = append(carriedConn.head, text...)
+	if len(carriedConn.head) > maxSniffedHead {
+		carriedConn.sniffed, carriedConn.head = true, nil
+		return
+	}
+	if !bytes.Contains(carriedConn.head, []byte("\r\n\r\n")) {
+		return
+	}
+	var response fasthttp.Response
+	if response.Header.Read(bufio.NewReaderSize(bytes.NewReader(carriedConn.head), maxSniffedHead)) == nil {
+		carriedConn.contact.observeAny(carriedConn.tunnels.gateway.TargetDialect.Head(&response))
+	}
+	carriedConn.sniffed, carriedConn.head = true, nil
+}
+
+// Close implements net.Conn.
+func (carriedConn *carriedConn) Close() error {
+	if carriedConn.closed.CompareAndSwap(false, true) {
+		carriedConn.tunnels.carried.Add(-1)
+	}
+	return carriedConn.Conn.Close()
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -53,6 +53,9 @@
 	OriginsSent     expvar.Int
 	OriginsReceived expvar.Int
 	OriginsNotSent  expvar.Int
+	Tunneled        expvar.Int // targets that are reached through other VMs
+	TunnelsOpened   expvar.Int
+	TunnelsCarried  expvar.Int
 	OriginLookups   *expvar.Map // of streams taken up, by what was known of where they began
 	ByRoute         *Rows
 	ByAccount       *Rows
@@ -119,6 +122,7 @@
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
 		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
 		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
+		{"targets_tunneled", &set.Tunneled}, {"tunnels_opened", &set.TunnelsOpened}, {"tunnels_carried", &set.TunnelsCarried},
 		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
 		{"targets_limited", &set.Limited},
 		{"parts_blocked", &set.BlockedParts},
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -30,6 +30,7 @@
 	origins    []origin.Record
 	query      origin.Query
 	answer     origin.Answer
+	dial       func(target string) (net.Conn, error)
 }
 
 func (handler *handler) HandleHeartbeat(heartbeat Heartbeat) Heartbeat {
@@ -73,6 +74,10 @@
 	return handler.answer
 }
 
+func (handler *handler) DialTarget(_ context.Context, target string) (net.Conn, error) {
+	return handler.dial(target)
+}
+
 func start(t testing.TB, handler *handler) (*Dialer, netip.AddrPort, context.CancelFunc) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,8 +2,10 @@
 //
 // VMs exchange heartbeats, lend each other tokens of the client accounts'
 // rates, notify each other of changes and of deaths of targets, send the
-// configuration to a VM that starts, and keep for each other where streams began. VMs are dialed by IP address; the
-// library's name resolution, load balancing, proxies and retries are disabled.
+// configuration to a VM that starts, keep for each other where streams began, and
+// connect each other to targets that one of them does not reach. VMs are dialed by IP
+// address; the library's name resolution, load balancing, proxies and retries are
+// disabled.
 //
 // # Usage
 //
@@ -209,6 +211,8 @@
 	RecordOrigins(records []origin.Record)
 	// FindOrigin returns what this VM knows of where a stream began.
 	FindOrigin(ctx context.Context, query origin.Query) origin.Answer
+	// DialTarget connects to a target for another VM that does not reach it.
+	DialTarget(ctx context.Context, target string) (net.Conn, error)
 }
 
 // Server serves calls from other VMs. The exported fields must be set before Run.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"time"
 
@@ -82,6 +83,9 @@
 		HasPriority: true, Priority: min(job.route.Priority, maxPriority),
 		OnData: func() { assignment.Received(time.Now()) },
 	}
+	if assignment.Through.IsValid() {
+		call.Open = func() (net.Conn, error) { return job.relay.Tunnels.Open(assignment) }
+	}
 	if job.account != nil {
 		call.Account = job.account.Name
 		if job.account.HasPriority {
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/bramleygw/bramleygw/delivery"
@@ -66,9 +67,18 @@
 	}
 }
 
+// throughText returns the address of the VM through which a target was connected to, or an
+// empty string.
+func throughText(through netip.AddrPort) string {
+	if !through.IsValid() {
+		return ""
+	}
+	return through.String()
+}
+
 func (job *job) logAttempt(assignment *roster.Assignment, err error) {
 	fields := append(job.request.resumesFields(),
 		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
-		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
+		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("through", throughText(assignment.Through)), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
 	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -37,8 +37,8 @@
 // recordDeath records a target's death in the quarantine, against the request and the
 // parts of its prompt, if the target no longer accepts connections.
 func (job *job) recordDeath(ctx context.Context, assignment *roster.Assignment, result error) {
-	if !errors.Is(result, target.ErrConnectionLost) {
-		return
+	if !errors.Is(result, target.ErrConnectionLost) || assignment.Through.IsValid() {
+		return // nothing shows whether the target died or the VM in between
 	}
 	now := time.Now()
 	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout)) == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,11 @@
 	Usable(key uint64) netip.AddrPort
 }
 
+// Tunnels connects to targets through other VMs.
+type Tunnels interface {
+	Open(assignment *roster.Assignment) (net.Conn, error)
+}
+
 // Relay serves requests. The exported fields are set before use.
 type Relay struct {
 	Bounds        settings.Bounds
@@ -91,6 +97,8 @@
 	Metrics       *metric.Set
 	Log           *event.Log
 
+	// Tunnels may be nil if the Roster is told of no tunnels.
+	Tunnels Tunnels
 	// Origins may be nil: then no VM knows the origins of streams.
 	Origins Origins
 
@@ -256,7 +264,7 @@
 	fields := append(job.fields(), event.F("request", request.ID), event.F("status", head.Status), event.F("software", assignment.Software),
 		event.F("first_ms", job.firstSentAt.Sub(request.Arrived).Milliseconds()), event.F("after_ms", now.Sub(request.Arrived).Milliseconds()),
 		event.F("estimated_wait_ms", assignment.Wait.Milliseconds()), event.F("running", head.Load.Running), event.F("waiting", head.Load.Waiting),
-		event.F("weights", head.Weights), event.F("target_weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("at_home", !assignment.Home.IsValid()), event.F("config", job.table.Version), event.F("skipped", skipped))
+		event.F("weights", head.Weights), event.F("target_weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("through", throughText(assignment.Through)), event.F("at_home", !assignment.Home.IsValid()), event.F("config", job.table.Version), event.F("skipped", skipped))
 	relay.Log.Emit(event.RequestAnswered, fields...)
 }
 
--- a/roster/availability.go
+++ b/roster/availability.go
@@ -105,6 +105,13 @@
 	return &Contact{Address: target.entry.Address, roster: roster, target: target}, true
 }
 
+// Reached reports whether this VM connects to the target directly.
+func (contact *Contact) Reached() bool {
+	contact.roster.mu.Lock()
+	defer contact.roster.mu.Unlock()
+	return !contact.target.unreachable
+}
+
 // Observe records what the answer announces. The second result reports whether the
 // target's availability changed.
 func (contact *Contact) Observe(announcement Announcement, now time.Time) (Change, bool) {
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -75,9 +75,12 @@
 	}
 	assignment := Assignment{
 		ID: best.entry.ID, Service: best.entry.Service, Address: best.entry.Address, Zone: best.entry.Zone,
-		Software: best.entry.Software, StartTime: best.entry.StartTime, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true, trialBefore: best.ejectedUntil,
+		Software: best.entry.Software, StartTime: best.entry.StartTime, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true, trialBefore: best.ejectedUntil, lastReceived: now,
 	}
 	assignment.Weights, _ = best.weights(criteria.Model)
+	if best.unreachable {
+		assignment.Through = best.through
+	}
 	assignment.RequiredWeights = criteria.RequiredWeights
 	assignment.Wait = time.Duration(best.waitMicros(now)) * time.Microsecond
 	if home != nil && home != best {
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -67,7 +67,7 @@
 		return ObstacleRemoved
 	case availability != Available:
 		return Obstacle(availability.String())
-	case target.unreachable:
+	case !target.reachable():
 		return ObstacleUnreachable
 	case target.awaitsWeights(now):
 		return ObstacleLoading
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -14,20 +14,25 @@
 }
 
 // Probes returns the targets to be probed now: those that are unreachable, those
-// that have requests in flight and have sent nothing for silenceLimit, and those
-// whose instance or weights were not the expected ones.
+// that have requests in flight and have sent nothing for silenceLimit, those
+// whose instance or weights were not the expected ones, and some that show whether this
+// VM is cut off from their service.
 func (roster *Roster) Probes(now time.Time) []Probe {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	var probes []Probe
+	confirmations := 0
 	for id, target := range roster.targets {
 		if now.Before(target.probeAt) {
 			continue
 		}
 		due, report := target.probeDue(now)
-		if !due {
+		if !due && (confirmations == confirmationProbes || !roster.confirmationDue(target, now)) {
 			continue
 		}
+		if !due {
+			confirmations++
+		}
 		target.probeAt = now.Add(probeInterval)
 		probes = append(probes, Probe{ID: id, Address: target.entry.Address, Report: report})
 		target.mismatched = false
@@ -39,8 +44,7 @@
 // target that may get nothing is only checked for the sake of the requests in flight
 // there: by a connection, on which nothing is sent.
 func (target *Target) probeDue(now time.Time) (due, report bool) {
-	running := target.inFlight > 0
-	silent := running && now.Sub(target.lastReceived) > silenceLimit
+	running, silent := target.inFlight > 0, target.silent(now)
 	if target.availability(now) != Available {
 		return silent || running && target.unreachable, false
 	}
@@ -48,6 +52,11 @@
 	return silent || target.unreachable || target.mismatched, report
 }
 
+// silent reports whether the target has requests in flight and sends nothing.
+func (target *Target) silent(now time.Time) bool {
+	return target.inFlight > 0 && now.Sub(target.lastReceived) > silenceLimit
+}
+
 // RecordProbe records a probe's result. It reports whether the result changed the
 // target from unreachable to reachable or the reverse.
 func (roster *Roster) RecordProbe(id string, reached bool, now time.Time) bool {
@@ -59,10 +68,10 @@
 	}
 	wasUnreachable := target.unreachable
 	if reached {
-		target.unreachable, target.failedProbes = false, 0
+		roster.markReached(target)
 		return wasUnreachable
 	}
-	target.markUnreachable(now)
+	roster.markUnreachable(target, now)
 	target.failedProbes++
 	backoff := minProbeBackoff << min(target.failedProbes-1, maxDoublings)
 	target.probeAt = now.Add(min(backoff, maxProbeBackoff))
@@ -82,13 +91,3 @@
 	}
 	target.pausedUntil = now
 }
-
-// markUnreachable marks a target unreachable and schedules a probe at once. It reports
-// whether the target was reachable before.
-func (target *Target) markUnreachable(now time.Time) bool {
-	if target.unreachable {
-		return false
-	}
-	target.unreachable, target.failedProbes, target.probeAt = true, 0, now
-	return true
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -90,13 +90,16 @@
 	listedSince time.Time
 	// leaving holds the newest start of each target that is known to leave.
 	leaving map[string]leavingStart
+	// lost is, by service, the number of targets that became unreachable since one was
+	// last reached.
+	lost map[string]int
 }
 
 // New returns an empty roster for a VM in the zone.
 func New(zone string) *Roster {
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
-		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{},
+		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 	}
 }
 
--- a/roster/target.go
+++ b/roster/target.go
@@ -81,14 +81,20 @@
 	// and the target had not processed, as last reported by that VM.
 	peerBacklogs map[string]backlog
 
-	// unreachable is set when this VM observed that the target accepts no
-	// connections; a successful probe or an answer clears it.
-	unreachable  bool
-	failedProbes int  // consecutive failed probes
-	mismatched   bool // its weights or its instance are not the expected ones
-	probeAt      time.Time
-	pausedUntil  time.Time // set when mismatched
-	ejectedUntil time.Time // set when too many requests failed
+	// unreachable is set when this VM observed that the target accepts no direct
+	// connections; a successful probe or an answer clears it. through is the address of
+	// a VM that reaches it meanwhile; invalid if none is known.
+	unreachable bool
+	through     netip.AddrPort
+	// tunnelAt is when a VM that reaches it may be looked for again, after
+	// tunnelSearches times.
+	tunnelAt       time.Time
+	tunnelSearches int
+	failedProbes   int  // consecutive failed probes
+	mismatched     bool // its weights or its instance are not the expected ones
+	probeAt        time.Time
+	pausedUntil    time.Time // set when mismatched
+	ejectedUntil   time.Time // set when too many requests failed
 	// failureShare is the moving average of the share of requests that failed.
 	failureShare float64
 	// lastReceived is when the target last sent a byte. It is also set at registration
@@ -205,6 +211,8 @@
 	// Weights is the version of the model's weights that the target has; 0 for
 	// plain services.
 	Weights uint64
+	// Through is the VM through which the target is connected to; invalid if directly.
+	Through netip.AddrPort
 	// RequiredWeights is the oldest version that the request allows; 0 for any.
 	RequiredWeights uint64
 	// Wait estimates how long the target processes other prompts first.
@@ -221,6 +229,9 @@
 	ended         bool
 	// trialBefore is when the next trial request was due before this one was assigned.
 	trialBefore time.Time
+	// lastReceived is when the target last sent a byte for this request, or when the
+	// request was assigned.
+	lastReceived time.Time
 }
 
 // PromptProcessed records that the target has processed the prompt.
@@ -228,7 +239,7 @@
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
 	assignment.finishPrompt()
-	assignment.target.lastReceived = now
+	assignment.received(now)
 }
 
 func (assignment *Assignment) finishPrompt() {
@@ -242,7 +253,12 @@
 func (assignment *Assignment) Received(now time.Time) {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
-	assignment.target.lastReceived = now
+	assignment.received(now)
+}
+
+// received records that the target sent a byte. The caller holds the roster's lock.
+func (assignment *Assignment) received(now time.Time) {
+	assignment.target.lastReceived, assignment.lastReceived = now, now
 }
 
 // Answered records an answer and, if hasLoad is set, its load report. It reports
@@ -251,13 +267,15 @@
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
 	target := assignment.target
-	target.lastReceived = now
+	assignment.received(now)
 	wasUnreachable := target.unreachable
-	target.unreachable, target.failedProbes = false, 0
+	if !target.through.IsValid() && !assignment.Through.IsValid() {
+		target.unreachable, target.failedProbes = false, 0
+	}
 	if hasLoad {
 		target.load, target.reportedAt, target.begunSinceReport = load, now, 0
 	}
-	return wasUnreachable
+	return wasUnreachable && !target.unreachable
 }
 
 // Succeeded records a successful request.
@@ -272,8 +290,11 @@
 func (assignment *Assignment) Failed(unreachable bool, now time.Time) bool {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
+	if unreachable && assignment.Through.IsValid() {
+		return assignment.target.loseTunnel(assignment.Through, now)
+	}
 	assignment.target.recordOutcome(true, now)
-	return unreachable && assignment.target.markUnreachable(now)
+	return unreachable && assignment.roster.markUnreachable(assignment.target, now)
 }
 
 // Usable reports whether the target may still get new requests.
@@ -283,11 +304,12 @@
 	return assignment.target.usable(now) && !now.Before(assignment.target.pausedUntil)
 }
 
-// Unreachable reports whether the target is marked unreachable.
+// Unreachable reports whether the target accepts no more connections, or not on the way
+// that this request took.
 func (assignment *Assignment) Unreachable() bool {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
-	return assignment.target.unreachable
+	return assignment.pathLost()
 }
 
 // MarkMismatched records that another target answered at the address, or that the
@@ -302,10 +324,14 @@
 	}
 }
 
-// SilentFor returns how long the target has sent nothing for any request of this VM.
+// SilentFor returns how long the target has sent nothing for any request of this VM, or,
+// if the way that this request took is lost, nothing for this request.
 func (assignment *Assignment) SilentFor(now time.Time) time.Duration {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
+	if assignment.target.through.IsValid() && assignment.pathLost() {
+		return now.Sub(assignment.lastReceived)
+	}
 	return now.Sub(assignment.target.lastReceived)
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bramleygw/bramleygw/catalog"
@@ -166,6 +168,14 @@
 	return peer.NoticeReply{}
 }
 
+// errNoTunnels is returned to VMs that ask for a connection to a target.
+var errNoTunnels = errors.New("this VM connects to no targets for other VMs")
+
+// DialTarget implements peer.Handler.
+func (router *Router) DialTarget(context.Context, string) (net.Conn, error) {
+	return nil, errNoTunnels
+}
+
 // Lend implements peer.Handler. It applies the account limits that this VM has,
 // not those in the request.
 func (router *Router) Lend(right int, share quota.Share, minTokens, want float64) quota.Grant {
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"net"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -72,6 +73,9 @@
 	// UsedSince excludes connections whose last use was before this time; zero
 	// excludes none.
 	UsedSince time.Time
+	// Open, if set, makes the connection for the call instead of a TCP connection to the
+	// target's address.
+	Open func() (net.Conn, error)
 	// SilenceDeadline, if set, returns the deadline for the next byte. It is called
 	// before the request is sent and before each read of a streamed body. The
 	// earlier of it and Deadline applies.
--- a/target/target.go
+++ b/target/target.go
@@ -107,6 +107,18 @@
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	client.closed = true
+	client.closeIdle()
+}
+
+// CloseIdle closes the idle connections; later calls open new ones.
+func (client *Client) CloseIdle() {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.closeIdle()
+}
+
+// closeIdle implements CloseIdle. The caller holds mu.
+func (client *Client) closeIdle() {
 	for _, idle := range client.idle {
 		idle.conn.Close()
 	}
@@ -115,6 +127,9 @@
 
 // acquire returns a reusable idle connection, or a new one.
 func (client *Client) acquire(call Call) *connection.Client {
+	if call.Open != nil {
+		return connection.NewOver(client.address, call.Open)
+	}
 	for !call.NewConnection {
 		idle, ok := client.pop()
 		if !ok {
@@ -242,6 +257,10 @@
 		conn.Close()
 		return head, classify(ctx, err, reused, false)
 	}
+	if call.Open != nil {
+		conn.Close() // the next call may not need the way that Open took
+		return head, nil
+	}
 	client.release(conn, head.KeepAliveUntil)
 	return head, nil
 }
