Do not count a connection that a cut broke as the death of its target

Requests and parts of prompts that were in flight at several such faults would be refused on all VMs. Seen in logs; no sound request was refused for it.

A death is now counted only if neither this VM nor one of two others, one of its availability zone and one of another, connects to the target. Targets that crash are back after seconds, far later.

--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
@@ -82,11 +83,39 @@
 	return true
 }
 
+// Reached implements relay.Tunnels. It asks one VM of the own availability zone and one of
+// another at the same time.
+func (tunnels *tunnels) Reached(ctx context.Context, id string) bool {
+	near, far := tunnels.neighbors(time.Now())
+	group, ctx := errgroup.WithContext(ctx)
+	for _, vms := range [][]membership.Peer{near, far} {
+		if len(vms) == 0 {
+			continue
+		}
+		group.Go(func() error {
+			if tunnels.reaches(ctx, vms[rand.IntN(len(vms))].Address, id) {
+				return errReached
+			}
+			return nil
+		})
+	}
+	return errors.Is(group.Wait(), errReached)
+}
+
+// errReached ends the questions of Reached.
+var errReached = errors.New("a VM reaches the target")
+
 // candidates returns some VMs that may reach targets: first VMs of the own availability
 // zone, then others, which may reach them if the whole zone does not.
 func (tunnels *tunnels) candidates(now time.Time) []membership.Peer {
+	near, far := tunnels.neighbors(now)
+	return append(sample(near), sample(far)...)
+}
+
+// neighbors returns the VMs of the own availability zone that are alive, and those of the
+// other ones.
+func (tunnels *tunnels) neighbors(now time.Time) (near, far []membership.Peer) {
 	members := tunnels.gateway.members
-	var near, far []membership.Peer
 	for _, vm := range members.LivePeers(now) {
 		if vm.Zone == members.Zone {
 			near = append(near, vm)
@@ -97,7 +126,7 @@
 			far = append(far, vm)
 		}
 	}
-	return append(sample(near), sample(far)...)
+	return near, far
 }
 
 // sample returns up to tunnelAttempts of the VMs in random order.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -35,7 +35,7 @@
 }
 
 // recordDeath records a target's death in the quarantine, against the request and the
-// parts of its prompt, if the target no longer accepts connections.
+// parts of its prompt, if the target accepts connections neither of this VM nor of others.
 func (job *job) recordDeath(ctx context.Context, assignment *roster.Assignment, result error) {
 	if !errors.Is(result, target.ErrConnectionLost) || assignment.Through.IsValid() {
 		return // nothing shows whether the target died or the VM in between
@@ -44,6 +44,9 @@
 	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout)) == nil {
 		return
 	}
+	if job.relay.Tunnels != nil && job.relay.Tunnels.Reached(ctx, assignment.ID) {
+		return // the target lives; this VM is cut off from it
+	}
 	job.attempt.died = true
 	job.relay.Metrics.TargetDeaths.Add(1)
 	death := Death{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,6 +80,8 @@
 // Tunnels connects to targets through other VMs.
 type Tunnels interface {
 	Open(assignment *roster.Assignment) (net.Conn, error)
+	// Reached reports whether one of a few other VMs connects to the target.
+	Reached(ctx context.Context, id string) bool
 }
 
 // Relay serves requests. The exported fields are set before use.
--- a/roster/path.go
+++ b/roster/path.go
@@ -59,13 +59,6 @@
 	return true
 }
 
-// Isolated reports whether this VM seems to be cut off from the service.
-func (roster *Roster) Isolated(service string) bool {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	return roster.isolated(service)
-}
-
 // confirmationDue reports whether a target that nothing else is known of should be probed
 // because others of its service became unreachable.
 func (roster *Roster) confirmationDue(target *Target, now time.Time) bool {
