Do not serve prompts before the named weights are known

A VM that started took requests for models to targets with any weights while its list of the named weights had not come, for example because the store turned that one call away: configurations, registrations and named weights are listed apart, readiness asked for the first two alone, and no version was required of a target meanwhile.

A VM now knows the named weights once it has listed them or fetched those of another VM. Before, it is not ready and refuses requests with a prompt as not run, with Retry-After. A heartbeat tells of recent namings alone and is not enough. So that a VM that starts in an outage of the store becomes ready where no weights are named, the positions in heartbeats now name a collection that was listed and is empty, with version 0; a VM that learns this so passes it on. VMs of the version before do not send it: during an update in an outage, with no weights named, a new VM stays not ready until the store answers.

TestVMIsNotReadyBeforeNamedWeightsAreListed failed before: got a ready VM that requires version 0 of targets, want one that is not ready or requires 2. New besides: TestVMLearnsNamedWeightsFromAnotherVMWithoutStore, TestHeartbeatOfRecentNamingDoesNot- MakeWeightsKnown, TestRequestForModelIsRefusedUntilNamedWeightsAreKnown. go test ./platform ./gateway ./relay ./mirror and make lint pass.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -316,6 +316,7 @@
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
 	gateway.mergeTargetLimits(heartbeat.TargetLimits, now)
+	gateway.mergeEmpty(heartbeat.Positions)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
 		case gateway.fetchAddresses <- heartbeat.Address:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,10 +230,10 @@
 	return listener, nil
 }
 
-// Ready reports whether the VM can serve: it is not draining and has at least one
-// configuration and one target.
+// Ready reports whether the VM can serve: it is not draining, knows the named weights and
+// has at least one configuration and one target.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.roster.Size() > 0
+	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.roster.Size() > 0
 }
 
 // Run serves until the context ends, then stops gracefully: readiness checks fail
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -4,10 +4,13 @@
 	"context"
 	"expvar"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/mirror"
 	"github.com/bramleygw/bramleygw/objects"
@@ -131,7 +134,10 @@
 	gateway.recordStoreAnswer()
 	_, listedBefore := gateway.mirror.SyncedVersion(collection)
 	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), sourceList, gateway.namedAt(collection))
-	if collection == objects.Targets {
+	switch collection {
+	case objects.Weights:
+		gateway.weights.known.Store(true)
+	case objects.Targets:
 		gateway.roster.RecordList(gateway.completeSince(listedBefore))
 	}
 	return nil
@@ -319,6 +325,19 @@
 	gateway.Log.Emit(event.WeightsNamed, fields...)
 }
 
+// mergeEmpty records which collections had no object on another VM that listed them.
+func (gateway *Gateway) mergeEmpty(positions []objects.Position) {
+	for _, position := range positions {
+		if position.Version > 0 {
+			continue
+		}
+		gateway.mirror.RecordEmpty(position.Collection)
+		if position.Collection == objects.Weights {
+			gateway.weights.known.Store(true)
+		}
+	}
+}
+
 // runFetches fetches changes from other VMs that hold newer objects.
 func (gateway *Gateway) runFetches(ctx context.Context) error {
 	for {
@@ -340,5 +359,19 @@
 	}
 	changes := gateway.mirror.Merge(fetched)
 	gateway.Log.Emit(event.ConfigFromPeer, event.F("version", uint64(version)), event.F("from", address.String()), event.F("changes", len(changes)))
+	gateway.applyFetched(fetched, changes)
+}
+
+// applyFetched puts changes into effect that were made by objects fetched from another VM.
+// These are all that this VM lacked of their collections.
+func (gateway *Gateway) applyFetched(fetched []catalog.Object, changes []mirror.Change) {
 	gateway.applyChanges(changes, sourceVM, time.Time{}) // heartbeats tell when weights were named
+	// Objects that another call is about to put into effect make no change.
+	named := slices.ContainsFunc(changes, func(change mirror.Change) bool { return change.Collection == objects.Weights })
+	removed := slices.ContainsFunc(fetched, func(object catalog.Object) bool {
+		return object.Deleted && strings.HasPrefix(object.ID, string(objects.Weights)+"/")
+	})
+	if named || removed {
+		gateway.weights.known.Store(true)
+	}
 }
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleygw/bramleygw/rollout"
@@ -28,6 +29,8 @@
 	// contact was longer than maxContactGap since contactSince.
 	contactAt    time.Time
 	contactSince time.Time
+	// known is set once a complete list was received.
+	known atomic.Bool
 }
 
 func newNamedWeights() *namedWeights {
@@ -125,6 +128,11 @@
 	return recent
 }
 
+// Known implements relay.Weights.
+func (namedWeights *namedWeights) Known() bool {
+	return namedWeights.known.Load()
+}
+
 // Named implements relay.Weights. A version that was named at an unknown time counts as
 // named before any time, so that it is required at once.
 func (namedWeights *namedWeights) Named(model string, at time.Time) uint64 {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,6 +42,7 @@
 	syncedVersion objects.Version   // all changes up to it are known
 	newestVersion objects.Version   // of the newest known change
 	listed        bool              // a complete list was received
+	empty         bool              // another VM reported that it has had no object
 }
 
 // maxRemovals is the maximum number of removed entries kept per collection.
@@ -78,13 +79,11 @@
 	return collection.syncedVersion, collection.listed
 }
 
-// HasData reports whether the mirror has received a list or any object of a collection,
-// from the platform or from another VM.
-func (mirror *Mirror) HasData(name objects.Collection) bool {
+// RecordEmpty records that another VM knows of no object of a collection that was listed.
+func (mirror *Mirror) RecordEmpty(name objects.Collection) {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
-	collection := mirror.collection(name)
-	return collection.listed || len(collection.entries) > 0
+	mirror.collection(name).empty = true
 }
 
 // NewestVersion returns the version of the newest known change.
@@ -190,15 +189,15 @@
 	return changes
 }
 
-// Positions returns the version of the newest known change of each collection. Each
-// collection has its own position because changes of one may arrive before earlier
-// changes of another.
+// Positions returns the version of the newest known change of each collection, 0 of one
+// that is known to have had no object. Each collection has its own position because changes
+// of one may arrive before earlier changes of another.
 func (mirror *Mirror) Positions() []objects.Position {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	var positions []objects.Position
 	for name, collection := range mirror.collections {
-		if collection.newestVersion > 0 {
+		if collection.newestVersion > 0 || collection.listed || collection.empty {
 			positions = append(positions, objects.Position{Collection: name, Version: collection.newestVersion})
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,8 @@
 	// Named returns the newest version of a model that was known at a time, or 0 if
 	// there was none.
 	Named(model string, at time.Time) uint64
+	// Known reports whether all versions named so far have been received, at least once.
+	Known() bool
 }
 
 // Death is the death of a target with a request in flight.
@@ -214,6 +216,9 @@
 	if err := relay.checkQuarantine(job); err != nil {
 		return job, err
 	}
+	if request.Prompt != nil && !relay.Weights.Known() {
+		return job, refusal.New(refusal.NotReady, "this VM does not know the named weights yet; retry after the time in Retry-After").WithRetryAt(request.Arrived.Add(delivery.RetryAfter))
+	}
 	return job, relay.checkLimit(job)
 }
 
