Keep expired registrations on a VM that started in the outage

A VM that starts while the store is down gets the registrations from another VM. When the store answered again, it dropped targets whose registrations had expired in the outage at once, though they have 2 s to register again, and had fewer targets than the other VMs. It had no answer before the outage and reported it as beginning at the zero time, which the roster took for no outage.

The roster now holds apart whether the store is away and since when; an outage whose beginning this VM has not seen counts as long.

TestVMStartedInOutageKeepsExpiredRegistrations failed before in the case "VM starts in the outage": got 0 targets 2 s after the outage, want 1.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -76,8 +76,9 @@
 	mu       sync.Mutex // guards the fields below and all targets
 	targets  map[string]*Target
 	services map[string][]*Target
-	// platformDownSince is when the platform last answered before the current
-	// outage; zero while it answers.
+	// platformDown is set while the platform does not answer. platformDownSince is when
+	// it last did; zero if it has not answered this VM yet.
+	platformDown      bool
 	platformDownSince time.Time
 	// reregisterUntil is the time before which a removed registration is treated as
 	// expired rather than removed.
@@ -103,12 +104,13 @@
 	}
 }
 
-// PlatformDown records that the platform does not answer; since is when it last did.
+// PlatformDown records that the platform does not answer; since is when it last did. It
+// is zero if it has not answered this VM yet, so that the outage may be of any length.
 func (roster *Roster) PlatformDown(since time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	if roster.platformDownSince.IsZero() {
-		roster.platformDownSince = since
+	if !roster.platformDown {
+		roster.platformDown, roster.platformDownSince = true, since
 	}
 }
 
@@ -116,13 +118,13 @@
 func (roster *Roster) PlatformUp(now time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	if !roster.platformDownSince.IsZero() && !roster.listedSince.IsZero() {
+	if roster.platformDown && !roster.listedSince.IsZero() {
 		roster.listedSince = now // changes may have been missed
 	}
-	if !roster.platformDownSince.IsZero() && now.Sub(roster.platformDownSince) > minOutage {
+	if roster.platformDown && now.Sub(roster.platformDownSince) > minOutage {
 		roster.reregisterUntil = now.Add(reregisterGrace)
 	}
-	roster.platformDownSince = time.Time{}
+	roster.platformDown = false
 }
 
 // Replace replaces all registrations with the complete list.
--- a/roster/software.go
+++ b/roster/software.go
@@ -56,7 +56,7 @@
 func (roster *Roster) WatchedSince() (time.Time, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	return roster.listedSince, !roster.listedSince.IsZero() && roster.platformDownSince.IsZero()
+	return roster.listedSince, !roster.listedSince.IsZero() && !roster.platformDown
 }
 
 // Several reports whether more than one software version of a service was listed
