Do not count a VM without an answer of the store as one that reaches it

A VM that starts while the store is slow or hangs, and has had neither an answer nor two failures, reported that the store answers it. The VMs that rank after it then left it its head start for the lease of the roll, 0.7 s for each such VM, though it could not take the lease.

A VM that has had no answer now reports the longest age, as it did from the second failure on.

TestVMWithoutAnswerOfStoreDoesNotRankFirst failed before: got rank 1, want 0. The VMs of the large fleet in zones_test.go, which have no store, now record an answer when they receive the list of VMs: TestRanksAlternateBetweenZones is about VMs that reach the store. Its assertions are unchanged.

--- a/gateway/outage_start_test.go
+++ b/gateway/outage_start_test.go
@@ -52,3 +52,29 @@
 		})
 	}
 }
+
+// Guards against weights that are rolled late: a VM that the store has not answered yet
+// does not count as one that may take the lease at once.
+func TestVMWithoutAnswerOfStoreDoesNotRankFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Configs, 1)
+		second := startVM(ctx, "vm-0", store)
+		sleep(time.Second)
+		const latency = 5 * time.Second // of the store's first answer, longer than heartbeats take
+		store.mu.Lock()
+		store.latency = latency
+		store.mu.Unlock()
+		first := startVM(ctx, "vm-1", store) // ranks before vm-0
+		for _, want := range []int{0, 1} {
+			second.HandleHeartbeat(first.newHeartbeat(""))
+			if got := second.rank(time.Now()); got != want {
+				t.Errorf("got rank %d, want %d", got, want)
+			}
+			sleep(latency + time.Second)
+			synctest.Wait()
+		}
+	})
+}
--- a/gateway/store_health.go
+++ b/gateway/store_health.go
@@ -69,11 +69,12 @@
 	return storeHealth.lastAnswer, storeHealth.failures == failuresToUnavailable
 }
 
-// answerAge returns how long ago the store last answered; zero while it is available.
+// answerAge returns how long ago the store last answered; zero while it is available. It is
+// the longest possible time if the store has not answered this VM yet.
 func (storeHealth *storeHealth) answerAge(now time.Time) time.Duration {
 	storeHealth.mu.Lock()
 	defer storeHealth.mu.Unlock()
-	if storeHealth.failures < failuresToUnavailable {
+	if storeHealth.failures < failuresToUnavailable && !storeHealth.lastAnswer.IsZero() {
 		return 0
 	}
 	return now.Sub(storeHealth.lastAnswer)
--- a/gateway/zones_test.go
+++ b/gateway/zones_test.go
@@ -69,6 +69,7 @@
 		gateway := fleet.vms[address]
 		gateway.members.UpdateList(fleet.listed, time.Now())
 		gateway.vmsListed.Store(true)
+		gateway.storeHealth.recordAnswer(time.Now())
 	}
 }
 
