Count a takeover from the answer that showed the lease, not from the question

Callers' targets could see orders of two holders closer together than the platform's bound, and the holder of a plan's lease could meet a second one: a VM that reads the lease took the time before the read as the time since which it had been unchanged. If the holder renews while the read is on its way, the version read is younger than that.

Evidence: TestSlowReadDoesNotShortenTakeover (virtual time, a read of 4 s) failed: "got the lease taken over 3.501s after its renewal, want at least 7.5s", and passes now.

The time after the answer is never earlier than the write that the answer shows, so the takeover can only come later than before, by the time that one read takes.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -127,7 +127,8 @@
 // released, expired or held by an earlier process of the same holder.
 func (lease *Lease) writeIfAllowed(ctx context.Context, version objects.Version, spec Spec, requestedAt time.Time) bool {
 	if version != lease.observed {
-		lease.observed, lease.observedAt = version, requestedAt
+		// Not requestedAt: the object may have been written while the call was in progress.
+		lease.observed, lease.observedAt = version, time.Now()
 	}
 	switch {
 	case spec.Holder == lease.holder && spec.Boot == lease.Boot:
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -20,6 +20,8 @@
 	// a reply.
 	down      bool
 	loseReply bool
+	// readDelay is how long a read takes to reach the platform.
+	readDelay time.Duration
 }
 
 func (store *store) object() objects.Object {
@@ -27,6 +29,10 @@
 }
 
 func (store *store) Get(context.Context, objects.Collection, string) (objects.Object, error) {
+	store.mu.Lock()
+	readDelay := store.readDelay
+	store.mu.Unlock()
+	<-time.After(readDelay)
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	if store.down {
@@ -158,3 +164,32 @@
 		}
 	})
 }
+
+// Guards against two holders: the lease is renewed while another VM's read of it is in
+// progress, so that the version read is younger than the read.
+func TestSlowReadDoesNotShortenTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &store{}
+		first, second := New(store, "plans", "vm-1/a"), New(store, "plans", "vm-2/b")
+		first.AcquireOrRenew(t.Context())
+		const readDelay = 4 * time.Second
+		store.readDelay = readDelay
+		done := make(chan bool)
+		go func() { done <- second.AcquireOrRenew(t.Context()) }()
+		<-time.After(readDelay - time.Millisecond)
+		renewedAt := time.Now()
+		if !first.Renew(t.Context()) {
+			t.Fatal("got the renewal refused, want it confirmed")
+		}
+		if <-done {
+			t.Fatal("got the lease taken over at the first read, want it left to its holder")
+		}
+		store.readDelay = 0
+		for !second.AcquireOrRenew(t.Context()) {
+			<-time.After(10 * time.Millisecond)
+		}
+		if got, want := time.Since(renewedAt), time.Duration(second.TakeoverDelay); got < want {
+			t.Errorf("got the lease taken over %v after its renewal, want at least %v", got, want)
+		}
+	})
+}
