Take the lease of orders over as soon as its bound since the last renewal allows

Cause: a VM looks at the lease only once there is something to order and no target has changed for 0.7 s for each rank, and waited the platform's bound and 0.4 s (3.4 s) from its first look, whenever the lease had been renewed. Class: the time of an event is taken to be the time at which it was noticed.

Change: each VM keeps the newest write of the lease that it or another VM knows, with a time at which the object had that version already. The holder tells it in the notice that goes out with each order, all VMs in heartbeats, as an age. The delay is counted from there. A message that is late makes the write appear younger, so no takeover comes within the bound; the write is still conditional on the version read. Before, all VMs looked every 0.4 s while they waited; now a VM looks once when the roll has stalled (a renewal whose answer was lost is known to no VM), and again when the lease is free. The last holder keeps its head start only while its heartbeats say that it reaches the store.

Evidence: TestLeaseIsTakenOverOnceBoundAllowsIt (virtual time, 2, 6 and 30 VMs).

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -277,7 +277,7 @@
 		Name: gateway.Settings.Name, Boot: gateway.bootID, Address: gateway.Settings.Peer,
 		Version: gateway.mirror.NewestVersion(), PlatformAge: gateway.storeHealth.answerAge(now),
 		Positions: gateway.mirror.Positions(), Zone: gateway.members.Zone,
-		Uptime: now.Sub(gateway.started),
+		Uptime: now.Sub(gateway.started), OrdersLease: gateway.leaseWrite(now),
 	}
 	for _, named := range gateway.weights.recent(now.Add(-namedWeightsSendTime)) {
 		heartbeat.NamedWeights = append(heartbeat.NamedWeights, peer.NamedWeights{Model: named.Model, Version: named.Version, Age: now.Sub(named.Learned)})
@@ -313,6 +313,7 @@
 	for _, named := range heartbeat.NamedWeights {
 		gateway.addNamedWeights(named.Model, named.Version, sourceVM, now.Add(-named.Age))
 	}
+	gateway.mergeLeaseWrite(heartbeat.OrdersLease, now)
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
 	gateway.mergeTargetLimits(heartbeat.TargetLimits, now)
@@ -367,6 +368,7 @@
 		go gateway.runRelay(notice)
 	}
 	now := time.Now()
+	gateway.mergeLeaseWrite(notice.OrdersLease, now)
 	for _, charge := range notice.Charges {
 		gateway.suspects.RecordDeath(quarantine.Digest(charge.Digest), charge.Death, now)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	mirror      *mirror.Mirror
 	roster      *roster.Roster
 	weights     *namedWeights
+	ordersLease *lease.Lease
 	limits      *quota.Limiter
 	members     *membership.Table
 	zones       *zoneTable
@@ -157,6 +158,7 @@
 	gateway.mirror = mirror.New()
 	gateway.roster = roster.New(vm.AvailabilityZone)
 	gateway.weights = newNamedWeights()
+	gateway.ordersLease = gateway.newOrdersLease()
 	gateway.limits = quota.NewLimiter(vm.Name, assumedVMs)
 	gateway.limits.Slack = quota.Slack{
 		Overage: vm.Bounds.LimitOverage, WindowSeconds: time.Duration(vm.Bounds.LimitWindow).Seconds(), Tokens: vm.Bounds.LimitReserve,
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -7,12 +7,10 @@
 
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/lease"
-	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/prefix"
 	"github.com/bramleygw/bramleygw/rollout"
-	"github.com/bramleygw/bramleygw/settings"
 )
 
 const (
@@ -28,15 +26,6 @@
 	leaseName = "orders"
 	// orderWindow is how long after a lease renewal orders may be sent.
 	orderWindow = 300 * time.Millisecond
-	// takeoverMargin is added to the platform's lease bound: the lease must have been
-	// unchanged for the sum of both before another VM may take it over.
-	takeoverMargin = orderWindow + 100*time.Millisecond
-	// leaseAttemptInterval is the minimum time between two attempts to acquire a lease
-	// that another VM holds.
-	leaseAttemptInterval = 400 * time.Millisecond
-	// rankDelay is the head start in acquiring the lease that each VM gives to the one
-	// ranked before it.
-	rankDelay = 700 * time.Millisecond
 )
 
 // rollLoop is the state of the loop that rolls weights.
@@ -45,7 +34,7 @@
 	lease           *lease.Lease
 	roll            *rollout.Roll
 	leaseHeld       bool // as of the last attempt or order; the lease may have expired since
-	lastAttempt     time.Time
+	takeover        takeover
 	outdated        int       // number of targets that lack named weights
 	outdatedChanged time.Time // when outdated last changed
 	// inFlight holds the targets with a poll or an order in flight.
@@ -62,12 +51,8 @@
 
 // runRoll brings targets to the weights that operators named.
 func (gateway *Gateway) runRoll(ctx context.Context) error {
-	rollLoop := &rollLoop{gateway: gateway, roll: rollout.New(), inFlight: map[string]bool{}, results: make(chan callResult)}
+	rollLoop := &rollLoop{gateway: gateway, lease: gateway.ordersLease, roll: rollout.New(), inFlight: map[string]bool{}, results: make(chan callResult)}
 	rollLoop.roll.Grace = gateway.Settings.Bounds.WeightsGrace
-	rollLoop.lease = lease.New(gateway.Store, leaseName, gateway.Settings.Name+"@"+gateway.Settings.Peer.Addr().String())
-	rollLoop.lease.Boot = gateway.bootID
-	rollLoop.lease.ValidFor = settings.Span(orderWindow)
-	rollLoop.lease.TakeoverDelay = gateway.Settings.Bounds.TakeoverDelay + settings.Span(takeoverMargin)
 	for ctx.Err() == nil {
 		named, changed := gateway.weights.newest()
 		if rollLoop.advance(ctx, named) {
@@ -127,13 +112,12 @@
 	if rollLoop.leaseHeld {
 		return true // the lease is renewed before each batch of orders
 	}
-	waited := now.Sub(rollLoop.outdatedChanged)
-	if waited < time.Duration(rollLoop.gateway.rank(now))*rankDelay || now.Sub(rollLoop.lastAttempt) < leaseAttemptInterval {
+	if !rollLoop.takeover.due(rollLoop.gateway.contest(rollLoop.outdatedChanged, now), now) {
 		return false
 	}
-	rollLoop.lastAttempt = now
 	rollLoop.gateway.countStoreCall("try", objects.Leases)
 	rollLoop.leaseHeld = rollLoop.lease.AcquireOrRenew(ctx)
+	rollLoop.takeover.lastAttempt = time.Now()
 	if rollLoop.leaseHeld {
 		rollLoop.gateway.metrics.HoldsLease.Set(1)
 		rollLoop.gateway.Log.Emit(event.LeaseTaken, event.F("token", rollLoop.lease.Token()))
@@ -149,8 +133,7 @@
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
 	rank := 0
 	for _, view := range gateway.members.Views(now) {
-		alive := view.HeartbeatAgeMS >= 0 && view.HeartbeatAgeMS < membership.LivenessTimeout.Milliseconds() && view.PlatformAgeMS == 0
-		if alive && (!hierarchical || view.AvailabilityZone == gateway.members.Zone) && ranksBefore(view.Name, gateway.Settings.Name) {
+		if reachesStore(view) && (!hierarchical || view.AvailabilityZone == gateway.members.Zone) && ranksBefore(view.Name, gateway.Settings.Name) {
 			rank++
 		}
 	}
@@ -251,7 +234,7 @@
 		gateway.roster.BeginRollout(step.Target, step.Model, step.Version, time.Now().Add(rollingTime))
 		updates = append(updates, peer.TargetUpdate{Target: step.Target, Model: step.Model, Weights: step.Version, Rolling: true})
 	}
-	go gateway.runNotify(ctx, peer.Notice{Targets: updates})
+	go gateway.runNotify(ctx, peer.Notice{Targets: updates, OrdersLease: gateway.leaseWrite(time.Now())})
 	return true
 }
 
--- /dev/null
+++ b/gateway/takeover_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/settings"
+)
+
+// leaseStore holds the lease of orders.
+type leaseStore struct {
+	Store // methods that these tests do not call
+
+	version objects.Version
+	spec    json.RawMessage
+	calls   int
+	// loseAnswer makes the next write take effect without an answer.
+	loseAnswer bool
+}
+
+func (leaseStore *leaseStore) object() objects.Object {
+	return objects.Object{Metadata: objects.Metadata{ResourceVersion: leaseStore.version}, Spec: leaseStore.spec}
+}
+
+func (leaseStore *leaseStore) Get(context.Context, objects.Collection, string) (objects.Object, error) {
+	leaseStore.calls++
+	if leaseStore.version == 0 {
+		return objects.Object{}, objects.ErrNotFound
+	}
+	return leaseStore.object(), nil
+}
+
+func (leaseStore *leaseStore) Create(ctx context.Context, collection objects.Collection, name string, spec any) (objects.Object, error) {
+	return leaseStore.Update(ctx, collection, name, 0, spec)
+}
+
+func (leaseStore *leaseStore) Update(_ context.Context, _ objects.Collection, _ string, version objects.Version, spec any) (objects.Object, error) {
+	leaseStore.calls++
+	if version != leaseStore.version {
+		return objects.Object{}, objects.ErrConflict
+	}
+	leaseStore.version++
+	leaseStore.spec, _ = json.Marshal(spec) // encoding it cannot fail
+	if leaseStore.loseAnswer {
+		leaseStore.loseAnswer = false
+		return objects.Object{}, objects.ErrUnknown
+	}
+	return leaseStore.object(), nil
+}
+
+// takeoverFleet is a fleet with targets that lack weights. The first VM of the fleet
+// that acquired the lease is its holder.
+type takeoverFleet struct {
+	*largeFleet
+	store  *leaseStore
+	loops  []*rollLoop
+	holder *rollLoop
+	// heartbeatsAt is when the next heartbeats are exchanged.
+	heartbeatsAt time.Time
+}
+
+func newTakeoverFleet(vms, zones int) *takeoverFleet {
+	bounds := settings.Bounds{TakeoverDelay: settings.Span(3 * time.Second)}
+	fleet := &takeoverFleet{largeFleet: newBoundedFleet(vms, zones, bounds), store: &leaseStore{}, heartbeatsAt: time.Now()}
+	for _, address := range fleet.addresses {
+		gateway := fleet.vms[address]
+		gateway.Store = fleet.store
+		gateway.build()
+		gateway.members.UpdateList(fleet.listed, time.Now())
+		fleet.loops = append(fleet.loops, &rollLoop{gateway: gateway, lease: gateway.ordersLease})
+	}
+	return fleet
+}
+
+// step runs the steps of all rolls that are due, and the heartbeats. Targets have lacked
+// weights from the given time on. It returns a VM that acquired the lease, or nil.
+func (fleet *takeoverFleet) step(ctx context.Context, since time.Time) *rollLoop {
+	now := time.Now()
+	if !now.Before(fleet.heartbeatsAt) {
+		fleet.exchangeHeartbeats()
+		fleet.heartbeatsAt = now.Add(heartbeatInterval)
+	}
+	var acquired *rollLoop
+	defer sleep(rollInterval)
+	if since.After(now) {
+		return nil
+	}
+	for _, rollLoop := range fleet.loops {
+		rollLoop.outdatedChanged = since
+		held := rollLoop.leaseHeld
+		if !fleet.down[rollLoop.gateway.Settings.Peer] && rollLoop.ensureLease(ctx, now) && !held {
+			acquired = rollLoop
+		}
+	}
+	return acquired
+}
+
+// order makes the holder renew the lease as before an order, and notifies the other VMs.
+func (fleet *takeoverFleet) order(ctx context.Context) {
+	if !fleet.holder.lease.Renew(ctx) {
+		return
+	}
+	for _, gateway := range fleet.vms {
+		gateway.HandleNotice(peer.Notice{OrdersLease: fleet.holder.gateway.leaseWrite(time.Now())})
+	}
+}
+
+// Guards against rolls that stand still: the holder of the lease fails, and another VM
+// gives orders as soon as the platform's bound since the last possible order allows it.
+func TestLeaseIsTakenOverOnceBoundAllowsIt(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, test := range []struct {
+		name        string
+		failsAfter  time.Duration // from the holder's last order to its failure
+		lackFrom    time.Duration // from that order to the time from which a target lacks weights
+		loseAnswer  bool          // of a renewal after the last order
+		notNotified bool          // the last order's notice reaches no VM
+		want        time.Duration // from that order to the takeover, without the delay of one rank
+	}{
+		{name: "holder fails during a roll", failsAfter: 260 * time.Millisecond, want: bound + takeoverMargin},
+		{name: "holder fails before target lacks weights", failsAfter: 8 * time.Second, lackFrom: 8 * time.Second, want: 8*time.Second + rankDelay},
+		{name: "target lacks weights while holder is down", failsAfter: 8 * time.Second, lackFrom: 10 * time.Second, want: 10 * time.Second},
+		{name: "notice is lost", failsAfter: 350 * time.Millisecond, notNotified: true, want: bound + takeoverMargin},
+		{name: "answer to renewal is lost", failsAfter: 260 * time.Millisecond, loseAnswer: true, want: bound + takeoverMargin + rankDelay},
+	} {
+		for _, size := range [][2]int{{2, 1}, {6, 3}, {30, 3}} {
+			t.Run(fmt.Sprint(test.name, "/", size[0]), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newTakeoverFleet(size[0], size[1])
+					fleet.run(3 * time.Second)
+					fleet.heartbeatsAt = time.Now()
+					for since := time.Now(); fleet.holder == nil; {
+						fleet.holder = fleet.step(t.Context(), since)
+					}
+					if test.notNotified {
+						fleet.holder.lease.Renew(t.Context())
+					} else {
+						fleet.order(t.Context())
+					}
+					orderedAt := time.Now()
+					if test.loseAnswer {
+						fleet.store.loseAnswer = true
+						fleet.holder.lease.Renew(t.Context())
+					}
+					calls := fleet.store.calls
+					var acquired *rollLoop
+					for acquired == nil && time.Since(orderedAt) < 20*time.Second {
+						if time.Since(orderedAt) >= test.failsAfter {
+							fleet.down[fleet.holder.gateway.Settings.Peer] = true
+						}
+						acquired = fleet.step(t.Context(), orderedAt.Add(test.lackFrom))
+					}
+					got := time.Since(orderedAt) - rollInterval
+					const slack = 2 * rollInterval
+					if got < bound+takeoverMargin-slack || got > test.want+rankDelay+slack {
+						t.Errorf("got the lease taken over after %v, want at least %v and not long after %v", got, bound+takeoverMargin, test.want)
+					}
+					if got := fleet.store.calls - calls; got > 10 {
+						t.Errorf("got %d calls to the store, want 10 at most", got)
+					}
+				})
+			})
+		}
+	}
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,9 @@
 // therefore only need to run at about the same rate. Each acquisition increases the
 // fencing token.
 //
+// VMs may tell each other which version of the object they know and for how long, so
+// that the time for which it was unchanged includes the time before a VM's first look.
+//
 // # Usage
 //
 //	lease := lease.New(platformClient, "plans", "vm-1/3f")
@@ -20,6 +23,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +62,17 @@
 	Renewals uint64 `json:"renewals"`
 }
 
-// Lease is one VM's view of a lease. It is not safe for concurrent use.
+// Observation is a version of the lease's object that a VM knows.
+type Observation struct {
+	Version objects.Version
+	// Holder is the holder according to that version; empty after a release.
+	Holder string
+	// At is a time at which the object had the version already.
+	At time.Time
+}
+
+// Lease is one VM's view of a lease. Only Observe and Observed are safe for concurrent
+// use.
 type Lease struct {
 	// ValidFor is how long after a renewal orders may be sent, and TakeoverDelay how
 	// long the object must have been unchanged before another holder may take the
@@ -74,12 +88,13 @@
 	name    string
 	holder  string
 
-	deadline   time.Time // when this holder must have stopped; zero when not held
-	token      uint64
-	written    objects.Version // version of this holder's last write; 0 when unknown
-	renewals   uint64
-	observed   objects.Version // version last read
-	observedAt time.Time       // when the observed version was first read
+	deadline time.Time // when this holder must have stopped; zero when not held
+	token    uint64
+	written  objects.Version // version of this holder's last write; 0 when unknown
+	renewals uint64
+
+	mu       sync.Mutex // guards observed
+	observed Observation
 }
 
 // New returns a Lease with the given name for a holder. It does not acquire it.
@@ -103,6 +118,26 @@
 	return lease.token
 }
 
+// Observe records a version of the object that this VM or another one knows, and returns
+// the newest known one with the earliest time.
+func (lease *Lease) Observe(observation Observation) Observation {
+	lease.mu.Lock()
+	defer lease.mu.Unlock()
+	newer := observation.Version > lease.observed.Version
+	if newer || observation.Version == lease.observed.Version && observation.At.Before(lease.observed.At) {
+		lease.observed = observation
+	}
+	return lease.observed
+}
+
+// Observed returns the newest version of the object that is known here. Its version is 0
+// if none is.
+func (lease *Lease) Observed() Observation {
+	lease.mu.Lock()
+	defer lease.mu.Unlock()
+	return lease.observed
+}
+
 // AcquireOrRenew acquires or renews the lease and returns whether it is held.
 func (lease *Lease) AcquireOrRenew(ctx context.Context) bool {
 	requestedAt := time.Now()
@@ -126,15 +161,14 @@
 // the spec that were read: it renews its own lease and acquires one that is
 // released, expired or held by an earlier process of the same holder.
 func (lease *Lease) writeIfAllowed(ctx context.Context, version objects.Version, spec Spec, requestedAt time.Time) bool {
-	if version != lease.observed {
-		// Not requestedAt: the object may have been written while the call was in progress.
-		lease.observed, lease.observedAt = version, time.Now()
-	}
+	// The time after the answer, because the object may have been written while the
+	// call was in progress.
+	known := lease.Observe(Observation{Version: version, Holder: spec.Holder, At: time.Now()})
 	switch {
 	case spec.Holder == lease.holder && spec.Boot == lease.Boot:
 	case spec.Holder == lease.holder || spec.Holder == "":
 		spec = Spec{Holder: lease.holder, Token: spec.Token + 1}
-	case requestedAt.Before(lease.TakeoverDelay.After(lease.observedAt)):
+	case requestedAt.Before(lease.TakeoverDelay.After(known.At)):
 		// The other holder's lease may still be valid. This includes an earlier
 		// process of the same VM under another holder name: its orders may still be
 		// running. If both processes use one name and set Boot, the case above applies.
@@ -177,6 +211,7 @@
 	lease.deadline = lease.ValidFor.After(requestedAt)
 	lease.token, lease.renewals = spec.Token, spec.Renewals
 	lease.written = object.Metadata.ResourceVersion
+	lease.Observe(Observation{Version: lease.written, Holder: lease.holder, At: time.Now()})
 	return true
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -193,3 +194,58 @@
 		}
 	})
 }
+
+// Guards against two holders in turn within the bound: VMs tell each other which write of
+// the lease they know, in messages that are lost, late and out of order.
+func TestWritesThatVMsTellOfDoNotShortenTakeover(t *testing.T) {
+	const seeds = 200
+	takeovers := 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			store := &store{}
+			leases := []*Lease{New(store, "orders", "vm-1/a"), New(store, "orders", "vm-2/b"), New(store, "orders", "vm-3/c")}
+			pausedUntil := make([]time.Time, len(leases))
+			var wroteAt time.Time // when the lease was last written
+			holder := -1
+			var token uint64
+			for range 600 {
+				for i, lease := range leases {
+					now := time.Now()
+					if now.Before(pausedUntil[i]) {
+						continue
+					}
+					if random.IntN(60) == 0 {
+						pausedUntil[i] = now.Add(time.Duration(random.IntN(20_000)) * time.Millisecond)
+					}
+					observed := lease.Observed()
+					age, delay := now.Sub(observed.At), time.Duration(random.IntN(4000))*time.Millisecond
+					for _, other := range leases {
+						if observed.Version > 0 && random.IntN(3) == 0 {
+							time.AfterFunc(delay, func() {
+								other.Observe(Observation{Version: observed.Version, Holder: observed.Holder, At: time.Now().Add(-age)})
+							})
+						}
+					}
+					if random.IntN(3) > 0 || !lease.AcquireOrRenew(t.Context()) {
+						continue
+					}
+					if early := lease.TakeoverDelay.After(wroteAt).Sub(now); i != holder && holder >= 0 && early > 0 {
+						t.Fatalf("seed %d: got the lease taken over %v too early", seed, early)
+					}
+					if i != holder {
+						takeovers++
+					}
+					if got := lease.Token(); got < token {
+						t.Fatalf("seed %d: got token %d after %d", seed, got, token)
+					}
+					holder, token, wroteAt = i, lease.Token(), now
+				}
+				<-time.After(100 * time.Millisecond)
+			}
+		})
+	}
+	if takeovers < seeds {
+		t.Errorf("got %d takeovers, want %d at least", takeovers, seeds)
+	}
+}
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -31,6 +31,7 @@
 	encoded.Backlogs = encodeBacklogs(heartbeat.Backlogs)
 	encoded.BlockedParts = encodeBlocked(heartbeat.BlockedParts)
 	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
+	encoded.OrdersLease = encodeLease(heartbeat.OrdersLease)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -66,6 +67,7 @@
 	heartbeat.Backlogs = decodeBacklogs(encoded.GetBacklogs())
 	heartbeat.BlockedParts = decodeBlocked(encoded.GetBlockedParts())
 	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
+	heartbeat.OrdersLease = decodeLease(encoded.GetOrdersLease())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
--- a/peer/encode_notice.go
+++ b/peer/encode_notice.go
@@ -10,6 +10,7 @@
 	encoded := &peerpb.Notice{
 		Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay,
 		BlockedParts: encodeBlocked(notice.BlockedParts), AnsweredParts: encodeAnswers(notice.AnsweredParts),
+		OrdersLease: encodeLease(notice.OrdersLease),
 	}
 	for _, charge := range notice.Charges {
 		encoded.Charges = append(encoded.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
@@ -24,6 +25,7 @@
 	notice := Notice{
 		Objects: decodeObjects(encoded.GetObjects()), Targets: decodeTargets(encoded.GetTargets()), Relay: encoded.GetRelay(),
 		BlockedParts: decodeBlocked(encoded.GetBlockedParts()), AnsweredParts: decodeAnswers(encoded.GetAnsweredParts()),
+		OrdersLease: decodeLease(encoded.GetOrdersLease()),
 	}
 	for _, charge := range encoded.GetCharges() {
 		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
@@ -66,3 +68,14 @@
 	}
 	return answers
 }
+
+func encodeLease(write LeaseWrite) *peerpb.LeaseWrite {
+	if write.Version == 0 {
+		return nil
+	}
+	return &peerpb.LeaseWrite{Version: write.Version, Holder: write.Holder, AgeMs: milliseconds(write.Age)}
+}
+
+func decodeLease(encoded *peerpb.LeaseWrite) LeaseWrite {
+	return LeaseWrite{Version: encoded.GetVersion(), Holder: encoded.GetHolder(), Age: time.Duration(encoded.GetAgeMs()) * time.Millisecond}
+}
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -36,6 +36,7 @@
 		}},
 		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}},
 		TargetLimits: []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
+		OrdersLease:  LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
@@ -90,6 +91,7 @@
 		Objects: []catalog.Object{{ID: "o1", Version: 3, Spec: []byte("{}")}}, Charges: []Charge{{"d1", "i-1/r1"}},
 		Targets: []TargetUpdate{{Target: "i-1", Model: "m", Weights: 3}}, PartDeaths: []PartDeath{{Death: "i-1/5", Request: "d1", Parts: []string{"p1", "p2"}}},
 		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}}, AnsweredParts: []PartAnswer{{Part: "p2", Age: time.Second}}, Relay: true,
+		OrdersLease: LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -79,6 +79,15 @@
 	BlockedParts []BlockedPart
 	// TargetLimits are the limits that targets name or lately ceased to name.
 	TargetLimits []TargetLimit
+	OrdersLease  LeaseWrite
+}
+
+// LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
+// the sender knows none.
+type LeaseWrite struct {
+	Version uint64 // of the lease's object in the platform
+	Holder  string
+	Age     time.Duration // for which a VM has known of the write
 }
 
 // ZoneSummary aggregates the reports of an availability zone's VMs.
@@ -189,6 +198,7 @@
 	PartDeaths    []PartDeath
 	BlockedParts  []BlockedPart
 	AnsweredParts []PartAnswer
+	OrdersLease   LeaseWrite
 	// Relay is set when the receiver must forward the notice to the other VMs of its
 	// availability zone.
 	Relay bool
