--- a/relay/relay.go
+++ b/relay/relay.go
@@ -272,6 +272,9 @@
 		event.F("first_ms", job.firstSentAt.Sub(request.Arrived).Milliseconds()), event.F("after_ms", now.Sub(request.Arrived).Milliseconds()),
 		event.F("estimated_wait_ms", assignment.Wait.Milliseconds()), event.F("running", head.Load.Running), event.F("waiting", head.Load.Waiting),
 		event.F("weights", head.Weights), event.F("target_weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("through", throughText(assignment.Through)), event.F("at_home", !assignment.Home.IsValid()), event.F("config", job.table.Version), event.F("skipped", skipped))
+	if prompt := request.Prompt; prompt != nil {
+		fields = append(fields, event.F("prompt_tokens", prompt.Input), event.F("unshared_tokens", prompt.unsharedTokens()))
+	}
 	relay.Log.Emit(event.RequestAnswered, fields...)
 }
 
