Use replaced weights only if the first token comes before the bound

Cause: targets with replaced weights got requests until 1 s before the bound. But a request begins to use a version with its first token, after the prompts before it and its own have been processed. Class: the bound was checked against the time of sending, not of use.

Change: the estimated wait at the target, corrected as for the refusal of requests that would be late, and the time to process the prompt are added to the 1 s, for each target by itself. The whole prompt counts, as nothing of it may be cached there.

--- a/relay/job.go
+++ b/relay/job.go
@@ -265,13 +265,21 @@
 	criteria.Prefix = prompt.sharedPrefix(job.cacheScope())
 	criteria.Tokens = prompt.unsharedTokens()
 	criteria.NewestWeights = job.relay.Weights.Named(prompt.Model, now.Add(-weightsGrace))
-	// The platform's bound on the use of a version starts when the first version
-	// that replaces it is named.
-	replacedBefore := now.Add(weightsMargin).Add(-job.relay.Bounds.WeightsGrace.After(now).Sub(now))
-	criteria.RequiredWeights = job.relay.Weights.Named(prompt.Model, replacedBefore)
+	criteria.RequiredWeights = func(wait time.Duration) uint64 { return job.requiredWeights(wait, now) }
 	return criteria
 }
 
+// requiredWeights returns the oldest version that a target may have which the request
+// reaches now and where other prompts are processed first for the estimated wait. The
+// platform's bound on the use of a version starts when the first version that replaces
+// it is named, and a request uses a version from its first token on.
+func (job *job) requiredWeights(wait time.Duration, now time.Time) uint64 {
+	prompt := job.request.Prompt
+	prefill := time.Duration(prompt.Input) * prefillPerToken
+	firstToken := now.Add(job.relay.waitCorrector.correct(wait, now)).Add(prefill).Add(weightsMargin)
+	return job.relay.Weights.Named(prompt.Model, firstToken.Add(-time.Duration(job.relay.Bounds.WeightsGrace)))
+}
+
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -121,9 +121,9 @@
 	// per second. Writing them takes a few milliseconds of processor time per
 	// second.
 	maxAnsweredLines = 100
-	// weightsMargin is subtracted from the platform's bound on the use of replaced
-	// weights, because requests may wait at such targets for a while before they
-	// run.
+	// weightsMargin is how much later than estimated the first token may come without
+	// breaking the platform's bound on the use of replaced weights: estimates miss
+	// prompts that other VMs have sent since their last heartbeats.
 	weightsMargin = time.Second
 	// weightsGrace is how long after new weights were named the use of the former
 	// ones is not penalized. The users' rules allow 1.5 s.
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -37,10 +37,11 @@
 	// Model is empty for plain services.
 	Model string
 	// NewestWeights is the weights version that is being rolled out; targets with
-	// older versions are avoided. Targets with versions below RequiredWeights are
-	// not used at all.
-	NewestWeights   uint64
-	RequiredWeights uint64
+	// older versions are avoided.
+	NewestWeights uint64
+	// RequiredWeights returns the oldest version that a target may have at which the
+	// request waits for the given time; 0 for any. If it is nil, any version will do.
+	RequiredWeights func(wait time.Duration) uint64
 	// Prefix identifies the shared prefix of the prompt; 0 when there is none.
 	Prefix uint64
 	// Tokens is the number of prompt tokens outside the shared prefix.
@@ -81,8 +82,8 @@
 	if best.unreachable {
 		assignment.Through = best.through
 	}
-	assignment.RequiredWeights = criteria.RequiredWeights
-	assignment.Wait = time.Duration(best.waitMicros(now)) * time.Microsecond
+	assignment.Wait = best.wait(now)
+	assignment.RequiredWeights = criteria.requiredWeights(assignment.Wait)
 	if home != nil && home != best {
 		assignment.Home = home.entry.Address
 	}
@@ -203,11 +204,20 @@
 	return target.obstacle(search) == ""
 }
 
-// hasRequiredWeights reports whether the target's weights may be used for the request.
-// Unknown weights may not if a version is required.
-func (target *Target) hasRequiredWeights(criteria Criteria) bool {
+// requiredWeights returns the oldest version that a target may have at which the
+// request waits for the given time.
+func (criteria Criteria) requiredWeights(wait time.Duration) uint64 {
+	if criteria.RequiredWeights == nil {
+		return 0
+	}
+	return criteria.RequiredWeights(wait)
+}
+
+// hasRequiredWeights reports whether the target's weights may be used for the request,
+// which waits there for the given time. Unknown weights may not if a version is required.
+func (target *Target) hasRequiredWeights(criteria Criteria, wait time.Duration) bool {
 	weights, _ := target.weights(criteria.Model)
-	return weights >= criteria.RequiredWeights
+	return weights >= criteria.requiredWeights(wait)
 }
 
 // cost estimates the time to the first token plus the penalties of the choice.
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -47,7 +47,7 @@
 		return ObstacleLimit
 	case !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)):
 		return ObstacleEjected
-	case !target.hasRequiredWeights(criteria):
+	case criteria.RequiredWeights != nil && !target.hasRequiredWeights(criteria, target.wait(now)):
 		return ObstacleOldWeights
 	}
 	for _, tried := range criteria.Tried {
--- a/roster/rest.go
+++ b/roster/rest.go
@@ -126,7 +126,7 @@
 		if target.availability(now) != Resting || target.rest.reservation != nil || target.rest.until.After(latest) {
 			continue
 		}
-		if !target.reachable() || target.awaitsWeights(now) || !target.hasRequiredWeights(criteria) {
+		if !target.reachable() || target.awaitsWeights(now) || !target.hasRequiredWeights(criteria, 0) {
 			continue
 		}
 		if first == nil || target.rest.until.Before(first.rest.until) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -144,7 +144,7 @@
 func TestOldWeightsAreAvoidedAndExcludedBelowRequired(t *testing.T) {
 	roster := New("a")
 	roster.Put(engineEntry("old", "a", 1), start)
-	if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m", NewestWeights: 2, RequiredWeights: 2}, start); ok {
+	if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m", NewestWeights: 2, RequiredWeights: func(time.Duration) uint64 { return 2 }}, start); ok {
 		t.Error("got a target below the required version, want none")
 	}
 	choose(t, roster, Criteria{Model: "m", NewestWeights: 2}, start).End()
@@ -165,7 +165,7 @@
 	entry := engineEntry("e1", "a", 1)
 	entry.Models = nil
 	roster.Put(entry, start)
-	if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m", NewestWeights: 2, RequiredWeights: 2}, start); ok {
+	if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m", NewestWeights: 2, RequiredWeights: func(time.Duration) uint64 { return 2 }}, start); ok {
 		t.Error("got a target whose weights are not known, want none")
 	}
 	choose(t, roster, Criteria{Model: "m"}, start)
--- a/roster/target.go
+++ b/roster/target.go
@@ -189,6 +189,11 @@
 	return max(tokens*prefillTokenCost, int(reported))
 }
 
+// wait returns the estimate of waitMicros as a duration.
+func (target *Target) wait(now time.Time) time.Duration {
+	return time.Duration(target.waitMicros(now)) * time.Microsecond
+}
+
 // requestCount estimates the number of requests of all VMs at the target.
 func (target *Target) requestCount(now time.Time) int {
 	if now.Sub(target.reportedAt) > freshReportTime {
