Leave the lease of orders to VMs that reach a target without the weights

A VM that is cut off from the targets took the lease by its rank and could order none of them to load, since orders take no tunnels; the others waited until the lease had expired, 3.4 s of the 6 s in which new weights have to be in place.

A VM now tries for the lease only if it reaches a target that lacks weights. TestVMCutOffFromTargetsLeavesLeaseToOthers failed before: got 2 calls to the store and lease held true, want none.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -82,7 +82,7 @@
 	if outdated == 0 {
 		return len(rollLoop.inFlight) > 0
 	}
-	if !rollLoop.ensureLease(ctx, now) {
+	if !rollout.AnyReachable(targets, named) || !rollLoop.ensureLease(ctx, now) {
 		return true
 	}
 	steps := rollLoop.roll.NextSteps(targets, named, now)
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/rollout"
+	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/settings"
 )
 
@@ -111,6 +113,33 @@
 	}
 }
 
+// Guards against rolls that stand still: a VM that is cut off from the targets takes the
+// lease by its rank and can order none of them to load.
+func TestVMCutOffFromTargetsLeavesLeaseToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTakeoverFleet(2, 1)
+		rollLoop := fleet.loops[0]
+		gateway := rollLoop.gateway
+		rollLoop.roll, rollLoop.inFlight = rollout.New(), map[string]bool{"e1": true} // no polls
+		gateway.roster.Put(roster.Entry{ID: "e1", Service: "notes", Models: []roster.Model{{Name: "m", Weights: 1}}}, time.Now())
+		gateway.weights.add("m", 2, time.Now())
+		gateway.roster.RecordProbe("e1", false, time.Now())
+		named, _ := gateway.weights.newest()
+		for range 100 {
+			rollLoop.advance(t.Context(), named)
+			sleep(rollInterval)
+		}
+		if fleet.store.calls != 0 || rollLoop.leaseHeld {
+			t.Errorf("got %d calls to the store and lease held %t, want none", fleet.store.calls, rollLoop.leaseHeld)
+		}
+		gateway.roster.RecordProbe("e1", true, time.Now())
+		rollLoop.advance(t.Context(), named)
+		if !rollLoop.leaseHeld {
+			t.Error("got no lease once the target was reached, want it held")
+		}
+	})
+}
+
 // Guards against rolls that stand still: the holder of the lease fails, and another VM
 // gives orders as soon as the platform's bound since the last possible order allows it.
 func TestLeaseIsTakenOverOnceBoundAllowsIt(t *testing.T) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -15,6 +15,7 @@
 package rollout
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -201,6 +202,15 @@
 	return count
 }
 
+// AnyReachable reports whether a target that lacks a requested version can be reached, and
+// so ordered to load it.
+func AnyReachable(targets []Target, named []NamedWeights) bool {
+	return slices.ContainsFunc(targets, func(target Target) bool {
+		_, lacks := missingWeights(&target, named)
+		return lacks && !target.Unreachable
+	})
+}
+
 // missingWeights returns the first requested version that a target lacks, or false
 // if the target is up to date. Models that the target does not have are skipped.
 func missingWeights(target *Target, named []NamedWeights) (NamedWeights, bool) {
