--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// hang starts a period in which the store hangs.
+func (fakeStore *fakeStore) hang(length time.Duration) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.hungFrom, fakeStore.hungUntil = time.Now(), time.Now().Add(length)
+}
+
 // hangs reports whether a call that started at the given time has been affected by a
 // hang of the store by now.
 func (fakeStore *fakeStore) hangs(startedAt, now time.Time) bool {
@@ -306,10 +313,7 @@
 					store.put(objects.Targets, 9000)
 					gateway := startVM(ctx, "vm", store)
 					sleep(time.Second + phase)
-					store.mu.Lock()
-					store.hungFrom = time.Now()
-					store.hungUntil = store.hungFrom.Add(hangTime)
-					store.mu.Unlock()
+					store.hang(hangTime)
 					sleep(hangTime + changeDelay)
 					store.put(objects.Targets, 9001)
 					sleep(max(bound, reconnectBound-changeDelay))
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -28,9 +28,7 @@
 		{"VM is cut off from the store and the other VMs", func(ctx context.Context, store *fakeStore) *Gateway {
 			gateway := startVM(ctx, "vm", store)
 			sleep(time.Second)
-			store.mu.Lock()
-			store.hungFrom, store.hungUntil = time.Now(), time.Now().Add(15*time.Second)
-			store.mu.Unlock()
+			store.hang(15 * time.Second)
 			store.put(objects.Weights, 2)
 			sleep(15 * time.Second)
 			return gateway
@@ -38,7 +36,7 @@
 		{"VM is cut off and hears another VM before the store", func(ctx context.Context, store *fakeStore) *Gateway {
 			gateway, other := startVM(ctx, "vm", store), startVM(ctx, "other", newFakeStore())
 			sleep(time.Second)
-			store.hungFrom, store.hungUntil = time.Now(), time.Now().Add(15*time.Second)
+			store.hang(15 * time.Second)
 			store.put(objects.Weights, 2)
 			sleep(15 * time.Second)
 			gateway.HandleHeartbeat(other.newHeartbeat(""))
