Do not take a tunnel whose time ended as open

If the time for opening ends while the answer of the other VM arrives, no call has failed, but stop reports that the end of the context has begun to cancel the stream. Tunnel then marked a nil error, which is nil, and returned neither a connection nor an error. It now returns the cause of the context.

--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -42,7 +42,11 @@
 	if err == nil || errors.Is(err, io.EOF) { // Recv returns the cause
 		_, err = stream.Recv()
 	}
-	if err != nil || !stop() {
+	if err == nil && !stop() {
+		err = context.Cause(ctx) // the time ended while the answer arrived
+	}
+	if err != nil {
+		stop()
 		cancel()
 		return nil, errors.Mark(errors.Wrap(err, "open tunnel"), ErrNoTunnel)
 	}
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,28 @@
 		t.Errorf("got %v from a pending read, want a timeout", err)
 	}
 }
+
+// Guards against a process that ends because a tunnel is neither open nor failed, when
+// the time for opening it ends while the answer of the other VM arrives.
+func TestTunnelWhoseTimeEndsIsNotOpen(t *testing.T) {
+	var cancel atomic.Pointer[context.CancelFunc]
+	handler := &handler{dial: func(string) (net.Conn, error) {
+		near, far := net.Pipe()
+		(*cancel.Load())()
+		go func() { _, _ = io.Copy(io.Discard, far) }() // until the tunnel ends
+		return near, nil
+	}}
+	dialer, address, _ := start(t, handler)
+	for range 500 {
+		ctx, end := context.WithCancel(t.Context())
+		cancel.Store(&end)
+		conn, err := dialer.Tunnel(ctx, address, "e1")
+		if err == nil && conn == nil {
+			t.Fatal("got neither a connection nor an error, want one of them")
+		}
+		if err == nil {
+			_ = conn.Close() // it was open in time
+		}
+		end()
+	}
+}
