Do not take weights for just named from a heartbeat that is read late

A process that was frozen (SIGSTOP), or that got a heartbeat late for another reason, took the age of named weights in it as of the time of reading. Requests could begin on weights replaced for longer than the bound, also on VMs that it told.

membership.SendTimes computes when a message was sent from the sender's uptime in it: a call was not sent before this process started, a reply not before its call, so each message bounds when the sender's process began to count by this VM's clock. The age of a naming counts if that is exact to 0.3 s, from the earliest possible time; otherwise the time is unknown, which counts as old, until another heartbeat tells it. Of two VMs one only gets calls; it now calls a sender that it cannot place, or whose message came over 0.3 s late, and the reply tells. If a clock stood still or drifts, messages contradict the bounds, which are replaced. Heartbeats carry the uptime in microseconds (uptime_us): uptime_ms ends at 24 h. VMs of the version before do not send it; their uptime in milliseconds is used.

Left: after a suspension of the receiver's machine, what it reads before the sender's next prompt message seems too recent (docs/design/system.md).

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,7 +10,6 @@
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/peer"
-	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
@@ -205,7 +204,8 @@
 }
 
 // runHeartbeats exchanges heartbeats with other VMs. Of two VMs that receive each
-// other's heartbeats, only the one with the lower name sends; the other replies.
+// other's heartbeats, only the one with the lower name sends; the other replies. It sends
+// too while it cannot tell when the heartbeats of the first were sent.
 func (gateway *Gateway) runHeartbeats(ctx context.Context) error {
 	for scheduled := time.Now(); ; scheduled = scheduled.Add(heartbeatInterval) {
 		if now := time.Now(); scheduled.Before(now) {
@@ -233,7 +233,7 @@
 	}
 	others := gateway.members.HeartbeatPeers(maxHeartbeatPeers, now)
 	for _, other := range others {
-		if gateway.Settings.Name < other.Name || !recentlySeen[other.Name] {
+		if gateway.Settings.Name < other.Name || !recentlySeen[other.Name] || gateway.sendTimes.CheckDue(other.Name) {
 			receivers = append(receivers, other)
 		}
 	}
@@ -253,9 +253,10 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
+	calledAt := time.Now()
 	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.newHeartbeat(other.Zone))
 	if err == nil {
-		gateway.mergeHeartbeat(reply)
+		gateway.mergeHeartbeat(reply, calledAt)
 		gateway.partStore.recordReply(reply.Uptime)
 	}
 	gateway.mu.Lock()
@@ -298,9 +299,11 @@
 	return heartbeat
 }
 
-// mergeHeartbeat merges another VM's heartbeat into the state of this VM.
-func (gateway *Gateway) mergeHeartbeat(heartbeat peer.Heartbeat) {
+// mergeHeartbeat merges another VM's heartbeat into the state of this VM. The heartbeat was
+// not sent before the given time.
+func (gateway *Gateway) mergeHeartbeat(heartbeat peer.Heartbeat, notBefore time.Time) {
 	now := time.Now()
+	sentAt, exact := gateway.sendTimes.Record(heartbeat.Name, heartbeat.Boot, heartbeat.Uptime, notBefore, now)
 	gateway.members.RecordHeartbeat(heartbeat.Name, heartbeat.Address, 0, now)
 	gateway.members.RecordStatus(heartbeat.Name, heartbeat.Version, heartbeat.PlatformAge)
 	if summarized := gateway.mergeZones(heartbeat, now); !summarized {
@@ -311,7 +314,11 @@
 	}
 	gateway.weights.recordContact(now)
 	for _, named := range heartbeat.NamedWeights {
-		gateway.addNamedWeights(named.Model, named.Version, sourceVM, now.Add(-named.Age))
+		at := time.Time{}
+		if exact {
+			at = sentAt.Add(-named.Age)
+		}
+		gateway.addNamedWeights(named.Model, named.Version, sourceVM, at)
 	}
 	gateway.mergeLeaseWrite(heartbeat.OrdersLease, now)
 	gateway.applyTargetUpdates(heartbeat.Targets)
@@ -346,7 +353,7 @@
 
 // HandleHeartbeat implements peer.Handler.
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
-	gateway.mergeHeartbeat(heartbeat)
+	gateway.mergeHeartbeat(heartbeat, gateway.started)
 	reply := gateway.newHeartbeat(heartbeat.Zone)
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
@@ -360,21 +367,6 @@
 	return gateway.mirror.ChangesSince(known)
 }
 
-// HandleNotice implements peer.Handler.
-func (gateway *Gateway) HandleNotice(notice peer.Notice) peer.NoticeReply {
-	gateway.applyTargetUpdates(notice.Targets)
-	if notice.Relay {
-		notice.Relay = false
-		go gateway.runRelay(notice)
-	}
-	now := time.Now()
-	gateway.mergeLeaseWrite(notice.OrdersLease, now)
-	for _, charge := range notice.Charges {
-		gateway.suspects.RecordDeath(quarantine.Digest(charge.Digest), charge.Death, now)
-	}
-	return gateway.mergeParts(notice, now)
-}
-
 // Lend implements peer.Handler. This VM holds no rights and lends nothing.
 func (gateway *Gateway) Lend(int, quota.Share, float64, float64) quota.Grant {
 	return quota.Grant{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	ordersLease *lease.Lease
 	limits      *quota.Limiter
 	members     *membership.Table
+	sendTimes   *membership.SendTimes
 	zones       *zoneTable
 	suspects    *quarantine.Tracker
 	parts       *quarantine.Parts
@@ -165,6 +166,7 @@
 	}
 	gateway.members = membership.NewTable(vm.Name, vm.Seeds, gateway.started)
 	gateway.members.Zone = vm.AvailabilityZone
+	gateway.sendTimes = membership.NewSendTimes()
 	gateway.zones = newZoneTable()
 	gateway.suspects = quarantine.NewTracker()
 	gateway.parts = quarantine.NewParts()
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -10,6 +10,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/peer"
+	"github.com/bramleygw/bramleygw/quarantine"
 )
 
 // notify sends a notice to all other VMs and returns when they have confirmed it or
@@ -94,3 +95,18 @@
 	}
 	gateway.mergeAnswers(reply.AnsweredParts, time.Now())
 }
+
+// HandleNotice implements peer.Handler.
+func (gateway *Gateway) HandleNotice(notice peer.Notice) peer.NoticeReply {
+	gateway.applyTargetUpdates(notice.Targets)
+	if notice.Relay {
+		notice.Relay = false
+		go gateway.runRelay(notice)
+	}
+	now := time.Now()
+	gateway.mergeLeaseWrite(notice.OrdersLease, now)
+	for _, charge := range notice.Charges {
+		gateway.suspects.RecordDeath(quarantine.Digest(charge.Digest), charge.Death, now)
+	}
+	return gateway.mergeParts(notice, now)
+}
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -158,6 +158,6 @@
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		sleep(min(heartbeatInterval, time.Until(end)))
 		synctest.Wait()
-		vms[0].mergeHeartbeat(vms[1].HandleHeartbeat(vms[0].newHeartbeat("")))
+		vms[0].mergeHeartbeat(vms[1].HandleHeartbeat(vms[0].newHeartbeat("")), time.Now())
 	}
 }
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -21,7 +21,7 @@
 	for _, peerAge := range heartbeat.PeerAges {
 		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: peerAge.Name, AgeMs: uint32(peerAge.Age.Milliseconds())})
 	}
-	encoded.Boot = heartbeat.Boot
+	encoded.Boot, encoded.UptimeUs = heartbeat.Boot, encodeUptime(heartbeat.Uptime)
 	encoded.Spending = encodeSpendings(heartbeat.Spending)
 	encoded.Targets = encodeTargets(heartbeat.Targets)
 	for _, weights := range heartbeat.NamedWeights {
@@ -129,10 +129,26 @@
 	return uint32(min(max(0, duration), maxWireDuration).Milliseconds())
 }
 
+// maxUptime is the maximum uptime on the wire; longer ones are capped to it.
+const maxUptime = 10 * 365 * 24 * time.Hour
+
+// encodeUptime encodes the uptime of the sender, from which receivers compute when it sent
+// a message.
+func encodeUptime(uptime time.Duration) uint64 {
+	return uint64(min(max(0, uptime), maxUptime).Microseconds())
+}
+
+func decodeUptime(microseconds uint64) time.Duration {
+	return time.Duration(min(microseconds, uint64(maxUptime.Microseconds()))) * time.Microsecond
+}
+
 // decodeZones decodes a heartbeat's fields on availability zones.
 func decodeZones(heartbeat *Heartbeat, encoded *peerpb.Beat) {
 	heartbeat.Zone, heartbeat.IsRepresentative = encoded.GetAvailabilityZone(), encoded.GetSpeaks()
 	heartbeat.Uptime = time.Duration(encoded.GetUptimeMs()) * time.Millisecond
+	if uptime := decodeUptime(encoded.GetUptimeUs()); uptime > 0 {
+		heartbeat.Uptime = uptime // VMs of earlier versions do not send it
+	}
 	for _, representative := range encoded.GetSpeakers() {
 		address, _ := netip.ParseAddrPort(representative.GetAddress()) // invalid addresses are ignored
 		heartbeat.Representatives = append(heartbeat.Representatives, membership.Peer{Name: representative.GetName(), Address: address, Zone: representative.GetAvailabilityZone()})
