Do not restore a former limit of a target from a heartbeat read late

A heartbeat that waited in the socket of a frozen process, or on a slow network, put a limit into force that the target had since replaced, there and on all VMs that heard of it from there, until the target's next answer with a limit: the time of the target's word was computed from the time of reading.

The age of a limit now counts from the earliest time at which the heartbeat can have been sent, which keeps the order of one sender's words, and never puts an older one before a newer one that this VM knows.

TestHeartbeatReadLateDoesNotRestoreFormerLimit (the reviewer's, unchanged) failed before: both VMs got 5, want 50. go test ./gateway passes.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -323,7 +323,7 @@
 	gateway.mergeLeaseWrite(heartbeat.OrdersLease, now)
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
-	gateway.mergeTargetLimits(heartbeat.TargetLimits, now)
+	gateway.mergeTargetLimits(heartbeat.TargetLimits, sentAt)
 	gateway.mergeEmpty(heartbeat.Positions)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
--- a/gateway/target_limits.go
+++ b/gateway/target_limits.go
@@ -64,10 +64,10 @@
 	return limits
 }
 
-// mergeTargetLimits records the limits that another VM reports.
-func (gateway *Gateway) mergeTargetLimits(limits []peer.TargetLimit, now time.Time) {
+// mergeTargetLimits records the limits that another VM reported at a time.
+func (gateway *Gateway) mergeTargetLimits(limits []peer.TargetLimit, sentAt time.Time) {
 	for _, limit := range limits {
-		merged := roster.Limit{Target: limit.Target, StartTime: limit.StartTime, Rate: limit.Rate, Learned: now.Add(-limit.Age)}
+		merged := roster.Limit{Target: limit.Target, StartTime: limit.StartTime, Rate: limit.Rate, Learned: sentAt.Add(-limit.Age)}
 		if change, changed := gateway.roster.MergeLimit(merged); changed {
 			gateway.relay.RecordLimit(change)
 		}
