Ask targets for reports again after another VM held the lease of orders

Cause: a VM that loses the lease keeps the sequence numbers that targets reported to it. When it acquires the lease again, the targets have carried out orders of the holder in between. Class: knowledge that was true while a right was held is used after the right was lost.

Change: acquiring the lease makes all targets report before their next order.

Evidence: TestHolderAsksForReportsAgainAfterAnotherHeldLease failed: "got steps [{i-1 {m 2} false 4}], want a poll before any order".

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -119,6 +119,7 @@
 	rollLoop.leaseHeld = rollLoop.lease.AcquireOrRenew(ctx)
 	rollLoop.takeover.lastAttempt = time.Now()
 	if rollLoop.leaseHeld {
+		rollLoop.roll.ForgetReports()
 		rollLoop.gateway.metrics.HoldsLease.Set(1)
 		rollLoop.gateway.Log.Emit(event.LeaseTaken, event.F("token", rollLoop.lease.Token()))
 	}
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -75,7 +75,7 @@
 		gateway.Store = fleet.store
 		gateway.build()
 		gateway.members.UpdateList(fleet.listed, time.Now())
-		fleet.loops = append(fleet.loops, &rollLoop{gateway: gateway, lease: gateway.ordersLease})
+		fleet.loops = append(fleet.loops, &rollLoop{gateway: gateway, lease: gateway.ordersLease, roll: rollout.New()})
 	}
 	return fleet
 }
@@ -198,3 +198,29 @@
 		}
 	}
 }
+
+// Guards against orders that targets refuse: a VM acquires the lease again, and what targets
+// reported to it before is not true any more, as the holder in between gave them orders.
+func TestHolderAsksForReportsAgainAfterAnotherHeldLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTakeoverFleet(2, 1)
+		named := []rollout.NamedWeights{{Weights: rollout.Weights{Model: "m", Version: 2}, Learned: time.Now()}}
+		targets := []rollout.Target{{ID: "i-1", Models: []rollout.Weights{{Model: "m", Version: 1}}}}
+		for since := time.Now(); fleet.holder == nil; {
+			fleet.holder = fleet.step(t.Context(), since)
+		}
+		report := rollout.Report{Sequence: 4}
+		if steps := fleet.holder.roll.NextSteps(targets, named, time.Now()); len(steps) != 1 || !steps[0].Poll {
+			t.Fatalf("got steps %v, want a poll", steps)
+		}
+		fleet.holder.roll.HandleReport("i-1", report, true, time.Now())
+		first := fleet.holder
+		first.leaseHeld = false // as after a failed renewal
+		for since := time.Now(); !first.leaseHeld; {
+			fleet.step(t.Context(), since)
+		}
+		if steps := first.roll.NextSteps(targets, named, time.Now()); len(steps) != 1 || !steps[0].Poll {
+			t.Errorf("got steps %v, want a poll before any order", steps)
+		}
+	})
+}
--- a/rollout/limit.go
+++ b/rollout/limit.go
@@ -41,3 +41,19 @@
 	}
 	return false
 }
+
+// orderBudget is how many more targets may be ordered to load now: in all, and by model.
+type orderBudget struct {
+	total   int
+	byModel map[string]int
+}
+
+// take takes one order out of the budget, or returns false if there is none left.
+func (orderBudget *orderBudget) take(model string) bool {
+	if orderBudget.total <= 0 || orderBudget.byModel[model] <= 0 {
+		return false
+	}
+	orderBudget.total--
+	orderBudget.byModel[model]--
+	return true
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -175,22 +175,6 @@
 	return &Roll{states: map[string]*targetState{}}
 }
 
-// orderBudget is how many more targets may be ordered to load now: in all, and by model.
-type orderBudget struct {
-	total   int
-	byModel map[string]int
-}
-
-// take takes one order out of the budget, or returns false if there is none left.
-func (orderBudget *orderBudget) take(model string) bool {
-	if orderBudget.total <= 0 || orderBudget.byModel[model] <= 0 {
-		return false
-	}
-	orderBudget.total--
-	orderBudget.byModel[model]--
-	return true
-}
-
 // CountOutdated returns the number of targets that lack a requested version.
 func CountOutdated(targets []Target, named []NamedWeights) int {
 	count := 0
@@ -337,6 +321,14 @@
 	}
 }
 
+// ForgetReports makes each target report again before its next order. It is called when
+// another holder may have sent orders since.
+func (roll *Roll) ForgetReports() {
+	for _, state := range roll.states {
+		state.reportUsable, state.polledAt = false, time.Time{}
+	}
+}
+
 // Withdraw records that an order which NextSteps returned was not sent.
 func (roll *Roll) Withdraw(id string) {
 	if state, ok := roll.states[id]; ok {
