Let only VMs with a part's prompts in flight block that part

Cause: partDeath.local said that this VM had some prompt in flight at a death, not one with the part.

Why it works: a VM reports each death of its prompts to the others, and their replies say when they saw the parts of these prompts answered. The parts of this VM's prompts are now kept with the death.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -34,12 +34,12 @@
 	}
 }
 
-// culprits returns the parts to block. Only a VM that had such a prompt in flight
-// decides: the others told it which parts they saw answered. The caller holds mu.
+// culprits returns the parts to block. Only a VM that had a prompt with the part in flight
+// decides: the others told it when they saw that part answered. The caller holds mu.
 func (parts *Parts) culprits(now time.Time) []string {
 	var found []string
 	for id, entry := range parts.parts {
-		local := slices.ContainsFunc(entry.deaths, func(death *partDeath) bool { return death.local })
+		local := slices.ContainsFunc(entry.deaths, func(death *partDeath) bool { return death.local[id] })
 		if local && parts.suspicious(id, entry, now) {
 			found = append(found, id)
 		}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -94,8 +94,8 @@
 type partDeath struct {
 	at    time.Time
 	parts map[string]bool // of the prompts in flight
-	// local is set if this VM had one of these prompts in flight.
-	local bool
+	// local are the parts of the prompts that this VM had in flight.
+	local map[string]bool
 	// explained is set if one of the parts is blocked.
 	explained bool
 	// answersBefore is the number of answered prompts when the death was reported.
@@ -131,11 +131,13 @@
 	parts.mu.Lock()
 	defer parts.mu.Unlock()
 	known := parts.death(death.Target, now)
-	known.local = known.local || local
 	for _, id := range death.Parts {
 		entry := parts.get(id, now)
 		entry.lastDeath = now
 		known.parts[id] = true
+		if local {
+			known.local[id] = true
+		}
 		if known.at.After(entry.answered) && !known.explained {
 			entry.add(known, death.Request)
 		}
@@ -163,7 +165,7 @@
 		return known
 	}
 	parts.evictDeath()
-	known = &partDeath{at: now, parts: map[string]bool{}, answersBefore: parts.answers}
+	known = &partDeath{at: now, parts: map[string]bool{}, local: map[string]bool{}, answersBefore: parts.answers}
 	parts.deaths[target] = known
 	if settles := now.Add(settleTime); parts.settlesAt.IsZero() || settles.Before(parts.settlesAt) {
 		parts.settlesAt = settles
--- a/quarantine/parts_fleet_test.go
+++ b/quarantine/parts_fleet_test.go
@@ -228,15 +228,20 @@
 		crashingParts                      int
 		faultEvery                         time.Duration
 		seeds                              uint64
+		moreSeeds                          []uint64
 		refused                            float64 // share of sound requests that may be refused
 	}{
-		{6, 12, 3, 130, 1, 0, 4, 0}, {6, 12, 20, 130, 1, 0, 4, 0}, {8, 9, 1, 75, 1, 0, 4, 0}, {78, 60, 4, 500, 1, 0, 2, 0}, {295, 153, 10, 1200, 1, 0, 1, 0},
-		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 8, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 2, 0},
-		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, 0}, {6, 12, 2, 130, 2, 0, 8, 0},
+		{6, 12, 3, 130, 1, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 1, nil, 0},
+		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 2, nil, 0},
+		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 8, []uint64{11, 43, 52}, 0},
 		// Two thirds of the targets are down; the users' platform asks for half.
-		{6, 12, 2, 130, 4, 0, 8, 0.5},
+		{6, 12, 2, 130, 4, 0, 8, nil, 0.5},
 	} {
+		seeds := test.moreSeeds
 		for seed := range test.seeds {
+			seeds = append(seeds, seed)
+		}
+		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%d VMs, %d parts, %d a second, faults every %v, seed %d", test.vms, test.crashingParts, test.crashRate, test.faultEvery, seed), func(t *testing.T) {
 				simulation := newSimulation(seed, test.vms, test.targets)
 				simulation.faultEvery, simulation.crashingParts = test.faultEvery, test.crashingParts
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -195,6 +195,26 @@
 	}
 }
 
+// Guards against the block of a part by a VM that had none of its prompts in flight, only
+// others at the same targets: it was not told when the part was answered.
+func TestOnlyVMWithPromptOfPartDecides(t *testing.T) {
+	scenario := newScenario()
+	for i := range 2 * blockingTiedDeaths {
+		target := fmt.Sprint("shared", i)
+		scenario.parts.RecordDeath(Death{Target: target, Request: fmt.Sprint("remote", i), Parts: []string{"p"}}, false, scenario.now)
+		scenario.parts.RecordDeath(Death{Target: target, Request: fmt.Sprint("local", i), Parts: []string{fmt.Sprint("neighbour", i)}}, true, scenario.now)
+		scenario.now = scenario.now.Add(apart)
+		scenario.answers(10, "other")
+	}
+	if scenario.isBlocked("p") {
+		t.Fatal("got p blocked by a VM without its prompts, want it clear")
+	}
+	scenario.die(apart, "p")
+	if !scenario.isBlocked("p") {
+		t.Error("got p clear after its prompt died at this VM, want it blocked")
+	}
+}
+
 // An answered prompt shows that its parts crash nothing.
 func TestAnswerUnblocksPart(t *testing.T) {
 	scenario := newScenario()
