Judge a part without the faults that other parts explain

Cause: deaths within 0.1 s are one fault, and a part explained a fault only if it was in flight at each of its deaths. With 14 deaths a second a fault holds the deaths of several parts, so it counted against each of them; and what the others crashed without it counted against it too.

Why it works: a part that explains two faults alone is known to crash targets or to look like it; its deaths say nothing of the others. A fault that stops several targets has no such part at each death, so it protects sound parts as before (the existing cases of TestPartIsBlockedOnlyIfItExplainsTheDeaths, and a new one with a part that was alone once).

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -38,15 +38,42 @@
 // decides: the others told it when they saw that part answered. The caller holds mu.
 func (parts *Parts) culprits(now time.Time) []string {
 	var found []string
+	others := parts.explainingAlone(now)
 	for id, entry := range parts.parts {
 		local := slices.ContainsFunc(entry.deaths, func(death *partDeath) bool { return death.local[id] })
-		if local && parts.suspicious(id, entry, now) {
+		if local && parts.suspicious(id, entry, others, now) {
 			found = append(found, id)
 		}
 	}
 	return found
 }
 
+// explainingAlone returns the parts that explain minFaultsAlone without the help of others.
+// The caller holds mu.
+func (parts *Parts) explainingAlone(now time.Time) map[string]bool {
+	found := map[string]bool{}
+	for id, entry := range parts.parts {
+		if len(entry.deaths) < minFaultsAlone {
+			continue
+		}
+		slices.SortFunc(entry.deaths, byTime)
+		if with, _ := parts.faults(id, entry, nil, now); with >= minFaultsAlone {
+			found[id] = true
+		}
+	}
+	return found
+}
+
+// containsAny reports whether the set contains one of the IDs.
+func containsAny(set, ids map[string]bool) bool {
+	for id := range ids {
+		if set[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // strongerAt reports whether another part was in flight at a death of the part that
 // explains more deaths, or as many as long as the next death may tell them apart. The
 // caller holds mu.
@@ -66,7 +93,7 @@
 
 // suspicious reports whether the part explains enough deaths to block it. The caller
 // holds mu.
-func (parts *Parts) suspicious(id string, entry *part, now time.Time) bool {
+func (parts *Parts) suspicious(id string, entry *part, others map[string]bool, now time.Time) bool {
 	needed := blockingPartDeaths
 	if !entry.answered.IsZero() {
 		needed = blockingAnsweredDeaths
@@ -78,16 +105,17 @@
 	if parts.answers-entry.deaths[0].answersBefore < minOtherAnswers {
 		return false
 	}
-	with, without := parts.faults(id, entry, now)
+	with, without := parts.faults(id, entry, others, now)
 	return with >= needed && without < maxOtherFaults*with
 }
 
 // faults returns how many faults since the part's first death the part explains, and how
-// many it does not. It explains a fault if it was in flight at each of the deaths. Not
-// counted are those that follow another one within retryDelay, those with requests that
-// were in flight at an earlier death, and those that a stronger part explains. The caller
-// holds mu.
-func (parts *Parts) faults(id string, entry *part, now time.Time) (with, without int) {
+// many it does not. It explains a fault if it was in flight at each of the deaths but for
+// those that the other parts explain. Not counted are faults without it that the others
+// explain, those that follow another one within retryDelay, those with requests that were
+// in flight at an earlier death, and those that a stronger part explains. The caller holds
+// mu.
+func (parts *Parts) faults(id string, entry *part, others map[string]bool, now time.Time) (with, without int) {
 	from := entry.deaths[0].at.Add(-togetherTime)
 	var deaths []*partDeath
 	for _, death := range parts.deaths {
@@ -101,7 +129,7 @@
 		at, end := deaths[first].at, first
 		explained, own := true, false
 		for ; end < len(deaths) && deaths[end].at.Sub(at) < togetherTime; end++ {
-			explained = explained && deaths[end].parts[id]
+			explained = explained && (deaths[end].parts[id] || containsAny(deaths[end].parts, others))
 			own = own || entry.fresh[deaths[end]] && !parts.strongerAt(deaths[end], id, entry)
 		}
 		switch {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -19,6 +19,10 @@
 	// maxOtherFaults is how many other faults there may be for each one that a part
 	// explains: several parts may crash targets at the same time.
 	maxOtherFaults = 4
+	// minFaultsAlone is how many faults a part must explain alone before the deaths with
+	// it are left out when other parts are judged. A fault that stops several targets
+	// has no such part at each of its deaths.
+	minFaultsAlone = 2
 	// settleTime is how long after its first report a death is not counted: the other
 	// VMs report what they had in flight there. It is longer than they wait for notices.
 	settleTime = 200 * time.Millisecond
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -155,6 +155,24 @@
 				scenario.answers(10, "other")
 			}
 		}, true},
+		{"another part that crashes targets alone does so within each of its faults", func(scenario *scenario) {
+			for range 2 {
+				scenario.die(apart, "q")
+			}
+			for range 3 {
+				scenario.die(time.Millisecond, "p")
+				scenario.die(apart, "q")
+				scenario.answers(10, "other")
+			}
+		}, true},
+		{"another part that crashed one target alone does so within each of its faults", func(scenario *scenario) {
+			scenario.die(apart, "q")
+			for range 6 {
+				scenario.die(time.Millisecond, "p")
+				scenario.die(apart, "q")
+				scenario.answers(10, "other")
+			}
+		}, false},
 		{"a death is reported by several prompts", func(scenario *scenario) {
 			for range 3 {
 				scenario.parts.RecordDeath(Death{Target: "target", Request: fmt.Sprint("request", scenario.now), Parts: []string{"p"}}, true, scenario.now)
