Weigh the deaths of parts by how many would block them

Cause: a part that was answered in the last hour is blocked by five deaths, one that never was by three, but which of two parts explains a death was decided by the bare number of deaths. The sound part, answered 0.1 s before its first death, had 8; the two that crashed the targets, never answered, had 6 and 5, so each of their deaths counted for it alone.

Why it works: the deaths of each part are compared in proportion to those that it needs. Parts that need as many are compared as before.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -74,17 +74,25 @@
 	return false
 }
 
+// neededDeaths returns the number of separate deaths from which the part is blocked.
+func (part *part) neededDeaths() int {
+	if part.answered.IsZero() {
+		return blockingPartDeaths
+	}
+	return blockingAnsweredDeaths
+}
+
 // strongerAt reports whether another part was in flight at a death of the part that
-// explains more deaths, or as many as long as the next death may tell them apart. The
-// caller holds mu.
+// explains more deaths, or as many as long as the next death may tell them apart, in
+// proportion to the deaths that each of them needs. The caller holds mu.
 func (parts *Parts) strongerAt(death *partDeath, id string, entry *part) bool {
-	least := len(entry.deaths)
-	if least >= blockingTiedDeaths {
-		least++
-	}
 	for otherID := range death.parts {
 		other := parts.parts[otherID]
-		if otherID != id && other != nil && len(other.deaths) >= least && slices.Contains(other.deaths, death) {
+		if otherID == id || other == nil || !slices.Contains(other.deaths, death) {
+			continue
+		}
+		others, own := len(other.deaths)*entry.neededDeaths(), len(entry.deaths)*other.neededDeaths()
+		if others > own || others == own && len(entry.deaths) < blockingTiedDeaths {
 			return true
 		}
 	}
@@ -94,10 +102,7 @@
 // suspicious reports whether the part explains enough deaths to block it. The caller
 // holds mu.
 func (parts *Parts) suspicious(id string, entry *part, others map[string]bool, now time.Time) bool {
-	needed := blockingPartDeaths
-	if !entry.answered.IsZero() {
-		needed = blockingAnsweredDeaths
-	}
+	needed := entry.neededDeaths()
 	if len(entry.deaths) < needed || now.Before(entry.blockedUntil) {
 		return false
 	}
--- a/quarantine/parts_fleet_test.go
+++ b/quarantine/parts_fleet_test.go
@@ -233,7 +233,7 @@
 	}{
 		{6, 12, 3, 130, 1, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 1, nil, 0},
 		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 2, nil, 0},
-		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 8, []uint64{11, 43, 52}, 0},
+		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 8, []uint64{11, 43, 52, 99}, 0},
 		// Two thirds of the targets are down; the users' platform asks for half.
 		{6, 12, 2, 130, 4, 0, 8, []uint64{15, 19, 47}, 0.5},
 	} {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -100,6 +100,26 @@
 				scenario.answers(10, "other")
 			}
 		}, false},
+		{"another part explains more deaths, but was answered before", func(scenario *scenario) {
+			scenario.answers(1, "q")
+			scenario.now = scenario.now.Add(apart)
+			scenario.die(apart, "q")
+			for range 3 {
+				scenario.die(apart, "p", "q")
+				scenario.answers(10, "other")
+			}
+		}, true},
+		{"another part explains more deaths, this one was answered before", func(scenario *scenario) {
+			scenario.answers(1, "p")
+			scenario.now = scenario.now.Add(apart)
+			for range 4 {
+				scenario.die(apart, "q", "p")
+				scenario.answers(10, "other")
+			}
+			scenario.die(apart, "p")
+			scenario.die(apart, "p")
+			scenario.answers(10, "other")
+		}, false},
 		{"another part explains as many deaths", func(scenario *scenario) {
 			for range 4 {
 				scenario.die(apart, "p", "q")
