Block a part only after the replies to this VM's report of its death

Cause: a VM asks when a part was answered with its report of a death, and the replies take up to 200 ms. It counted the deaths that other VMs had reported before at once, in the same moment as its own first report: at 5.340 s it blocked a part with five older deaths, without any reply.

Failed first, TestVMDecidesAfterRepliesToItsReport: 100ms after the last death: got blocked true, want false 200ms after the last death: got blocked true, want false 299.999999ms after the last death: got blocked true, want false

Why it works: each VM keeps when the replies to its own reports are known and takes no part in the decision before.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -13,8 +13,13 @@
 	}
 	parts.settlesAt = time.Time{}
 	for _, death := range parts.deaths {
-		if settles := death.at.Add(settleTime); settles.After(now) && (parts.settlesAt.IsZero() || settles.Before(parts.settlesAt)) {
-			parts.settlesAt = settles
+		if settles := death.at.Add(settleTime); settles.After(now) {
+			parts.settleAt(settles)
+		}
+		for _, settles := range death.local {
+			if settles.After(now) {
+				parts.settleAt(settles)
+			}
 		}
 	}
 	for {
@@ -34,13 +39,24 @@
 	}
 }
 
+// settleAt sets settlesAt to the time if that is earlier. The caller holds mu.
+func (parts *Parts) settleAt(at time.Time) {
+	if parts.settlesAt.IsZero() || at.Before(parts.settlesAt) {
+		parts.settlesAt = at
+	}
+}
+
 // culprits returns the parts to block. Only a VM that had a prompt with the part in flight
-// decides: the others told it when they saw that part answered. The caller holds mu.
+// decides, once the others have told it when they saw that part answered. The caller holds
+// mu.
 func (parts *Parts) culprits(now time.Time) []string {
 	var found []string
 	others := parts.explainingAlone(now)
 	for id, entry := range parts.parts {
-		local := slices.ContainsFunc(entry.deaths, func(death *partDeath) bool { return death.local[id] })
+		local := slices.ContainsFunc(entry.deaths, func(death *partDeath) bool {
+			settles, ok := death.local[id]
+			return ok && !now.Before(settles)
+		})
 		if local && parts.suspicious(id, entry, others, now) {
 			found = append(found, id)
 		}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -98,8 +98,9 @@
 type partDeath struct {
 	at    time.Time
 	parts map[string]bool // of the prompts in flight
-	// local are the parts of the prompts that this VM had in flight.
-	local map[string]bool
+	// local are the parts of the prompts that this VM had in flight, with the time from
+	// which the other VMs' replies to its report are known.
+	local map[string]time.Time
 	// explained is set if one of the parts is blocked.
 	explained bool
 	// answersBefore is the number of answered prompts when the death was reported.
@@ -139,8 +140,9 @@
 		entry := parts.get(id, now)
 		entry.lastDeath = now
 		known.parts[id] = true
-		if local {
-			known.local[id] = true
+		if local && known.local[id].IsZero() {
+			known.local[id] = now.Add(settleTime)
+			parts.settleAt(known.local[id])
 		}
 		if known.at.After(entry.answered) && !known.explained {
 			entry.add(known, death.Request)
@@ -169,11 +171,9 @@
 		return known
 	}
 	parts.evictDeath()
-	known = &partDeath{at: now, parts: map[string]bool{}, local: map[string]bool{}, answersBefore: parts.answers}
+	known = &partDeath{at: now, parts: map[string]bool{}, local: map[string]time.Time{}, answersBefore: parts.answers}
 	parts.deaths[target] = known
-	if settles := now.Add(settleTime); parts.settlesAt.IsZero() || settles.Before(parts.settlesAt) {
-		parts.settlesAt = settles
-	}
+	parts.settleAt(now.Add(settleTime))
 	return known
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -253,6 +253,31 @@
 	}
 }
 
+// Guards against the block of a part before the other VMs can have replied to this VM's
+// first report of its death that they saw it answered.
+func TestVMDecidesAfterRepliesToItsReport(t *testing.T) {
+	scenario := newScenario()
+	scenario.answers(10, "other")
+	for i := range 4 {
+		scenario.parts.RecordDeath(Death{Target: fmt.Sprint("target", i), Request: fmt.Sprint("remote", i), Parts: []string{"p"}}, false, scenario.now)
+		scenario.now = scenario.now.Add(apart)
+		scenario.answers(10, "other")
+	}
+	last := scenario.now
+	scenario.parts.RecordDeath(Death{Target: "last", Request: "remote", Parts: []string{"p"}}, false, last)
+	scenario.now = last.Add(settleTime / 2)
+	scenario.die(0, "p")
+	for _, test := range []struct {
+		after time.Duration
+		want  bool
+	}{{settleTime / 2, false}, {settleTime, false}, {settleTime*3/2 - 1, false}, {settleTime * 3 / 2, true}} {
+		scenario.now = last.Add(test.after)
+		if got := scenario.isBlocked("p"); got != test.want {
+			t.Errorf("%v after the last death: got blocked %t, want %t", test.after, got, test.want)
+		}
+	}
+}
+
 // An answered prompt shows that its parts crash nothing.
 func TestAnswerUnblocksPart(t *testing.T) {
 	scenario := newScenario()
