Count a stream that goes on for a second as an answered prompt

Cause: a part is cleared by complete answers alone. A prompt that runs for seconds dies with many targets that others crash, and is seldom answered in between, so its part looks like one that crashes them.

Why it works: the part crashes each target that begins to write an answer to a prompt with it. A stream with events more than a second apart began and went on. It clears a wrong block too. Deaths after that second still count.

A part that crashes targets only later than a second after the first event is no longer found by this way; whole requests still are.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -29,6 +29,9 @@
 	// minOtherAnswers is the number of answered prompts without the part since its
 	// first death. Without it, an outage of all targets would block every part.
 	minOtherAnswers = 5
+	// RunningTime is how long the answer to a prompt must have been written until its
+	// parts count as answered: a part that crashes targets does so when they begin.
+	RunningTime = time.Second
 	// partMemory is how long deaths and answers are remembered. What is older is
 	// dropped every sweepInterval.
 	partMemory    = time.Hour
@@ -182,6 +185,20 @@
 	parts.mu.Lock()
 	defer parts.mu.Unlock()
 	parts.answers++
+	parts.answerLocally(ids, now)
+}
+
+// RecordRunning records that the answer to a prompt with the parts has been written at
+// this VM for RunningTime. Prompts with long answers die more often than others with
+// targets that other parts crash, and are seldom answered in between.
+func (parts *Parts) RecordRunning(ids []string, now time.Time) {
+	parts.mu.Lock()
+	defer parts.mu.Unlock()
+	parts.answerLocally(ids, now)
+}
+
+// answerLocally records an answer that this VM saw. The caller holds mu.
+func (parts *Parts) answerLocally(ids []string, now time.Time) {
 	for _, id := range ids {
 		if parts.answer(id, now, now) {
 			parts.cleared = append(parts.cleared, id)
--- a/quarantine/parts_fleet_test.go
+++ b/quarantine/parts_fleet_test.go
@@ -24,8 +24,9 @@
 // simulatedRequest is one request in flight.
 type simulatedRequest struct {
 	id, vm, target int
+	subject        int // of sound requests
 	parts          []string
-	ends           time.Time
+	began, ends    time.Time
 	crashes        bool
 	attempts       int
 }
@@ -42,6 +43,8 @@
 	messages map[time.Time][]func()
 	// crashingParts is the number of parts that crash targets.
 	crashingParts int
+	// longSubjects is the number of subjects whose answers take seconds.
+	longSubjects int
 	// faultEvery is the time between faults that stop a third of the targets; 0 for
 	// none.
 	faultEvery time.Duration
@@ -88,8 +91,11 @@
 		}
 		home = (home + 1) % len(simulation.upAt)
 	}
-	request.target = home
+	request.target, request.began = home, simulation.now
 	request.ends = simulation.now.Add(time.Duration(80+simulation.random.IntN(500)) * time.Millisecond)
+	if request.subject < simulation.longSubjects && !request.crashes {
+		request.ends = simulation.now.Add(time.Duration(2000+simulation.random.IntN(6000)) * time.Millisecond)
+	}
 	if request.crashes {
 		request.ends = simulation.now.Add(crashDelay)
 		part := request.parts[len(request.parts)-1]
@@ -176,7 +182,7 @@
 			if simulation.random.IntN(stepsPerSecond) < count {
 				subject := simulation.random.IntN(60)
 				simulation.sound++
-				simulation.send(&simulatedRequest{vm: simulation.random.IntN(len(simulation.vms)), parts: []string{"all", "first", fmt.Sprint("subject", subject)}}, subject%len(simulation.upAt))
+				simulation.send(&simulatedRequest{vm: simulation.random.IntN(len(simulation.vms)), subject: subject, parts: []string{"all", "first", fmt.Sprint("subject", subject)}}, subject%len(simulation.upAt))
 			}
 		}
 		for number := range simulation.crashingParts {
@@ -203,6 +209,9 @@
 	for _, request := range simulation.running {
 		switch {
 		case request.ends.After(simulation.now):
+			if simulation.now.Sub(request.began) == RunningTime {
+				simulation.vms[request.vm].RecordRunning(request.parts, simulation.now)
+			}
 			left = append(left, request)
 		case request.crashes:
 			crashed[request.target] = request.parts[len(request.parts)-1]
@@ -227,24 +236,26 @@
 		vms, targets, crashRate, soundRate int
 		crashingParts                      int
 		faultEvery                         time.Duration
+		longSubjects                       int
 		seeds                              uint64
 		moreSeeds                          []uint64
 		refused                            float64 // share of sound requests that may be refused
 	}{
-		{6, 12, 3, 130, 1, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 1, nil, 0},
-		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 2, nil, 0},
-		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 8, []uint64{11, 43, 52, 99}, 0},
+		{6, 12, 3, 130, 1, 0, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 0, 1, nil, 0},
+		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 0, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 0, 2, nil, 0},
+		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 0, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 0, 8, []uint64{11, 43, 52, 99}, 0},
+		{6, 12, 2, 130, 2, 0, 8, 8, nil, 0}, {6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, 8, nil, 0},
 		// Two thirds of the targets are down; the users' platform asks for half.
-		{6, 12, 2, 130, 4, 0, 8, []uint64{15, 19, 47}, 0.5},
+		{6, 12, 2, 130, 4, 0, 0, 8, []uint64{15, 19, 47}, 0.5},
 	} {
 		seeds := test.moreSeeds
 		for seed := range test.seeds {
 			seeds = append(seeds, seed)
 		}
 		for _, seed := range seeds {
-			t.Run(fmt.Sprintf("%d VMs, %d parts, %d a second, faults every %v, seed %d", test.vms, test.crashingParts, test.crashRate, test.faultEvery, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d VMs, %d parts, %d a second, faults every %v, %d long, seed %d", test.vms, test.crashingParts, test.crashRate, test.faultEvery, test.longSubjects, seed), func(t *testing.T) {
 				simulation := newSimulation(seed, test.vms, test.targets)
-				simulation.faultEvery, simulation.crashingParts = test.faultEvery, test.crashingParts
+				simulation.faultEvery, simulation.crashingParts, simulation.longSubjects = test.faultEvery, test.crashingParts, test.longSubjects
 				simulation.run(3*time.Second, 0, test.soundRate)
 				simulation.run(20*time.Second, test.crashRate, test.soundRate)
 				if len(simulation.deaths) < 3 {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -154,7 +154,7 @@
 func (job *job) Event(text []byte) error {
 	now := time.Now()
 	job.attempt.assignment.PromptProcessed(now)
-	job.attempt.events = true
+	job.recordEvent(now)
 	id := eventID(text)
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
--- a/relay/job.go
+++ b/relay/job.go
@@ -108,7 +108,10 @@
 	assignment roster.Assignment
 	head       target.Head
 	events     bool // at least one event was received
-	died       bool // the target accepted no connections after the attempt had broken
+	// runningAt is when the parts of the prompt count as answered while the stream goes
+	// on; zero before the first event, and once they do.
+	runningAt time.Time
+	died      bool // the target accepted no connections after the attempt had broken
 }
 
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// recordEvent records an event of a stream. A stream that has gone on for a while shows
+// that the parts of its prompt do not crash targets.
+func (job *job) recordEvent(now time.Time) {
+	attempt := &job.attempt
+	switch {
+	case !attempt.events:
+		attempt.events, attempt.runningAt = true, now.Add(quarantine.RunningTime)
+	case !attempt.runningAt.IsZero() && !now.Before(attempt.runningAt):
+		attempt.runningAt = time.Time{}
+		if len(job.parts) > 0 && attempt.head.Status == http.StatusOK {
+			job.relay.Parts.RecordRunning(job.parts, now)
+		}
+	}
+}
+
 // recordDeath records a target's death in the quarantine, against the request and the
 // parts of its prompt, if the target accepts connections neither of this VM nor of others.
 func (job *job) recordDeath(ctx context.Context, assignment *roster.Assignment, result error) {
