Partition VMs from all engines in the soak, and check RECOVER

Some VMs may be cut from all engines for seconds, while callers, the store and the other VMs reach them.

The VMs of the soak are now processes of the test binary. They run what the command "gateway" runs (command.RunGateway, moved out of its action), but their decoder replaces the IP address of engines by one of the VM's own (127.0.1.N), where each engine listens as well. So one VM can be cut with real sockets: connections hang (bytes are held, the backlog is full, so that the first packet of new ones is dropped), are reset and refused, or open ones live on and new ones are refused. One VM, several or an availability zone are cut. Bytes that are held are confirmed by the operating system, so TCP_USER_TIMEOUT does not fire here as it would on a real link.

Half of the callers' requests go through a stand-in of the platform's ingress, which removes VMs that are not ready; their outcomes are the first tries that history's new check of RECOVER counts: from 3 s after the cut began, less than two thirds of the share served elsewhere, and more than 10 + 1 in 50 of all first tries failed there.

Kinds of faults have names, and -faults (make soak FAULTS=...) selects them. The kinds partition-* are not drawn by default, because the router breaks RECOVER under them.

--- a/Makefile
+++ b/Makefile
@@ -52,11 +52,13 @@
 	test/path/run.sh
 
 # Real processes under faults drawn by a seed: make soak SEED=7 LENGTH=5m
+# FAULTS names the kinds that are drawn: FAULTS='partition-*,kill'
 SEED ?= 1
 LENGTH ?= 1m
-soak: build
+FAULTS ?= default
+soak:
 	$(GO) test -tags soak -run TestSoak -count=1 -timeout 0 ./platform -v -args \
-		-binary $(CURDIR)/bin/bramleygw -seed $(SEED) -length $(LENGTH)
+		-seed $(SEED) -length $(LENGTH) -faults '$(FAULTS)'
 
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./completion
--- a/command/cmd_gateway.go
+++ b/command/cmd_gateway.go
@@ -14,6 +14,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/gateway"
 	"github.com/bramleygw/bramleygw/platform"
+	"github.com/bramleygw/bramleygw/settings"
 )
 
 var metricsFlag = &cli.Uint16Flag{Name: "metrics-port", Usage: "serve /metrics at this `PORT` as well"}
@@ -31,26 +32,32 @@
 		if port := command.Uint16(metricsFlag.Name); port != 0 {
 			vm.Metrics = netip.AddrPortFrom(vm.Caller.Addr(), port)
 		}
-		buffer := event.NewBuffer(os.Stdout)
-		log := event.New(buffer, vm.Name, event.LevelInfo)
-		if len(vm.Ignored) > 0 {
-			log.Emit(event.SettingsIgnored, event.F("fields", vm.Ignored))
-		}
-		process := &gateway.Gateway{
-			Settings: vm, Store: platform.NewStore(vm.Store), Decoder: platform.Decoder{}, TargetDialect: platform.Dialect{},
-			FrontDialect: platform.Requests{}, Engines: platform.Engines{}, Log: log,
-		}
-		hangups := make(chan os.Signal, 1)
-		signal.Notify(hangups, syscall.SIGHUP)
-		defer signal.Stop(hangups)
-		process.Reloads = hangups
-		if err := process.Listen(); err != nil {
-			return err
-		}
-		return runWithLog(ctx, buffer, log, process.Run)
+		return RunGateway(ctx, vm, platform.Decoder{})
 	},
 }
 
+// RunGateway runs the process of one VM until ctx ends, and writes its log to standard
+// output.
+func RunGateway(ctx context.Context, vm settings.PlatformVM, decoder gateway.Decoder) error {
+	buffer := event.NewBuffer(os.Stdout)
+	log := event.New(buffer, vm.Name, event.LevelInfo)
+	if len(vm.Ignored) > 0 {
+		log.Emit(event.SettingsIgnored, event.F("fields", vm.Ignored))
+	}
+	process := &gateway.Gateway{
+		Settings: vm, Store: platform.NewStore(vm.Store), Decoder: decoder, TargetDialect: platform.Dialect{},
+		FrontDialect: platform.Requests{}, Engines: platform.Engines{}, Log: log,
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	process.Reloads = hangups
+	if err := process.Listen(); err != nil {
+		return err
+	}
+	return runWithLog(ctx, buffer, log, process.Run)
+}
+
 // runWithLog calls run while a second goroutine writes the buffered log. It stops that
 // goroutine only after run has returned, so that the last lines are not lost.
 func runWithLog(ctx context.Context, buffer *event.Buffer, log *event.Log, run func(context.Context) error) error {
--- a/history/history.go
+++ b/history/history.go
@@ -3,7 +3,8 @@
 // prompts.
 //
 // A history is recorded where the targets are: each request that reached one, and what
-// its answer said about further requests. The checks are pure functions; the bounds are
+// its answer said about further requests; and where the callers are: whether first tries
+// were served. The checks are pure functions; the bounds are
 // those of the users' platform. A VM that was restarted, paused or cut is excused for the
 // time that Excused states.
 //
@@ -45,6 +46,20 @@
 	Crashed   bool
 }
 
+// Try is the first try of a request at a VM.
+type Try struct {
+	VM     string
+	Sent   time.Time
+	Served bool
+}
+
+// Cut is a time in which VMs reach no target, while callers, the store and the other VMs
+// reach them.
+type Cut struct {
+	VMs      []string
+	From, To time.Time
+}
+
 // Bounds are the times of the users' platform in which a VM must react.
 type Bounds struct {
 	// Contact is the time in touch after which a VM must know what others know.
@@ -69,14 +84,25 @@
 	// Bounds.Contact after the crash with the number blockingCrash.
 	maxCrashing   = 3
 	blockingCrash = 5
+	// First tries at VMs that are cut from all targets may be served less than servedShare
+	// times as often as those at others only if at most failedSlack and one in failedPart
+	// of all fail there.
+	servedShare = 2.0 / 3
+	failedSlack = 10
+	failedPart  = 50
 )
 
 // History is what targets received, in the order of arrival.
 type History struct {
 	Arrivals []Arrival
+	Tries    []Try
+	Cuts     []Cut
 	Bounds   Bounds
-	// Excused reports whether a VM was restarted, paused or cut between two times.
+	// Excused reports whether a VM was restarted or paused between two times.
 	Excused func(vm string, from, to time.Time) bool
+	// InTouch reports whether a VM and the store have run without a fault for
+	// Bounds.Contact. A VM that is cut from targets alone is in touch.
+	InTouch func(vm string, at time.Time) bool
 }
 
 // Violation is a broken promise.
@@ -93,7 +119,7 @@
 
 // Check returns all violations.
 func (history *History) Check() []Violation {
-	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts())
+	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts())
 }
 
 // pair is a target and a VM.
@@ -124,7 +150,7 @@
 func (history *History) checkRests() []Violation {
 	var violations []Violation
 	for _, asked := range history.Arrivals {
-		if asked.RestUntil.IsZero() || asked.Answered.IsZero() || history.Excused(asked.VM, asked.Answered, asked.RestUntil) {
+		if asked.RestUntil.IsZero() || asked.Answered.IsZero() || history.excusedOrCut(asked.VM, asked.Answered, asked.RestUntil) {
 			continue
 		}
 		count := 0
@@ -150,7 +176,7 @@
 		limit := 0.0
 		var counted []time.Time
 		for _, arrival := range arrivals {
-			if at, known := told[arrival.VM]; known && arrival.At.Sub(at) >= limitDelay && arrival.At.After(history.Bounds.Contact.After(first)) && !history.Excused(arrival.VM, at, arrival.At) {
+			if at, known := told[arrival.VM]; known && arrival.At.Sub(at) >= limitDelay && arrival.At.After(history.Bounds.Contact.After(first)) && !history.excusedOrCut(arrival.VM, at, arrival.At) {
 				counted = append(counted, arrival.At)
 			}
 			for len(counted) > 0 && arrival.At.Sub(counted[0]) > limitWindow {
@@ -215,6 +241,59 @@
 	})
 }
 
+// checkCuts finds cuts in which first tries at the VMs that are cut fail although others
+// serve.
+func (history *History) checkCuts() []Violation {
+	var violations []Violation
+	for _, cut := range history.Cuts {
+		var there, elsewhere share
+		for _, try := range history.Tries {
+			if !try.Sent.After(history.Bounds.Contact.After(cut.From)) || !try.Sent.Before(cut.To) || !history.InTouch(try.VM, try.Sent) {
+				continue
+			}
+			switch {
+			case slices.Contains(cut.VMs, try.VM):
+				there.count(try.Served)
+			case !history.isCut(try.VM, try.Sent, try.Sent):
+				elsewhere.count(try.Served)
+			}
+		}
+		allowed := failedSlack + float64(there.tries+elsewhere.tries)/failedPart
+		if there.value() < servedShare*elsewhere.value() && float64(there.tries-there.served) > allowed {
+			violations = append(violations, Violation{"RECOVER", cut.From, fmt.Sprintf("%d of %d first tries are served at %v, which are cut from all targets until %s, and %d of %d elsewhere; %.1f may fail", there.served, there.tries, cut.VMs, cut.To.Format("15:04:05.000"), elsewhere.served, elsewhere.tries, allowed)})
+		}
+	}
+	return violations
+}
+
+// share is how many tries were served.
+type share struct{ served, tries int }
+
+func (share *share) count(served bool) {
+	share.tries++
+	if served {
+		share.served++
+	}
+}
+
+func (share *share) value() float64 {
+	if share.tries == 0 {
+		return 0
+	}
+	return float64(share.served) / float64(share.tries)
+}
+
+// isCut reports whether a VM was cut from all targets between two times.
+func (history *History) isCut(vm string, from, to time.Time) bool {
+	return slices.ContainsFunc(history.Cuts, func(cut Cut) bool {
+		return slices.Contains(cut.VMs, vm) && !cut.From.After(to) && !cut.To.Before(from)
+	})
+}
+
+func (history *History) excusedOrCut(vm string, from, to time.Time) bool {
+	return history.Excused(vm, from, to) || history.isCut(vm, from, to)
+}
+
 func (history *History) byTarget() map[string][]Arrival {
 	targets := map[string][]Arrival{}
 	for _, arrival := range history.Arrivals {
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -87,3 +87,60 @@
 		})
 	}
 }
+
+// tries returns first tries at VMs a and b, which is never cut, from seconds on. At a
+// the given number fails.
+func tries(from float64, countA, failedA, countB, failedB int) []Try {
+	var all []Try
+	for i := range countA {
+		all = append(all, Try{VM: "a", Sent: at(from), Served: i >= failedA})
+	}
+	for i := range countB {
+		all = append(all, Try{VM: "b", Sent: at(from), Served: i >= failedB})
+	}
+	return all
+}
+
+func TestCheckCuts(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		tries     []Try
+		outOf     string // touch
+		wantBreak bool
+	}{
+		{"as many fail as may: 10 and one in 50 of 100", tries(13.1, 20, 12, 80, 0), "", false},
+		{"one more fails", tries(13.1, 20, 13, 80, 0), "", true},
+		{"two thirds are served", tries(13.1, 60, 20, 40, 0), "", false},
+		{"fewer than two thirds are served", tries(13.1, 60, 21, 40, 0), "", true},
+		{"others are not served either", tries(13.1, 60, 21, 40, 20), "", false},
+		{"before the VMs must know", tries(13, 60, 60, 40, 0), "", false},
+		{"after the cut", tries(20, 60, 60, 40, 0), "", false},
+		{"out of touch", tries(13.1, 60, 60, 40, 0), "a", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			history := &History{
+				Tries: test.tries, Cuts: []Cut{{VMs: []string{"a"}, From: at(10), To: at(20)}}, Bounds: Bounds{Contact: settings.Span(3 * time.Second)},
+				InTouch: func(vm string, _ time.Time) bool { return vm != test.outOf },
+			}
+			if violations := history.Check(); (len(violations) > 0) != test.wantBreak {
+				t.Errorf("got %v, want a violation: %t", violations, test.wantBreak)
+			}
+		})
+	}
+}
+
+// A VM that is cut is excused where it can not hear a target.
+func TestCutExcusesRestsAndLimits(t *testing.T) {
+	resting := arrivals("a", func(arrival *Arrival) { arrival.RestUntil = at(5) }, 1)
+	history := &History{
+		Arrivals: append(resting, arrivals("a", nil, 2, 3, 4.9)...), Cuts: []Cut{{VMs: []string{"a"}, From: at(2), To: at(3)}},
+		Excused: func(string, time.Time, time.Time) bool { return false },
+	}
+	if got := history.Check(); len(got) > 0 {
+		t.Errorf("got %v, want none", got)
+	}
+	history.Cuts[0].VMs = []string{"b"}
+	if got := history.Check(); len(got) != 1 || got[0].Rule != "BUDGET" {
+		t.Errorf("got %v, want a violation of BUDGET", got)
+	}
+}
