--- a/history/history.go
+++ b/history/history.go
@@ -44,6 +44,11 @@
 	RestUntil time.Time
 	Limit     float64
 	Crashed   bool
+
+	// Model and Weights are the model and the version of its weights on which the
+	// request began; empty if it did not, or needs none.
+	Model   string
+	Weights uint64
 }
 
 // Try is the first try of a request at a VM.
@@ -60,12 +65,25 @@
 	From, To time.Time
 }
 
+// Named states that new weights of a model were named.
+type Named struct {
+	Model   string
+	Weights uint64 // version
+	At      time.Time
+}
+
+// Interval is a time with a begin and an end.
+type Interval struct{ From, To time.Time }
+
 // Bounds are the times of the users' platform in which a VM must react.
 type Bounds struct {
 	// Contact is the time in touch after which a VM must know what others know.
 	Contact settings.Span
 	// Drain is the time after which a target that leaves gets nothing.
 	Drain settings.Span
+	// Weights is the time after which no request begins on older weights than those that
+	// were named.
+	Weights settings.Span
 }
 
 const (
@@ -97,7 +115,11 @@
 	Arrivals []Arrival
 	Tries    []Try
 	Cuts     []Cut
-	Bounds   Bounds
+	Named    []Named // in the order of time
+	// Disturbed are faults of the store, each until Bounds.Contact after its end, in the
+	// order of time.
+	Disturbed []Interval
+	Bounds    Bounds
 	// Excused reports whether a VM was restarted or paused between two times.
 	Excused func(vm string, from, to time.Time) bool
 	// InTouch reports whether a VM and the store have run without a fault for
@@ -119,7 +141,7 @@
 
 // Check returns all violations.
 func (history *History) Check() []Violation {
-	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts())
+	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights())
 }
 
 // pair is a target and a VM.
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -144,3 +144,37 @@
 		t.Errorf("got %v, want a violation of BUDGET", got)
 	}
 }
+
+func TestCheckWeights(t *testing.T) {
+	begun := func(vm string, weights uint64, second float64) []Arrival {
+		return arrivals(vm, func(arrival *Arrival) { arrival.Model, arrival.Weights = "m", weights }, second)
+	}
+	for _, test := range []struct {
+		name      string
+		arrivals  []Arrival
+		disturbed []Interval
+		wantBreak bool
+	}{
+		{"at the bound", begun("a", 1, 16), nil, false},
+		{"later than the bound", begun("a", 1, 16.1), nil, true},
+		{"on the new weights", begun("a", 2, 16.1), nil, false},
+		{"of another model", arrivals("a", func(arrival *Arrival) { arrival.Model, arrival.Weights = "n", 1 }, 16.1), nil, false},
+		{"without weights", arrivals("a", nil, 16.1), nil, false},
+		{"by a VM that is not in touch", begun("b", 1, 16.1), nil, false},
+		{"after a fault of the store", begun("a", 1, 19), []Interval{{at(12), at(13)}}, false},
+		{"long after a fault of the store", begun("a", 1, 19.1), []Interval{{at(12), at(13)}}, true},
+		{"after a fault that came after the bound", begun("a", 1, 18), []Interval{{at(16.1), at(17)}}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			history := &History{
+				Arrivals: test.arrivals, Named: []Named{{Model: "m", Weights: 2, At: at(10)}}, Disturbed: test.disturbed,
+				Bounds:  Bounds{Weights: settings.Span(6 * time.Second)},
+				InTouch: func(vm string, _ time.Time) bool { return vm == "a" },
+				Excused: func(string, time.Time, time.Time) bool { return false },
+			}
+			if violations := history.Check(); (len(violations) > 0) != test.wantBreak {
+				t.Errorf("got %v, want a violation: %t", violations, test.wantBreak)
+			}
+		})
+	}
+}
