Brittle engines in the soak, and the check of LIMIT for them

history's new check: in one such time the engines of a service fall over more often than 2 + a tenth of their number; a fall counts if most of what was rejected in the second before came from VMs in touch.

--- a/history/history.go
+++ b/history/history.go
@@ -28,6 +28,7 @@
 type Arrival struct {
 	Request string // ID
 	Target  string // start of a target
+	Service string
 	VM      string // that sent it
 	// Sent is when the caller sent the request, At when it reached the target, and
 	// Answered when the VM passed the head of the answer on; zero if it did not.
@@ -49,6 +50,10 @@
 	// request began; empty if it did not, or needs none.
 	Model   string
 	Weights uint64
+
+	// Rejected states that the target had no room for the request, and Fell that it fell
+	// over because it had rejected too many.
+	Rejected, Fell bool
 }
 
 // Try is the first try of a request at a VM.
@@ -115,6 +120,7 @@
 	Arrivals []Arrival
 	Tries    []Try
 	Cuts     []Cut
+	Brittle  []Brittle
 	Named    []Named // in the order of time
 	// Disturbed are faults of the store, each until Bounds.Contact after its end, in the
 	// order of time.
@@ -141,7 +147,7 @@
 
 // Check returns all violations.
 func (history *History) Check() []Violation {
-	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights())
+	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights(), history.checkFalls())
 }
 
 // pair is a target and a VM.
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -178,3 +178,34 @@
 		})
 	}
 }
+
+func TestCheckFalls(t *testing.T) {
+	falling := func(vm string, seconds ...float64) []Arrival {
+		return arrivals(vm, func(arrival *Arrival) { arrival.Service, arrival.Rejected, arrival.Fell = "s", true, true }, seconds...)
+	}
+	for _, test := range []struct {
+		name      string
+		arrivals  []Arrival
+		targets   int
+		wantBreak bool
+	}{
+		{"two falls", falling("a", 12, 14), 5, false},
+		{"three falls", falling("a", 12, 14, 16), 5, true},
+		{"three falls of ten", falling("a", 12, 14, 16), 10, false},
+		{"four falls of ten", falling("a", 12, 14, 16, 18), 10, true},
+		{"three falls, one before", falling("a", 9, 14, 16), 5, false},
+		{"three falls, one by a VM that is not in touch", append(falling("b", 12), falling("a", 14, 16)...), 5, false},
+		{"three falls, one to half by a VM that is not in touch", append(arrivals("b", func(arrival *Arrival) { arrival.Rejected = true }, 11.5), falling("a", 12, 14, 16)...), 5, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			history := &History{
+				Arrivals: test.arrivals, Brittle: []Brittle{{Service: "s", Targets: test.targets, From: at(10), To: at(20)}},
+				InTouch: func(vm string, _ time.Time) bool { return vm == "a" },
+				Excused: func(string, time.Time, time.Time) bool { return false },
+			}
+			if violations := history.Check(); (len(violations) > 0) != test.wantBreak {
+				t.Errorf("got %v, want a violation: %t", violations, test.wantBreak)
+			}
+		})
+	}
+}
