--- a/history/history.go
+++ b/history/history.go
@@ -51,6 +51,10 @@
 	Model   string
 	Weights uint64
 
+	// Stream is the request that began the stream to which the target wrote events, and
+	// Software the version of the target's software; empty if it wrote none.
+	Stream, Software string
+
 	// Rejected states that the target had no room for the request, and Fell that it fell
 	// over because it had rejected too many.
 	Rejected, Fell bool
@@ -147,7 +151,7 @@
 
 // Check returns all violations.
 func (history *History) Check() []Violation {
-	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights(), history.checkFalls())
+	return slices.Concat(history.checkLeaving(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights(), history.checkFalls(), history.checkStreams())
 }
 
 // pair is a target and a VM.
--- /dev/null
+++ b/history/streams.go
@@ -0,0 +1,30 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// maxMixed is how many streams may hold events from targets of two software versions.
+const maxMixed = 2
+
+// checkStreams finds streams with events from targets of several software versions.
+func (history *History) checkStreams() []Violation {
+	software := map[string][]string{} // by stream
+	var mixed []string
+	var last time.Time
+	for _, arrival := range history.Arrivals {
+		if arrival.Stream == "" || slices.Contains(software[arrival.Stream], arrival.Software) {
+			continue
+		}
+		software[arrival.Stream] = append(software[arrival.Stream], arrival.Software)
+		if len(software[arrival.Stream]) == 2 {
+			mixed, last = append(mixed, arrival.Stream), arrival.At
+		}
+	}
+	if len(mixed) <= maxMixed {
+		return nil
+	}
+	return []Violation{{"ORDER", last, fmt.Sprintf("%d streams hold events from targets of several software versions, allowed %d: %v", len(mixed), maxMixed, mixed)}}
+}
