Do not end the block of a part of prompts because of an answer before it

A notice that a part of prompts was answered ended the block of the part on a VM that read the notice late, though the answer was before the block: the VM let through requests that crash targets. The notice says only that the part was answered just now, and the time of reading stood for that.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -37,9 +37,9 @@
 	gateway.notify(ctx, notice)
 }
 
-// mergeParts records what another VM reports of parts of prompts. The reply states
-// which of the parts that were in flight at deaths were answered.
-func (gateway *Gateway) mergeParts(notice peer.Notice, now time.Time) peer.NoticeReply {
+// mergeParts records what another VM reported at a time of parts of prompts. The reply
+// states which of the parts that were in flight at deaths were answered.
+func (gateway *Gateway) mergeParts(notice peer.Notice, sentAt, now time.Time) peer.NoticeReply {
 	var reply peer.NoticeReply
 	for _, death := range notice.PartDeaths {
 		gateway.parts.RecordDeath(quarantine.Death{Target: death.Death, Request: death.Request, Parts: death.Parts}, false, now)
@@ -47,18 +47,18 @@
 			reply.AnsweredParts = append(reply.AnsweredParts, peer.PartAnswer{Part: answer.Part, Age: now.Sub(answer.At)})
 		}
 	}
-	gateway.mergeAnswers(notice.AnsweredParts, now)
+	gateway.mergeAnswers(notice.AnsweredParts, sentAt)
 	gateway.mergeBlocked(notice.BlockedParts, now)
 	return reply
 }
 
-// mergeAnswers records which parts of prompts other VMs saw answered.
-func (gateway *Gateway) mergeAnswers(answers []peer.PartAnswer, now time.Time) {
+// mergeAnswers records which parts of prompts other VMs saw answered, as reported at a time.
+func (gateway *Gateway) mergeAnswers(answers []peer.PartAnswer, sentAt time.Time) {
 	merged := make([]quarantine.Answer, len(answers))
 	for i, answer := range answers {
-		merged[i] = quarantine.Answer{Part: answer.Part, At: now.Add(-answer.Age)}
+		merged[i] = quarantine.Answer{Part: answer.Part, At: sentAt.Add(-answer.Age)}
 	}
-	gateway.parts.MergeAnswers(merged, now)
+	gateway.parts.MergeAnswers(merged, time.Now())
 }
 
 // mergeBlocked blocks the parts of prompts that another VM reports as blocked.
--- a/peer/encode_notice.go
+++ b/peer/encode_notice.go
@@ -8,6 +8,7 @@
 
 func encodeNotice(notice Notice) *peerpb.Notice {
 	encoded := &peerpb.Notice{
+		Name: notice.Name, Boot: notice.Boot, UptimeUs: encodeUptime(notice.Uptime),
 		Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay,
 		BlockedParts: encodeBlocked(notice.BlockedParts), AnsweredParts: encodeAnswers(notice.AnsweredParts),
 		OrdersLease: encodeLease(notice.OrdersLease),
@@ -23,6 +24,7 @@
 
 func decodeNotice(encoded *peerpb.Notice) Notice {
 	notice := Notice{
+		Name: encoded.GetName(), Boot: encoded.GetBoot(), Uptime: decodeUptime(encoded.GetUptimeUs()),
 		Objects: decodeObjects(encoded.GetObjects()), Targets: decodeTargets(encoded.GetTargets()), Relay: encoded.GetRelay(),
 		BlockedParts: decodeBlocked(encoded.GetBlockedParts()), AnsweredParts: decodeAnswers(encoded.GetAnsweredParts()),
 		OrdersLease: decodeLease(encoded.GetOrdersLease()),
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -88,6 +88,7 @@
 // Each field of a notice must survive encoding and decoding.
 func TestNoticeRoundTrip(t *testing.T) {
 	want := Notice{
+		Name: "vm-1", Boot: "b1", Uptime: 30 * 24 * time.Hour,
 		Objects: []catalog.Object{{ID: "o1", Version: 3, Spec: []byte("{}")}}, Charges: []Charge{{"d1", "i-1/r1"}},
 		Targets: []TargetUpdate{{Target: "i-1", Model: "m", Weights: 3}}, PartDeaths: []PartDeath{{Death: "i-1/5", Request: "d1", Parts: []string{"p1", "p2"}}},
 		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}}, AnsweredParts: []PartAnswer{{Part: "p2", Age: time.Second}}, Relay: true,
--- a/peer/server.go
+++ b/peer/server.go
@@ -190,6 +190,11 @@
 // Notice reports changed objects, deaths of targets and updates of targets' weights to
 // another VM.
 type Notice struct {
+	// Name, Boot and Uptime are those of the sender, as in a heartbeat. The ages in the
+	// notice are as of this uptime. VMs of earlier versions send none.
+	Name    string
+	Boot    string
+	Uptime  time.Duration
 	Objects []catalog.Object
 	Charges []Charge
 	Targets []TargetUpdate
