--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -40,6 +40,8 @@
 	// period has ended.
 	hungFrom  time.Time
 	hungUntil time.Time
+	// unlisted is a collection of which lists are turned away.
+	unlisted objects.Collection
 	// historyLost makes watches from a version before the newest change fail.
 	historyLost bool
 }
@@ -85,6 +87,9 @@
 	}
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
+	if collection == fakeStore.unlisted {
+		return objects.List{}, objects.ErrThrottled
+	}
 	list := objects.List{Metadata: objects.ListMetadata{ResourceVersion: fakeStore.version}}
 	if item, ok := fakeStore.items[collection]; ok {
 		list.Items = append(list.Items, item)
--- a/gateway/weights_unlisted_test.go
+++ b/gateway/weights_unlisted_test.go
@@ -9,20 +9,6 @@
 	"github.com/bramleygw/bramleygw/objects"
 )
 
-// unlistedStore does not answer lists of one collection.
-type unlistedStore struct {
-	*fakeStore
-	unlisted objects.Collection
-}
-
-// List implements Store.
-func (unlistedStore *unlistedStore) List(ctx context.Context, collection objects.Collection) (objects.List, error) {
-	if collection == unlistedStore.unlisted {
-		return objects.List{}, objects.ErrThrottled
-	}
-	return unlistedStore.fakeStore.List(ctx, collection)
-}
-
 // Guards against requests that begin on replaced weights: a VM that starts takes requests
 // before it has a list of the named weights, and requires no version until then.
 func TestVMIsNotReadyBeforeNamedWeightsAreListed(t *testing.T) {
@@ -33,8 +19,8 @@
 		store.put(objects.Configs, 1)
 		store.put(objects.Targets, 9000)
 		store.put(objects.Weights, 2)
+		store.unlisted = objects.Weights
 		gateway := startVM(ctx, "vm", store)
-		gateway.Store = &unlistedStore{store, objects.Weights}
 		sleep(4 * time.Second)
 		synctest.Wait()
 		if required := gateway.weights.Named("m", time.Now()); gateway.Ready() && required != 2 {
@@ -95,8 +81,10 @@
 		sleep(time.Second)
 		store.put(objects.Weights, 2)
 		synctest.Wait()
+		store.mu.Lock()
+		store.unlisted = objects.Weights
+		store.mu.Unlock()
 		started := startVM(ctx, "vm", store)
-		started.Store = &unlistedStore{store, objects.Weights}
 		synctest.Wait()
 		started.HandleHeartbeat(other.newHeartbeat(""))
 		if started.Ready() {
