Take the suspension of a machine into account for the ages of named weights

The monotonic clock stands still while a machine is suspended. After it, a version named before seemed too recent by the length of the suspension, and one named meanwhile could count as just named, so that requests could begin on weights replaced for longer than the bound.

Every 0.2 s, and before it merges a message or an answer of the store about weights, a VM compares CLOCK_BOOTTIME with CLOCK_MONOTONIC. If the difference has grown by a second or more, it moves the times of namings, of its last answer and contact, and the bounds of membership.SendTimes back by that, so that the gap, and the age in a heartbeat of before the suspension, are right. Event 109, machine_suspended.

Left: requests that go on within 0.2 s after a suspension; the times of limits and blocked parts; replies to notices that were under way.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,6 +16,7 @@
 	LinesDropped     = register(106, "lines_dropped", LevelWarn, "log lines were dropped because the output was not read fast enough", "read standard output faster, or log less")
 	SettingsChanged  = register(105, "settings_changed", LevelInfo, "the settings file has changed; the process keeps the settings that it read at its start", "restart the process if the change affects it")
 	MetricsNotServed = register(108, "metrics_not_served", LevelWarn, "the metrics port could not be opened; metrics are served at the readiness address only", "choose a free port with --metrics-port")
+	MachineSuspended = register(109, "machine_suspended", LevelWarn, "the machine was suspended and its clock stood still; the times of named weights were corrected", "do not suspend VMs that serve")
 	SettingsIgnored  = register(107, "settings_ignored", LevelInfo, "the settings file has fields that this version ignores", "none, unless one is misspelt")
 	NotReady         = register(104, "not_ready", LevelWarn, "no configuration has been received yet from the platform or from another VM", "check platform.address and peers in the settings")
 )
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -253,10 +253,11 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
-	calledAt := time.Now()
+	calledAt, suspended := time.Now(), gateway.suspendedSinceStart()
 	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.newHeartbeat(other.Zone))
 	if err == nil {
-		gateway.mergeHeartbeat(reply, calledAt)
+		gateway.applySuspensions()
+		gateway.mergeHeartbeat(reply, calledAt.Add(suspended-gateway.suspendedSinceStart()))
 		gateway.partStore.recordReply(reply.Uptime)
 	}
 	gateway.mu.Lock()
@@ -353,7 +354,8 @@
 
 // HandleHeartbeat implements peer.Handler.
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
-	gateway.mergeHeartbeat(heartbeat, gateway.started)
+	gateway.applySuspensions()
+	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
 	reply := gateway.newHeartbeat(heartbeat.Zone)
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 
 	fetchAddresses chan netip.AddrPort
 	storeHealth    storeHealth
+	suspensions    suspensions
 
 	vmsListed atomic.Bool  // whether the VMs have been listed at least once
 	lastCount atomic.Int64 // of the VMs, as last passed to the limiter
@@ -159,6 +160,7 @@
 	gateway.mirror = mirror.New()
 	gateway.roster = roster.New(vm.AvailabilityZone)
 	gateway.weights = newNamedWeights()
+	gateway.suspensions.read, gateway.suspensions.known = readSuspensions, readSuspensions()
 	gateway.ordersLease = gateway.newOrdersLease()
 	gateway.limits = quota.NewLimiter(vm.Name, assumedVMs)
 	gateway.limits.Slack = quota.Slack{
@@ -341,6 +343,7 @@
 	var detector membership.FailureDetector
 	services := lostServices{}
 	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
+		gateway.applySuspensions()
 		now := time.Now()
 		gateway.roster.Sweep(now)
 		gateway.origins.sweep(now)
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -117,13 +117,14 @@
 // sent, and whether that is exact.
 func (gateway *Gateway) noticeSentAt(notice peer.Notice, readAt time.Time) (sentAt time.Time, exact bool) {
 	if notice.Name == "" {
-		return gateway.started, false
+		return gateway.earliestCall(), false
 	}
-	return gateway.sendTimes.Record(notice.Name, notice.Boot, notice.Uptime, gateway.started, readAt)
+	return gateway.sendTimes.Record(notice.Name, notice.Boot, notice.Uptime, gateway.earliestCall(), readAt)
 }
 
 // HandleNotice implements peer.Handler.
 func (gateway *Gateway) HandleNotice(notice peer.Notice) peer.NoticeReply {
+	gateway.applySuspensions()
 	now := time.Now()
 	sentAt, exact := gateway.noticeSentAt(notice, now)
 	if !exact && len(notice.AnsweredParts) > 0 {
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -149,6 +149,7 @@
 	if collection != objects.Weights {
 		return time.Time{}
 	}
+	gateway.applySuspensions()
 	return gateway.weights.recordSync(time.Now())
 }
 
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -68,6 +68,23 @@
 	return now
 }
 
+// moveBack makes all times earlier, after the clock stood still for the given length.
+func (namedWeights *namedWeights) moveBack(length time.Duration) {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	times := []*time.Time{&namedWeights.syncedAt, &namedWeights.contactAt, &namedWeights.contactSince}
+	for _, versions := range namedWeights.named {
+		for i := range versions {
+			times = append(times, &versions[i].Learned)
+		}
+	}
+	for _, at := range times {
+		if !at.IsZero() {
+			*at = at.Add(-length)
+		}
+	}
+}
+
 // add records that a version was named at the given time or earlier; a zero time means
 // that the time is not known. It returns whether the version is the newest of its model
 // and was unknown, and whether it was known with a later time or with none.
--- a/membership/send_times.go
+++ b/membership/send_times.go
@@ -58,6 +58,15 @@
 	return known.earliest.Add(uptime), exact
 }
 
+// MoveBack takes into account that this VM's clock stood still for the given length.
+func (sendTimes *SendTimes) MoveBack(length time.Duration) {
+	sendTimes.mu.Lock()
+	defer sendTimes.mu.Unlock()
+	for _, known := range sendTimes.senders {
+		known.earliest, known.latest = known.earliest.Add(-length), known.latest.Add(-length)
+	}
+}
+
 // CheckDue reports whether this VM should call another one, whose reply tells more about
 // its clock.
 func (sendTimes *SendTimes) CheckDue(name string) bool {
