Let the fake store wait only if its calls take time

A full run of go test -race ./gateway ended once in five with SIGSEGV within the Go runtime (selectgo, timer.maybeRunChan, in a synctest bubble), where the fake store selects on a timer that is due at once. 90 runs of these tests with -race before this change did not show it again, so that this is the cause is only suspected. A call without latency now uses no timer; a call whose context has ended still fails.

--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -67,10 +67,15 @@
 	fakeStore.mu.Lock()
 	latency := fakeStore.latency
 	fakeStore.mu.Unlock()
-	select {
-	case <-time.After(latency):
-	case <-ctx.Done():
-		return ctx.Err()
+	if latency > 0 { // a timer that is due at once has crashed the runtime with -race
+		select {
+		case <-time.After(latency):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return err
 	}
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
