--- a/roster/choose.go
+++ b/roster/choose.go
@@ -126,7 +126,7 @@
 		if home != nil && score <= highest {
 			continue // the cheaper check first: it excludes most targets
 		}
-		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.rate == 0 {
+		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.value == 0 {
 			home, highest = target, score
 		}
 	}
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -23,11 +23,7 @@
 // Each VM may use a share of it, and send one request at once: fewer VMs have a share of
 // a low limit, so that their first requests together do not exceed it.
 type limit struct {
-	rate float64 // 0 for none
-	// learned is when the target last answered a request, naming a limit or none.
-	learned time.Time
-	// endedAt is when the target ceased to name a limit; zero if it never named one.
-	endedAt time.Time
+	announced // in requests a second
 	// share is this VM's part of the rate. tokens, at most 1, is the number of requests
 	// that it may send, as of countedAt.
 	share     float64
@@ -43,23 +39,43 @@
 	Source  Source
 }
 
-// learn records what the target said at a time. It reports whether the limit changed.
-func (limit *limit) learn(rate float64, at time.Time) bool {
-	if !at.After(limit.learned) {
+// announced is a number that a target names in its answers for as long as it holds.
+type announced struct {
+	value float64 // 0 for none
+	// learned is when the target last answered a request, naming a number or none.
+	learned time.Time
+	// endedAt is when the target ceased to name a number; zero if it never named one.
+	endedAt time.Time
+}
+
+// learn records what the target said at a time. It reports whether the number changed.
+func (announced *announced) learn(value float64, at time.Time) bool {
+	if !at.After(announced.learned) {
 		return false
 	}
-	if rate == 0 && limit.rate > 0 && at.Sub(limit.learned) < limitEndDelay {
+	if value == 0 && announced.value > 0 && at.Sub(announced.learned) < limitEndDelay {
 		return false
 	}
-	changed := rate != limit.rate
-	switch {
-	case !changed:
-	case rate == 0:
-		limit.endedAt = at
-	case limit.rate == 0: // the requests of the last moments were not counted
+	changed := value != announced.value
+	if changed && value == 0 {
+		announced.endedAt = at
+	}
+	announced.value, announced.learned = value, at
+	return changed
+}
+
+// reported reports whether other VMs are told of the number.
+func (announced *announced) reported(now time.Time) bool {
+	return announced.value > 0 || now.Sub(announced.endedAt) < limitReportTime
+}
+
+// learn records what the target said at a time. It reports whether the limit changed.
+func (limit *limit) learn(rate float64, at time.Time) bool {
+	began := limit.value == 0
+	changed := limit.announced.learn(rate, at)
+	if changed && began { // the requests of the last moments were not counted
 		limit.share, limit.tokens, limit.countedAt = 0, 0, at
 	}
-	limit.rate, limit.learned = rate, at
 	return changed
 }
 
@@ -68,13 +84,13 @@
 	if !now.After(limit.countedAt) {
 		return
 	}
-	earned := limit.rate * limit.share * now.Sub(limit.countedAt).Seconds()
+	earned := limit.value * limit.share * now.Sub(limit.countedAt).Seconds()
 	limit.tokens, limit.countedAt = min(1, limit.tokens+earned), now
 }
 
 // allows reports whether this VM may send a request now.
 func (limit *limit) allows(now time.Time) bool {
-	if limit.rate == 0 {
+	if limit.value == 0 {
 		return true
 	}
 	limit.count(now)
@@ -83,7 +99,7 @@
 
 // take counts a request; give takes that back.
 func (limit *limit) take() {
-	if limit.rate > 0 {
+	if limit.value > 0 {
 		limit.tokens--
 	}
 }
@@ -95,13 +111,13 @@
 // recheckDue reports whether the target should be asked before others whether its limit
 // still holds.
 func (limit *limit) recheckDue(now time.Time) bool {
-	return limit.rate > 0 && now.Sub(limit.learned) > limitRecheckTime
+	return limit.value > 0 && now.Sub(limit.learned) > limitRecheckTime
 }
 
 // nextAt returns when this VM may send a request. It returns false if it has no share.
 func (limit *limit) nextAt(now time.Time) (time.Time, bool) {
 	limit.count(now)
-	earning := limit.rate * limit.share
+	earning := limit.value * limit.share
 	if earning <= 0 {
 		return time.Time{}, false
 	}
@@ -121,9 +137,9 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	for id, target := range roster.targets {
-		if target.limit.rate > 0 {
+		if target.limit.value > 0 {
 			target.limit.count(now)
-			target.limit.share = share(id, target.entry.Zone, target.limit.rate)
+			target.limit.share = share(id, target.entry.Zone, target.limit.value)
 		}
 	}
 }
@@ -142,8 +158,8 @@
 	defer roster.mu.Unlock()
 	var limits []Limit
 	for id, target := range roster.targets {
-		if target.limit.rate > 0 || now.Sub(target.limit.endedAt) < limitReportTime {
-			limits = append(limits, Limit{Target: id, StartTime: target.entry.StartTime, Rate: target.limit.rate, Learned: target.limit.learned})
+		if target.limit.reported(now) {
+			limits = append(limits, Limit{Target: id, StartTime: target.entry.StartTime, Rate: target.limit.value, Learned: target.limit.learned})
 		}
 	}
 	return limits
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -201,7 +201,7 @@
 // unused reports whether a removed target may be forgotten. The rest or the limit of a
 // target that registers again is not over because of that.
 func (target *Target) unused(now time.Time) bool {
-	limited := target.limit.rate > 0 && now.Sub(target.limit.learned) < limitRetention
+	limited := target.limit.value > 0 && now.Sub(target.limit.learned) < limitRetention
 	return target.inFlight == 0 && target.rest.availability(now) != Resting && !limited
 }
 
@@ -264,7 +264,7 @@
 			entry.Models = append([]Model(nil), entry.Models...)
 			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
 			availability := target.availability(now)
-			entry.Limited = target.limit.rate > 0
+			entry.Limited = target.limit.value > 0
 			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
