Spare brittle targets rejections, over all VMs

Targets may say in their answers (Server-Brittle: N) that they fall over if they have to reject more than N requests in a second. Nothing read it: a rejected request went on to the next target, and VMs sent what targets had no room for.

The header is decoded once, like Server-Limit, belongs to one start and ends with the answers that no longer name it. Heartbeats carry it with the newest load, the newest rejection and the admitted part. A target gets requests only below its room: one and a half times its slots, less after a rejection. VMs admit the same part of the requests for a service whose targets are brittle and nearly full, by the loads that all of them know, and refuse the others at once. A rejected request goes only to a target that is surely free. A VM that got its share of N in a second sends that target nothing more. Starts that have not answered count as brittle as the others of their service.

A word counts as news only if it is clearly later.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -153,6 +153,7 @@
 func (gateway *Gateway) updateVMCount(now time.Time) {
 	count := gateway.vmCount()
 	gateway.lastCount.Store(int64(count))
+	gateway.roster.SetFleetSize(count)
 	gateway.limits.SetFleetSize(count, gateway.vmsListed.Load() || now.Sub(gateway.started) > startupTime)
 }
 
@@ -287,7 +288,7 @@
 	for _, departure := range gateway.roster.Departures(now.Add(-namedWeightsSendTime)) {
 		heartbeat.Targets = append(heartbeat.Targets, peer.TargetUpdate{Target: departure.Target, Leaving: true, StartTime: departure.StartTime})
 	}
-	heartbeat.TargetLimits = gateway.toTargetLimits(now)
+	heartbeat.TargetLimits, heartbeat.BrittleTargets = gateway.toTargetLimits(now), gateway.toBrittleTargets(now)
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
 	if hierarchical {
 		heartbeat.IsRepresentative = gateway.members.IsRepresentative(now)
@@ -325,6 +326,7 @@
 	gateway.applyTargetUpdates(heartbeat.Targets)
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
 	gateway.mergeTargetLimits(heartbeat.TargetLimits, sentAt)
+	gateway.mergeBrittleTargets(heartbeat.BrittleTargets, sentAt, now)
 	gateway.mergeEmpty(heartbeat.Positions)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -382,6 +382,7 @@
 	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
 	count(&gateway.metrics.Leaving, func(entry roster.Entry) bool { return entry.Draining })
 	count(&gateway.metrics.Resting, func(entry roster.Entry) bool { return entry.Resting })
+	count(&gateway.metrics.Brittle, func(entry roster.Entry) bool { return entry.Brittle })
 	count(&gateway.metrics.Limited, func(entry roster.Entry) bool { return entry.Limited })
 	return listed
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -45,6 +45,8 @@
 	Leaving       expvar.Int  // targets that leave
 	Resting       expvar.Int  // targets that rest or return from a rest
 	Limited       expvar.Int  // targets that name a limit
+	Brittle       expvar.Int  // targets that say that they are brittle
+	NotAdmitted   expvar.Int  // requests refused because brittle targets are nearly full
 	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
 	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
@@ -125,6 +127,8 @@
 		{"targets_tunneled", &set.Tunneled}, {"tunnels_opened", &set.TunnelsOpened}, {"tunnels_carried", &set.TunnelsCarried},
 		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
 		{"targets_limited", &set.Limited},
+		{"targets_brittle", &set.Brittle},
+		{"requests_not_admitted", &set.NotAdmitted},
 		{"parts_blocked", &set.BlockedParts},
 	}
 	for _, entry := range metrics {
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -32,6 +32,7 @@
 	encoded.BlockedParts = encodeBlocked(heartbeat.BlockedParts)
 	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
 	encoded.OrdersLease = encodeLease(heartbeat.OrdersLease)
+	encoded.Brittle = encodeBrittle(heartbeat.BrittleTargets)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -68,6 +69,7 @@
 	heartbeat.BlockedParts = decodeBlocked(encoded.GetBlockedParts())
 	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
 	heartbeat.OrdersLease = decodeLease(encoded.GetOrdersLease())
+	heartbeat.BrittleTargets = decodeBrittle(encoded.GetBrittle())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -34,9 +34,10 @@
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
 			Spending: spending, Backlogs: backlogs,
 		}},
-		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}},
-		TargetLimits: []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
-		OrdersLease:  LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
+		BlockedParts:   []BlockedPart{{Part: "p1", Left: time.Minute}},
+		TargetLimits:   []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
+		BrittleTargets: []BrittleTarget{{Target: "i-1", StartTime: 7, Tolerance: 2.5, Age: 3 * time.Millisecond, Running: 4, Waiting: 5, Slots: 6, HasLoad: true, LoadAge: 8 * time.Millisecond, Room: 9.5, HasRejected: true, RejectedAge: 10 * time.Millisecond, Admitted: 0.5}},
+		OrdersLease:    LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -80,6 +80,8 @@
 	// TargetLimits are the limits that targets name or lately ceased to name.
 	TargetLimits []TargetLimit
 	OrdersLease  LeaseWrite
+	// BrittleTargets are the targets that are brittle or were so lately.
+	BrittleTargets []BrittleTarget
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -149,6 +151,26 @@
 	Age       time.Duration // since the target last said so
 }
 
+// BrittleTarget is what the sender knows of one start of a target that falls over if it
+// has to reject more requests a second than Tolerance; 0 if it is no longer brittle.
+type BrittleTarget struct {
+	Target    string
+	StartTime int64
+	Tolerance float64
+	Age       time.Duration // since the target last said so
+	// Running, Waiting and Slots are its load, HasLoad is set if it reported one.
+	Running, Waiting, Slots int
+	HasLoad                 bool
+	LoadAge                 time.Duration
+	// Room is the number of requests at which it rejected another one; HasRejected is set
+	// if it rejected one.
+	Room        float64
+	HasRejected bool
+	RejectedAge time.Duration
+	// Admitted is the part of the requests for its service that the sender admits.
+	Admitted float64
+}
+
 // PeerAge is the age of a VM's last heartbeat.
 type PeerAge struct {
 	Name string
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -16,10 +16,11 @@
 type Observer interface {
 	Observe(announcement roster.Announcement, now time.Time) (roster.Change, bool)
 	ObserveLimit(rate float64, now time.Time) (roster.LimitChange, bool)
+	ObserveTolerance(tolerance float64, now time.Time) (roster.ToleranceChange, bool)
 }
 
-// maxProblemLines is the maximum number of log lines per second about rests and limits
-// that were not used as they are.
+// maxProblemLines is the maximum number of log lines per second about rests, limits
+// and tolerances that were not used as they are.
 const maxProblemLines = 10
 
 // ObserveHead records what the head of a target's answer says about further requests.
@@ -42,6 +43,12 @@
 	if change, changed := observer.ObserveLimit(head.Limit, now); changed {
 		relay.RecordLimit(change)
 	}
+	if head.ToleranceProblem != "" {
+		relay.logToleranceProblem(id, head, now)
+	}
+	if change, changed := observer.ObserveTolerance(head.Tolerance, now); changed {
+		relay.RecordTolerance(change)
+	}
 }
 
 func (relay *Relay) logLimitProblem(id string, head target.Head, now time.Time) {
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -26,6 +26,8 @@
 		return append(fields, job.rateFields()...)
 	case !job.restEnd.IsZero():
 		fields = append(fields, event.F("all_rest_until", job.restEnd))
+	case job.notAdmitted:
+		fields = append(fields, event.F("brittle_and_full", true))
 	case job.limited:
 		fields = append(fields, event.F("all_at_limit", true))
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -98,6 +98,9 @@
 	restEnd time.Time
 	// limited is set if all targets are at their limits when the request is refused.
 	limited bool
+	// notAdmitted is set if the request was refused because the targets of its service
+	// are brittle and nearly full.
+	notAdmitted bool
 	// obstacles are why each target was not taken when none was found last.
 	obstacles map[roster.Obstacle]int
 	attempt   attempt
@@ -155,7 +158,10 @@
 	defer job.releaseNext()
 	defer job.releaseReservation()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
-	err := job.findOrigin(ctx)
+	err := job.checkAdmission(time.Now())
+	if err == nil {
+		err = job.findOrigin(ctx)
+	}
 	if err == nil {
 		err = job.run(ctx)
 	}
@@ -255,7 +261,7 @@
 // criteria returns what the request requires of a target.
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
-		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Reservation: job.reservation,
+		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Rejected: job.targetFull, Reservation: job.reservation,
 	}
 	if software := job.software.Load(); software != nil {
 		criteria.FixedSoftware, criteria.Software = true, *software
@@ -347,6 +353,7 @@
 	}
 	if job.attempt.head.RestUntil.IsZero() {
 		job.targetFull = true
+		assignment.RecordRejection(now)
 	}
 }
 
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -54,6 +54,8 @@
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
 	Tried []string
+	// Rejected is set if a target rejected the request for want of room.
+	Rejected bool
 	// Reservation, if set, is that of this request. Choose uses it up once the rest is
 	// over.
 	Reservation *Reservation
@@ -76,7 +78,7 @@
 	}
 	assignment := Assignment{
 		ID: best.entry.ID, Service: best.entry.Service, Address: best.entry.Address, Zone: best.entry.Zone,
-		Software: best.entry.Software, StartTime: best.entry.StartTime, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true, trialBefore: best.ejectedUntil, lastReceived: now,
+		Software: best.entry.Software, StartTime: best.entry.StartTime, roster: roster, target: best, tokens: criteria.Tokens, promptPending: true, trialBefore: best.ejectedUntil, lastReceived: now, assignedAt: now,
 	}
 	assignment.Weights, _ = best.weights(criteria.Model)
 	if best.unreachable {
@@ -101,6 +103,7 @@
 	}
 	target.inFlight++
 	target.begunSinceReport++
+	target.brittle.begun++
 	target.pendingTokens += tokens
 	if target.ejected() {
 		target.ejectedUntil = now.Add(trialInterval)
@@ -229,7 +232,13 @@
 	if target.entry.Zone != roster.zone {
 		cost += crossZoneCost
 	}
+	if target.isBrittle() {
+		cost += target.brittleCost(now)
+	}
 	if criteria.Model == "" {
+		if target.isBrittle() {
+			return cost
+		}
 		return cost + target.serviceCost(now)
 	}
 	cost += target.waitMicros(now) + target.requestCount(now)*batchedRunningCost
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -13,6 +13,7 @@
 	ObstaclePaused       Obstacle = "mismatched"
 	ObstacleSoftware     Obstacle = "other_software"
 	ObstacleLimit        Obstacle = "at_limit"
+	ObstacleNoRoom       Obstacle = "brittle_and_full"
 	ObstacleEjected      Obstacle = "ejected"
 	ObstacleOldWeights   Obstacle = "old_weights"
 	ObstacleAlreadyTried Obstacle = "tried"
@@ -45,6 +46,8 @@
 		return ObstacleSoftware
 	case !target.limit.allows(now):
 		return ObstacleLimit
+	case !target.hasRoom(criteria.Rejected, now):
+		return ObstacleNoRoom
 	case !search.includeEjected && target.ejected() && (!criteria.Repeatable || target.inFlight > 0 || now.Before(target.ejectedUntil)):
 		return ObstacleEjected
 	case criteria.RequiredWeights != nil && !target.hasRequiredWeights(criteria, target.wait(now)):
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -61,12 +61,13 @@
 	// Running is the number of requests at the target. Unreachable is set for
 	// targets that accept no connections, Ejected for those that fail too many
 	// requests, Resting for those that rest or return from a rest, Limited for those
-	// that name a limit, all as observed by this VM or others. Only Entries sets these fields.
+	// that name a limit, Brittle for those that say so, all as observed by this VM or others. Only Entries sets these fields.
 	Running     int
 	Unreachable bool
 	Ejected     bool
 	Resting     bool
 	Limited     bool
+	Brittle     bool
 }
 
 // Roster holds the targets known to one VM. It is safe for concurrent use.
@@ -94,6 +95,11 @@
 	// lost is, by service, the number of targets that became unreachable since one was
 	// last reached.
 	lost map[string]int
+	// admissions holds the services with brittle targets. serviceTimes is the mean time
+	// to answer a request, by service.
+	admissions   map[string]*admission
+	serviceTimes map[string]time.Duration
+	fleetSize    int
 }
 
 // New returns an empty roster for a VM in the zone.
@@ -101,6 +107,7 @@
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
+		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{},
 	}
 }
 
@@ -174,7 +181,7 @@
 	entry.Draining = roster.leaves(entry)
 	known, ok := roster.targets[entry.ID]
 	if !ok || known.entry.StartTime != entry.StartTime || known.entry.Software != entry.Software || known.entry.Address != entry.Address {
-		known = newTarget(entry)
+		known = newTarget(roster, entry)
 		roster.targets[entry.ID] = known
 	}
 	known.removed, known.dropAt = false, time.Time{}
@@ -199,10 +206,11 @@
 }
 
 // unused reports whether a removed target may be forgotten. The rest or the limit of a
-// target that registers again is not over because of that.
+// target that registers again is not over because of that, nor is it less brittle.
 func (target *Target) unused(now time.Time) bool {
 	limited := target.limit.value > 0 && now.Sub(target.limit.learned) < limitRetention
-	return target.inFlight == 0 && target.rest.availability(now) != Resting && !limited
+	brittle := target.brittle.value > 0 && now.Sub(target.brittle.learned) < limitRetention
+	return target.inFlight == 0 && target.rest.availability(now) != Resting && !limited && !brittle
 }
 
 // Sweep drops expired registrations whose targets did not register again, and
@@ -264,7 +272,7 @@
 			entry.Models = append([]Model(nil), entry.Models...)
 			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
 			availability := target.availability(now)
-			entry.Limited = target.limit.value > 0
+			entry.Limited, entry.Brittle = target.limit.value > 0, target.brittle.value > 0
 			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
--- a/roster/target.go
+++ b/roster/target.go
@@ -48,6 +48,7 @@
 type Load struct {
 	Running int
 	Waiting int
+	Slots   int // 0 if unknown
 }
 
 // rollout is the weights that a target is loading.
@@ -59,14 +60,16 @@
 
 // Target is one target. All fields are guarded by the roster's lock.
 type Target struct {
-	entry Entry
-	seed  uint64
+	roster *Roster
+	entry  Entry
+	seed   uint64
 
 	removed bool
 	dropAt  time.Time // when an expired registration is dropped; zero unless expired
 	rollout rollout
 	rest    rest
 	limit   limit
+	brittle brittle
 
 	inFlight int
 	// pendingTokens is the number of prompt tokens that this VM sent and the target
@@ -103,8 +106,8 @@
 	lastReceived time.Time
 }
 
-func newTarget(entry Entry) *Target {
-	return &Target{entry: entry, seed: seed(entry.ID)}
+func newTarget(roster *Roster, entry Entry) *Target {
+	return &Target{roster: roster, entry: entry, seed: seed(entry.ID)}
 }
 
 // update applies a registration but keeps newer weights versions and the draining
@@ -237,6 +240,7 @@
 	// lastReceived is when the target last sent a byte for this request, or when the
 	// request was assigned.
 	lastReceived time.Time
+	assignedAt   time.Time
 }
 
 // PromptProcessed records that the target has processed the prompt.
@@ -279,6 +283,7 @@
 	}
 	if hasLoad {
 		target.load, target.reportedAt, target.begunSinceReport = load, now, 0
+		target.brittle.report(load, now)
 	}
 	return wasUnreachable && !target.unreachable
 }
@@ -288,6 +293,7 @@
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
 	assignment.target.recordOutcome(false, now)
+	assignment.roster.recordServiceTime(assignment.Service, now.Sub(assignment.assignedAt))
 }
 
 // Failed records a failed request. If unreachable is set, the target gets no new
@@ -366,6 +372,7 @@
 	target := assignment.target
 	target.begunSinceReport = max(0, target.begunSinceReport-1)
 	target.limit.give()
+	target.brittle.begun = max(0, target.brittle.begun-1)
 	if target.ejected() {
 		target.ejectedUntil = assignment.trialBefore
 	}
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -33,6 +33,11 @@
 	// a limit that was not used as it is, or empty.
 	Limit        float64
 	LimitProblem string
+	// Tolerance is how many requests the target may have to reject in a second before it
+	// falls over, as long as its answers say so; 0 if it is not brittle.
+	// ToleranceProblem is a text about a number that was not used as it is, or empty.
+	Tolerance        float64
+	ToleranceProblem string
 	// Load is the target's load report; valid when HasLoad is set.
 	HasLoad bool
 	Load    Load
--- a/target/limit.go
+++ b/target/limit.go
@@ -14,21 +14,36 @@
 // numbers and other texts name no limit. problem is the first value that was not used as
 // it is, and empty if there is none.
 func ParseLimit(values []string) (limit float64, problem string) {
+	return parseLowest(values, minLimit)
+}
+
+// minTolerance is the lowest number of rejections a second that is used. A target that
+// bears none is as brittle as one that names this number.
+const minTolerance = 0.5
+
+// ParseTolerance returns the rejections a second that a target bears by the values of a
+// header. It is like ParseLimit.
+func ParseTolerance(values []string) (tolerance float64, problem string) {
+	return parseLowest(values, minTolerance)
+}
+
+// parseLowest returns the lowest number that the values name, but at least the given one.
+func parseLowest(values []string, least float64) (lowest float64, problem string) {
 	for _, value := range values {
-		named, ok := parseLimitValue(value)
+		named, ok := parseAtLeast(value, least)
 		if !ok && problem == "" {
 			problem = quote(value)
 		}
-		if named > 0 && (limit == 0 || named < limit) {
-			limit = named
+		if named > 0 && (lowest == 0 || named < lowest) {
+			lowest = named
 		}
 	}
-	return limit, problem
+	return lowest, problem
 }
 
-// parseLimitValue returns the limit that a value names, and whether the value is used as
-// it is.
-func parseLimitValue(value string) (float64, bool) {
+// parseAtLeast returns the number that a value names, and whether the value is used as it
+// is.
+func parseAtLeast(value string, least float64) (float64, bool) {
 	value = strings.TrimSpace(value)
 	if value == "" || strings.Trim(value, "0123456789.") != "" {
 		return 0, false // also signs, exponents, "Inf" and "NaN"
@@ -37,8 +52,8 @@
 	switch {
 	case err != nil:
 		return 0, false
-	case number < minLimit:
-		return minLimit, false
+	case number < least:
+		return least, false
 	}
 	return number, true
 }
--- a/target/limit_test.go
+++ b/target/limit_test.go
@@ -29,3 +29,22 @@
 		}
 	}
 }
+
+func TestParseTolerance(t *testing.T) {
+	for _, test := range []struct {
+		values    []string
+		tolerance float64
+		problem   bool
+	}{
+		{nil, 0, false},
+		{[]string{"7", "3"}, 3, false},
+		{[]string{"0"}, minTolerance, true},
+		{[]string{"-1"}, 0, true},
+		{[]string{"yes"}, 0, true},
+	} {
+		tolerance, problem := ParseTolerance(test.values)
+		if tolerance != test.tolerance || (problem != "") != test.problem {
+			t.Errorf("%q: got %v, problem %q, want %v, problem %t", test.values, tolerance, problem, test.tolerance, test.problem)
+		}
+	}
+}
