Count faults that are 0.2 s apart when a part is judged

Cause: faults counted only if they were 0.3 s apart, the time that a request waits before it is sent again. That kept requests that are sent again from counting twice; since then a request counts once for a part. With several parts, different requests with one of them crashed targets 0.21 to 0.27 s apart, then none came for 3 s, and two of the three faults that block a part had been counted.

Why it works: the time between counted faults now has one purpose, that the reports of one fault are not counted as two. It is twice the time within which deaths are one fault. New in the simulation, passing before and after: faults that stop a third of the targets within 250 ms, with one crashing part, and with long answers and none.

--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -133,7 +133,7 @@
 // faults returns how many faults since the part's first death the part explains, and how
 // many it does not. It explains a fault if it was in flight at each of the deaths but for
 // those that the other parts explain. Not counted are faults without it that the others
-// explain, those that follow another one within retryDelay, those with requests that were
+// explain, those that follow another one within faultSpacing, those with requests that were
 // in flight at an earlier death, and those that a stronger part explains. The caller holds
 // mu.
 func (parts *Parts) faults(id string, entry *part, others map[string]bool, now time.Time) (with, without int) {
@@ -156,7 +156,7 @@
 		switch {
 		case !explained:
 			without++
-		case own && at.Sub(counted) >= retryDelay:
+		case own && at.Sub(counted) >= faultSpacing:
 			with, counted = with+1, at
 		}
 		first = end
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -16,6 +16,9 @@
 	blockingTiedDeaths     = 5
 	// togetherTime is the time within which the deaths of several targets are one fault.
 	togetherTime = 100 * time.Millisecond
+	// faultSpacing is the time between faults that count. The reports of one fault may
+	// take longer than togetherTime.
+	faultSpacing = 2 * togetherTime
 	// maxOtherFaults is how many other faults there may be for each one that a part
 	// explains: several parts may crash targets at the same time.
 	maxOtherFaults = 4
--- a/quarantine/parts_fleet_test.go
+++ b/quarantine/parts_fleet_test.go
@@ -48,6 +48,8 @@
 	// faultEvery is the time between faults that stop a third of the targets; 0 for
 	// none.
 	faultEvery time.Duration
+	// faultSpread is the time within which a fault stops its targets.
+	faultSpread time.Duration
 
 	deaths          []time.Time
 	sent            int
@@ -136,6 +138,16 @@
 	}
 }
 
+// killWithin ends a target at once, or within a time if that is not zero.
+func (simulation *simulation) killWithin(target int, spread time.Duration) {
+	if spread == 0 {
+		simulation.kill(target)
+		return
+	}
+	at := simulation.now.Add(time.Duration(1+simulation.random.IntN(int(spread/simulationStep))) * simulationStep)
+	simulation.messages[at] = append(simulation.messages[at], func() { simulation.kill(target) })
+}
+
 // report records a death at the VM of a request and tells the others, which answer.
 func (simulation *simulation) report(victim *simulatedRequest, death string) {
 	reporter := simulation.vms[victim.vm]
@@ -194,7 +206,7 @@
 		if simulation.faultEvery > 0 && simulation.now.UnixMilli()%simulation.faultEvery.Milliseconds() == 0 {
 			for target := range simulation.upAt {
 				if simulation.random.IntN(3) == 0 {
-					simulation.kill(target)
+					simulation.killWithin(target, simulation.faultSpread)
 				}
 			}
 		}
@@ -235,27 +247,29 @@
 	for _, test := range []struct {
 		vms, targets, crashRate, soundRate int
 		crashingParts                      int
-		faultEvery                         time.Duration
+		faultEvery, faultSpread            time.Duration
 		longSubjects                       int
 		seeds                              uint64
 		moreSeeds                          []uint64
 		refused                            float64 // share of sound requests that may be refused
 	}{
-		{6, 12, 3, 130, 1, 0, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 0, 1, nil, 0},
-		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 0, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 0, 2, nil, 0},
-		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 0, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 0, 8, []uint64{11, 43, 52, 99}, 0},
-		{6, 12, 2, 130, 2, 0, 8, 8, nil, 0}, {6, 12, 3, 130, 1, 3500 * time.Millisecond, 8, 8, nil, 0},
+		{6, 12, 3, 130, 1, 0, 0, 0, 4, nil, 0}, {6, 12, 20, 130, 1, 0, 0, 0, 4, nil, 0}, {8, 9, 1, 75, 1, 0, 0, 0, 4, nil, 0}, {78, 60, 4, 500, 1, 0, 0, 0, 2, nil, 0}, {295, 153, 10, 1200, 1, 0, 0, 0, 1, nil, 0},
+		{6, 12, 0, 130, 0, 3500 * time.Millisecond, 0, 0, 8, nil, 0}, {78, 60, 0, 500, 0, 3500 * time.Millisecond, 0, 0, 2, nil, 0},
+		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 0, 0, 8, nil, 0}, {6, 12, 2, 130, 2, 0, 0, 0, 8, []uint64{11, 43, 52, 99}, 0},
+		{6, 12, 2, 130, 2, 0, 0, 8, 8, nil, 0}, {6, 12, 3, 130, 1, 3500 * time.Millisecond, 0, 8, 8, nil, 0},
+		{6, 12, 3, 130, 1, 3500 * time.Millisecond, 250 * time.Millisecond, 0, 8, nil, 0}, {6, 12, 0, 130, 0, 3500 * time.Millisecond, 250 * time.Millisecond, 8, 8, nil, 0},
 		// Two thirds of the targets are down; the users' platform asks for half.
-		{6, 12, 2, 130, 4, 0, 0, 8, []uint64{15, 19, 47}, 0.5},
+		{6, 12, 2, 130, 4, 0, 0, 0, 8, []uint64{15, 19, 47, 100, 178}, 0.5},
 	} {
 		seeds := test.moreSeeds
 		for seed := range test.seeds {
 			seeds = append(seeds, seed)
 		}
 		for _, seed := range seeds {
-			t.Run(fmt.Sprintf("%d VMs, %d parts, %d a second, faults every %v, %d long, seed %d", test.vms, test.crashingParts, test.crashRate, test.faultEvery, test.longSubjects, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d VMs, %d parts, %d a second, faults every %v within %v, %d long, seed %d", test.vms, test.crashingParts, test.crashRate, test.faultEvery, test.faultSpread, test.longSubjects, seed), func(t *testing.T) {
 				simulation := newSimulation(seed, test.vms, test.targets)
-				simulation.faultEvery, simulation.crashingParts, simulation.longSubjects = test.faultEvery, test.crashingParts, test.longSubjects
+				simulation.faultEvery, simulation.faultSpread = test.faultEvery, test.faultSpread
+				simulation.crashingParts, simulation.longSubjects = test.crashingParts, test.longSubjects
 				simulation.run(3*time.Second, 0, test.soundRate)
 				simulation.run(20*time.Second, test.crashRate, test.soundRate)
 				if len(simulation.deaths) < 3 {
