--- a/roster/admission.go
+++ b/roster/admission.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
@@ -86,7 +85,7 @@
 	if over := admission.occupancy - aimedOccupancy; over > 0 {
 		part *= max(minAdmitted, 1-over/(1-aimedOccupancy))
 	}
-	return part >= 1 || rand.Float64() < part
+	return part >= 1 || roster.random.Float64() < part
 }
 
 // control adapts the admitted part to the occupancy of the service's targets.
--- a/roster/brittle.go
+++ b/roster/brittle.go
@@ -2,7 +2,8 @@
 
 import (
 	"math"
-	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -107,10 +108,10 @@
 func (target *Target) brittleCost(now time.Time) int {
 	room, ok := target.brittle.roomNow(now)
 	if !ok {
-		return int(4 * brittleCost * rand.ExpFloat64()) // as if it were half full
+		return int(4 * brittleCost * target.roster.random.ExpFloat64()) // as if it were half full
 	}
 	free := max(0.01, 1-target.occupancy(now)/room)
-	return int(brittleCost * rand.ExpFloat64() / (free * free))
+	return int(brittleCost * target.roster.random.ExpFloat64() / (free * free))
 }
 
 // reject records that the target was full at a time, with the given number of requests.
@@ -272,6 +273,7 @@
 			reported = append(reported, target.brittleWord())
 		}
 	}
+	slices.SortFunc(reported, func(a, b Brittle) int { return strings.Compare(a.Target, b.Target) })
 	return reported
 }
 
--- a/roster/brittle_sim_test.go
+++ b/roster/brittle_sim_test.go
@@ -128,6 +128,7 @@
 
 func (sim *brittleSim) newVM() *simVM {
 	vm := &simVM{roster: New("a"), started: sim.now}
+	vm.roster.random = sim.random
 	vm.roster.SetFleetSize(sim.brittleCase.vms)
 	for _, target := range sim.targets {
 		vm.roster.Put(Entry{ID: target.id, Service: "s", Zone: "a", StartTime: 1}, sim.now)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,7 +19,10 @@
 package roster
 
 import (
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +103,8 @@
 	admissions   map[string]*admission
 	serviceTimes map[string]time.Duration
 	fleetSize    int
+	// random spreads requests over brittle targets.
+	random *rand.Rand
 }
 
 // New returns an empty roster for a VM in the zone.
@@ -108,6 +113,7 @@
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -238,8 +244,11 @@
 // index rebuilds the lists of targets by service. The caller holds mu.
 func (roster *Roster) index() {
 	roster.services = map[string][]*Target{}
-	for _, target := range roster.targets {
-		if !target.removed {
+	ids := slices.Sorted(maps.Keys(roster.targets))
+	// VMs must not prefer the same targets among equals.
+	roster.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if target := roster.targets[id]; !target.removed {
 			name := target.entry.Service
 			roster.services[name] = append(roster.services[name], target)
 		}
