Do not let the time of a naming drift between VMs

Cause: since a VM takes a naming in a heartbeat from the earliest time at which the heartbeat can have been sent. That is a little too early, and VMs tell each other what they took: with each message the naming appeared earlier on both, so that targets with replaced weights were required to load, and left out, long before the bound.

A VM now accepts an earlier time only if it is earlier by more than the error of such times, 0.3 s. TestTimeOfNamingDoesNotDrift failed before: got version 2 in force 300ms before it was named, on both VMs.

--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/rollout"
 )
 
@@ -96,7 +97,9 @@
 		if versions[i].Version != version {
 			continue
 		}
-		if learned := versions[i].Learned; at.IsZero() || !learned.IsZero() && !at.Before(learned) {
+		// Times that VMs tell each other are not exact: one that comes back is no news.
+		learned := versions[i].Learned
+		if at.IsZero() || !learned.IsZero() && !at.Before(learned.Add(-membership.MaxSendError)) {
 			return false, false
 		}
 		versions[i].Learned = at
--- a/gateway/weights_late_test.go
+++ b/gateway/weights_late_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
 )
 
@@ -82,3 +83,38 @@
 		}
 	})
 }
+
+// Guards against targets that are taken out of use too early: VMs tell each other when weights
+// were named, each from the earliest time at which a message can have been sent, so that the
+// naming appeared earlier with each message.
+func TestTimeOfNamingDoesNotDrift(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Configs, 1)
+		store.put(objects.Weights, 1)
+		vms := []*Gateway{startVM(ctx, "vm-0", store), startVM(ctx, "vm-1", store)}
+		sleep(time.Second)
+		store.put(objects.Weights, 2)
+		synctest.Wait()
+		namedAt := time.Now()
+		const delay = 20 * time.Millisecond // of a message
+		for range namedWeightsSendTime / heartbeatInterval {
+			for i, vm := range vms {
+				calledAt := time.Now()
+				call := vm.newHeartbeat("")
+				sleep(delay)
+				reply := vms[1-i].HandleHeartbeat(call)
+				sleep(delay)
+				vm.mergeHeartbeat(reply, calledAt)
+			}
+			sleep(heartbeatInterval)
+		}
+		for _, vm := range vms {
+			if got := vm.weights.Named("m", namedAt.Add(-membership.MaxSendError)); got != 1 {
+				t.Errorf("%s: got version %d in force %v before it was named, want 1", vm.Settings.Name, got, membership.MaxSendError)
+			}
+		}
+	})
+}
--- a/membership/send_times.go
+++ b/membership/send_times.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// maxSendError is the greatest uncertainty of a send time that counts as exact, and the
+// MaxSendError is the greatest uncertainty of a send time that counts as exact, and the
 // greatest delay of a message after which the sender's clock is not checked. VMs await
 // replies to heartbeats for as long.
-const maxSendError = 300 * time.Millisecond
+const MaxSendError = 300 * time.Millisecond
 
 // SendTimes computes when messages of other VMs were sent, from the sender's uptime in each:
 // a message may be read long after that, because this process was frozen or the network is
@@ -53,8 +53,8 @@
 	if latest.Before(known.latest) {
 		known.latest = latest
 	}
-	exact = known.latest.Sub(known.earliest) <= maxSendError
-	known.checkDue = !exact || latest.Sub(known.latest) > maxSendError
+	exact = known.latest.Sub(known.earliest) <= MaxSendError
+	known.checkDue = !exact || latest.Sub(known.latest) > MaxSendError
 	return known.earliest.Add(uptime), exact
 }
 
--- a/membership/send_times_test.go
+++ b/membership/send_times_test.go
@@ -89,7 +89,7 @@
 			sentAt := now
 			now = now.Add(delays.Draw(t, "delay"))
 			got, exact := sendTimes.Record("vm", "b", sentAt.Sub(began), calledAt, now)
-			if got.After(sentAt) || exact && sentAt.Sub(got) > maxSendError {
+			if got.After(sentAt) || exact && sentAt.Sub(got) > MaxSendError {
 				t.Fatalf("got sent at %v, exact %t, want %v", got, exact, sentAt)
 			}
 		}
