Log headers that cannot be used as they are in one place

One function now serves all three; events, fields and the shared limit of lines are unchanged. relay and target pass with -race, and the tests of availability, rests, limits and brittle targets in platform; lint is clean.

--- a/relay/availability.go
+++ b/relay/availability.go
@@ -29,7 +29,7 @@
 		return // another target has the address
 	}
 	if head.RestProblem != "" {
-		relay.logRestProblem(id, head, now)
+		relay.logProblem(event.RestNotTaken, id, head.RestProblem, event.F("rest_ms", restMS(head.RestUntil, now)), now)
 	}
 	announcement := roster.Announcement{
 		Leaving: head.Draining, RestUntil: head.RestUntil, Rejected: head.NotRun,
@@ -38,27 +38,19 @@
 		relay.RecordAvailability(change, now)
 	}
 	if head.LimitProblem != "" {
-		relay.logLimitProblem(id, head, now)
+		relay.logProblem(event.LimitNotTaken, id, head.LimitProblem, event.F("limit", head.Limit), now)
 	}
 	if change, changed := observer.ObserveLimit(head.Limit, now); changed {
 		relay.RecordLimit(change)
 	}
 	if head.ToleranceProblem != "" {
-		relay.logToleranceProblem(id, head, now)
+		relay.logProblem(event.BrittleNotTaken, id, head.ToleranceProblem, event.F("tolerance", head.Tolerance), now)
 	}
 	if change, changed := observer.ObserveTolerance(head.Tolerance, now); changed {
 		relay.RecordTolerance(change)
 	}
 }
 
-func (relay *Relay) logLimitProblem(id string, head target.Head, now time.Time) {
-	skipped, ok := relay.problemSampler.Allow(now, maxProblemLines)
-	if !ok {
-		return
-	}
-	relay.Log.Emit(event.LimitNotTaken, event.F("target", id), event.F("value", head.LimitProblem), event.F("limit", head.Limit), event.F("skipped", skipped))
-}
-
 // RecordLimit logs a change of the limit that a target names.
 func (relay *Relay) RecordLimit(change roster.LimitChange) {
 	fields := []event.Field{event.F("target", change.Target), event.F("service", change.Service), event.F("source", string(change.Source))}
@@ -69,13 +61,13 @@
 	relay.Log.Emit(event.TargetLimited, append(fields, event.F("limit", change.Rate))...)
 }
 
-func (relay *Relay) logRestProblem(id string, head target.Head, now time.Time) {
+// logProblem logs that a target's header could not be used as it is, and what was taken.
+func (relay *Relay) logProblem(problem event.Event, id, value string, taken event.Field, now time.Time) {
 	skipped, ok := relay.problemSampler.Allow(now, maxProblemLines)
 	if !ok {
 		return
 	}
-	relay.Log.Emit(event.RestNotTaken, event.F("target", id), event.F("value", head.RestProblem),
-		event.F("rest_ms", restMS(head.RestUntil, now)), event.F("skipped", skipped))
+	relay.Log.Emit(problem, event.F("target", id), event.F("value", value), taken, event.F("skipped", skipped))
 }
 
 // RecordAvailability logs and counts a change of a target's availability.
--- a/relay/brittle.go
+++ b/relay/brittle.go
@@ -8,7 +8,6 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/roster"
-	"github.com/bramleygw/bramleygw/target"
 )
 
 // checkAdmission refuses a new request if the targets of its service are brittle and
@@ -24,14 +23,6 @@
 	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").WithRetryAt(retryAt)
 }
 
-func (relay *Relay) logToleranceProblem(id string, head target.Head, now time.Time) {
-	skipped, ok := relay.problemSampler.Allow(now, maxProblemLines)
-	if !ok {
-		return
-	}
-	relay.Log.Emit(event.BrittleNotTaken, event.F("target", id), event.F("value", head.ToleranceProblem), event.F("tolerance", head.Tolerance), event.F("skipped", skipped))
-}
-
 // RecordTolerance logs that a target became brittle or ceased to be so.
 func (relay *Relay) RecordTolerance(change roster.ToleranceChange) {
 	fields := []event.Field{event.F("target", change.Target), event.F("service", change.Service), event.F("source", string(change.Source))}
