--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,7 @@
 	vm := gateway.Settings
 	gateway.mirror = mirror.New()
 	gateway.roster = roster.New(vm.AvailabilityZone)
+	gateway.roster.SetMemoryPressure(vm.MemoryPressure)
 	gateway.weights = newNamedWeights()
 	gateway.suspensions.read, gateway.suspensions.known = readSuspensions, readSuspensions()
 	gateway.ordersLease = gateway.newOrdersLease()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -137,7 +137,7 @@
 	now := time.Now()
 	job.attempt.head = head
 	assignment := &job.attempt.assignment
-	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting, Slots: head.Load.Slots}
+	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting, Slots: head.Load.Slots, WorkTime: head.Load.WorkTime}
 	if assignment.Answered(load, head.HasLoad, now) {
 		job.relay.RecordReachability(assignment.ID, roster.SourceAnswer, nil, now)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -103,6 +103,10 @@
 	admissions   map[string]*admission
 	serviceTimes map[string]time.Duration
 	fleetSize    int
+	// memoryPressure is set when targets crash if they are over their memory.
+	// reportWorkTime holds the services of which a target reported how long work takes.
+	memoryPressure bool
+	reportWorkTime map[string]bool
 	// random spreads requests over brittle targets.
 	random *rand.Rand
 }
@@ -112,7 +116,7 @@
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
-		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{},
+		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -49,6 +49,8 @@
 	Running int
 	Waiting int
 	Slots   int // 0 if unknown
+	// WorkTime is how long work takes now, as a factor of the usual time; 0 if unknown.
+	WorkTime float64
 }
 
 // rollout is the weights that a target is loading.
@@ -281,6 +283,9 @@
 	if !target.through.IsValid() && !assignment.Through.IsValid() {
 		target.unreachable, target.failedProbes = false, 0
 	}
+	if hasLoad && load.WorkTime > 0 {
+		assignment.roster.reportWorkTime[assignment.Service] = true
+	}
 	if hasLoad {
 		target.load, target.reportedAt, target.begunSinceReport = load, now, 0
 		target.brittle.report(load, now)
--- a/settings/platform_vm.go
+++ b/settings/platform_vm.go
@@ -26,6 +26,11 @@
 	// has not run before.
 	FirstStart bool
 	Bounds     Bounds
+	// MemoryPressure is set when targets crash if the requests that they hold exceed
+	// their memory.
+	MemoryPressure bool
+	// Releases is set when operators ask for releases of new software versions.
+	Releases bool
 	// Ignored lists the fields that this version does not read.
 	Ignored []string
 }
@@ -50,4 +55,11 @@
 	LimitOverage float64
 	LimitReserve float64
 	LimitWindow  Span
+	// ExposureShare is the share of a service's requests that a bad software version
+	// may get during its release, in addition to ExposureReserve requests.
+	// RollbackDelay is how long after the 50th bad answer requests may still be sent to
+	// it.
+	ExposureShare   float64
+	ExposureReserve float64
+	RollbackDelay   Span
 }
--- a/target/load.go
+++ b/target/load.go
@@ -16,6 +16,9 @@
 	// size of the batch; 0 when the target does not report them.
 	Waiting int
 	Slots   int
+	// WorkTime is how long work takes at the target now, as a factor of the usual time;
+	// 0 when the target does not report it.
+	WorkTime float64
 }
 
 const (
