Send nothing to a target whose address another target has

Cause: a target that crashes returns under a new ID at its address, while its old registration lasts for seconds. Each VM sent requests to the old ID every 250 ms; the new target rejected them (421), and the rejections used up the retry budget of the fleet.

Change: an answer 421 that names another target ends this start of the expected one, like an answer that says that it leaves; other VMs learn it by heartbeats. An answer that names no target still pauses it only.

Test: TestReplacedTargetReceivesNoRequests.

--- a/relay/job.go
+++ b/relay/job.go
@@ -348,7 +348,7 @@
 // run the request.
 func (job *job) handleRejection(assignment *roster.Assignment, now time.Time) {
 	if job.attempt.head.Status == statusMisdirected {
-		assignment.MarkMismatched(now)
+		job.handleMisdirected(assignment, now)
 		return
 	}
 	if job.attempt.head.RestUntil.IsZero() {
@@ -357,6 +357,19 @@
 	}
 }
 
+// handleMisdirected handles an answer in which the target at the address reported that it
+// is another one or has other weights than the request expects.
+func (job *job) handleMisdirected(assignment *roster.Assignment, now time.Time) {
+	instance := job.attempt.head.Incarnation
+	if instance == "" || instance == assignment.ID {
+		assignment.MarkMismatched(now)
+		return
+	}
+	if change, changed := assignment.MarkReplaced(now); changed {
+		job.relay.RecordAvailability(change, now)
+	}
+}
+
 // Started implements delivery.Sender.
 func (job *job) Started() bool {
 	return job.started
--- a/roster/availability.go
+++ b/roster/availability.go
@@ -35,6 +35,8 @@
 	SourceAnswer       Source = "answer"
 	SourceRegistration Source = "registration"
 	SourcePeer         Source = "peer"
+	// SourceAddress means that another target answered at the target's address.
+	SourceAddress Source = "address"
 )
 
 // Change is a change of a target's availability.
--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -174,3 +174,33 @@
 		t.Errorf("got %+v, want no departure that was learned before", got)
 	}
 }
+
+// Guards against requests to the address of a target that crashed: its registration lasts
+// for seconds, and another target that has the address rejects them, which uses up the
+// retry budget of the fleet.
+func TestReplacedTargetReceivesNoRequests(t *testing.T) {
+	roster := New("a")
+	roster.Replace([]Entry{startedEntry("e1", 5), startedEntry("e22", 5)}, start)
+	replaced := choose(t, roster, Criteria{}, start)
+	replaced.MarkReplaced(start)
+	replaced.End()
+	roster.Put(startedEntry(replaced.ID, 5), afterMs(900)) // its last registration arrives late
+	for ms := range 20 {
+		assignment := choose(t, roster, Criteria{}, afterMs(100*ms))
+		if assignment.ID == replaced.ID {
+			t.Fatalf("got a request at %d ms for %s, whose address another target has, want none", 100*ms, replaced.ID)
+		}
+		assignment.End()
+	}
+	if got := roster.Departures(afterMs(-1)); len(got) != 1 || got[0].Target != replaced.ID {
+		t.Errorf("got departures %+v for other VMs, want %s", got, replaced.ID)
+	}
+	roster.Put(startedEntry(replaced.ID, 6), afterMs(3000))
+	used := map[string]bool{}
+	for range 4 {
+		used[choose(t, roster, Criteria{}, afterMs(3000)).ID] = true
+	}
+	if !used[replaced.ID] {
+		t.Errorf("got no request for the next start of %s, want some", replaced.ID)
+	}
+}
--- a/roster/target.go
+++ b/roster/target.go
@@ -328,8 +328,17 @@
 	return assignment.pathLost()
 }
 
-// MarkMismatched records that another target answered at the address, or that the
-// target's weights are not the expected ones. The target gets no requests until it
+// MarkReplaced records that another target answered at the address: this start of the
+// target has ended. Its registration may last for seconds, in which each VM would send
+// requests that are rejected. The second result is false if that was known.
+func (assignment *Assignment) MarkReplaced(now time.Time) (Change, bool) {
+	assignment.roster.mu.Lock()
+	defer assignment.roster.mu.Unlock()
+	return assignment.roster.markLeaving(assignment.target, SourceAddress, now)
+}
+
+// MarkMismatched records that the target did not name itself in an answer that says that
+// another target has the address, or that its weights are not the expected ones. The target gets no requests until it
 // reports its weights or mismatchPause has passed.
 func (assignment *Assignment) MarkMismatched(now time.Time) {
 	assignment.roster.mu.Lock()
