Give no orders after the lease has expired while the VM was paused

Cause: orders were sent whenever a renewal of the lease was confirmed, also if the VM was frozen or its machine suspended for seconds while the answer was on its way, or between the renewal and the order. Another VM may hold the lease by then, and not all targets check fencing tokens.

Change: a renewal gives a permit with a deadline, counted from before the write was sent, which is checked right before each order; a suspension of the machine since then ends it.

Test: TestPausedVMGivesNoOrders; on the code before it does not compile (no permit), and without the checks in permits it fails in both cases of a pause.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -170,7 +170,8 @@
 	if len(orders) == 0 {
 		return
 	}
-	if !rollLoop.prepareOrders(ctx, orders) {
+	permit, ok := rollLoop.prepareOrders(ctx, orders)
+	if !ok {
 		for _, step := range orders {
 			rollLoop.roll.Withdraw(step.Target)
 		}
@@ -178,7 +179,7 @@
 	}
 	for _, step := range orders {
 		rollLoop.inFlight[step.Target] = true
-		go rollLoop.runOrder(ctx, step, rollLoop.lease.Token())
+		go rollLoop.runOrder(ctx, step, permit)
 	}
 }
 
@@ -220,15 +221,19 @@
 // prepareOrders renews the lease and then withholds new requests from the targets.
 // Other VMs are notified only after the renewal has succeeded, so that no target goes
 // without requests because of an order that is never sent. prepareOrders returns false
-// if the renewal fails.
-func (rollLoop *rollLoop) prepareOrders(ctx context.Context, orders []rollout.Step) bool {
+// if the renewal fails, or if the permission that it gave has expired.
+func (rollLoop *rollLoop) prepareOrders(ctx context.Context, orders []rollout.Step) (orderPermit, bool) {
 	gateway := rollLoop.gateway
 	gateway.countStoreCall("renew", objects.Leases)
-	if !rollLoop.lease.Renew(ctx) {
+	gateway.applySuspensions()
+	permit := orderPermit{suspended: gateway.suspendedSinceStart()}
+	renewed := rollLoop.lease.Renew(ctx)
+	permit.token, permit.deadline = rollLoop.lease.Token(), rollLoop.lease.Deadline()
+	if !renewed || !gateway.permits(permit) {
 		gateway.Log.Emit(event.LeaseLost, event.F("token", rollLoop.lease.Token()))
 		gateway.metrics.HoldsLease.Set(0)
 		rollLoop.leaseHeld = false
-		return false
+		return orderPermit{}, false
 	}
 	var updates []peer.TargetUpdate
 	for _, step := range orders {
@@ -236,7 +241,23 @@
 		updates = append(updates, peer.TargetUpdate{Target: step.Target, Model: step.Model, Weights: step.Version, Rolling: true})
 	}
 	go gateway.runNotify(ctx, peer.Notice{Targets: updates, OrdersLease: gateway.leaseWrite(time.Now())})
-	return true
+	return permit, true
+}
+
+// orderPermit is the permission to send orders that a renewal of the lease gave.
+type orderPermit struct {
+	token    uint64
+	deadline time.Time
+	// suspended is the length of the machine's suspensions before the renewal was sent.
+	// The deadline does not count those that follow: the clock stands still.
+	suspended time.Duration
+}
+
+// permits reports whether orders may still be sent. A process may have been paused since
+// the renewal was sent, and another VM may hold the lease by now.
+func (gateway *Gateway) permits(permit orderPermit) bool {
+	gateway.applySuspensions()
+	return time.Now().Before(permit.deadline) && gateway.suspendedSinceStart() == permit.suspended
 }
 
 func (rollLoop *rollLoop) runPoll(ctx context.Context, step rollout.Step) {
@@ -252,21 +273,21 @@
 	rollLoop.sendResult(ctx, result)
 }
 
-func (rollLoop *rollLoop) runOrder(ctx context.Context, step rollout.Step, token uint64) {
+func (rollLoop *rollLoop) runOrder(ctx context.Context, step rollout.Step, permit orderPermit) {
 	result := callResult{step: step, reply: rollout.Misdirected}
 	contact, ok := rollLoop.gateway.newContact(step.Target)
-	if !ok {
+	if !ok || !rollLoop.gateway.permits(permit) {
 		rollLoop.sendResult(ctx, result)
 		return
 	}
 	rollLoop.gateway.metrics.Orders.Add(1)
 	reply, err := rollLoop.gateway.Engines.Order(ctx, contact.client, rollout.Order{
 		Target: step.Target, Weights: step.Weights, Sequence: step.Sequence,
-		Holder: rollLoop.gateway.Settings.Name, Token: token,
+		Holder: rollLoop.gateway.Settings.Name, Token: permit.token,
 	}, contact.observe)
 	result.reply = reply
 	fields := []event.Field{
-		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", token),
+		event.F("target", step.Target), event.F("weights", step.Version), event.F("token", permit.token),
 		event.F("reply", int(reply)),
 	}
 	if err != nil {
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/bramleygw/bramleygw/rollout"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/settings"
+	"github.com/bramleygw/bramleygw/target"
 )
 
 // leaseStore holds the lease of orders.
@@ -22,6 +24,8 @@
 	version objects.Version
 	spec    json.RawMessage
 	calls   int
+	// answer, if set, is called before the answer to a write is read.
+	answer func()
 	// loseAnswer makes the next write take effect without an answer.
 	loseAnswer bool
 }
@@ -49,6 +53,9 @@
 	}
 	leaseStore.version++
 	leaseStore.spec, _ = json.Marshal(spec) // encoding it cannot fail
+	if leaseStore.answer != nil {
+		leaseStore.answer()
+	}
 	if leaseStore.loseAnswer {
 		leaseStore.loseAnswer = false
 		return objects.Object{}, objects.ErrUnknown
@@ -224,3 +231,62 @@
 		}
 	})
 }
+
+// orderCounter implements Engines and counts the orders.
+type orderCounter struct {
+	Engines // methods that these tests do not call
+
+	orders atomic.Int64
+}
+
+func (orderCounter *orderCounter) Order(context.Context, *target.Client, rollout.Order, func(target.Head)) (rollout.Reply, error) {
+	orderCounter.orders.Add(1)
+	return rollout.Accepted, nil
+}
+
+// Guards against orders by a VM that was paused while the answer to its renewal of the
+// lease was on its way, or before it sent them: another VM may hold the lease by then.
+func TestPausedVMGivesNoOrders(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		pause func(suspended *time.Duration)
+		want  int64
+	}{
+		{"not paused", func(*time.Duration) {}, 1},
+		{"frozen", func(*time.Duration) { sleep(4 * time.Second) }, 0},
+		{"suspended", func(suspended *time.Duration) { *suspended += 4 * time.Second }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newTakeoverFleet(1, 1)
+				rollLoop, engines := fleet.loops[0], &orderCounter{}
+				gateway := rollLoop.gateway
+				gateway.Engines = engines
+				rollLoop.inFlight, rollLoop.results = map[string]bool{}, make(chan callResult, 2)
+				gateway.roster.Put(roster.Entry{ID: "e1", Service: "notes", Models: []roster.Model{{Name: "m", Weights: 1}}}, time.Now())
+				suspended := time.Duration(0)
+				gateway.suspensions.read, gateway.suspensions.known = func() time.Duration { return suspended }, 0
+				if !rollLoop.lease.AcquireOrRenew(t.Context()) {
+					t.Fatal("got no lease, want it held")
+				}
+				step := rollout.Step{Target: "e1", Weights: rollout.Weights{Model: "m", Version: 2}}
+				fleet.store.answer = func() { test.pause(&suspended) }
+				rollLoop.execute(t.Context(), []rollout.Step{step})
+				synctest.Wait()
+				if got := engines.orders.Load(); got != test.want {
+					t.Errorf("got %d orders after a pause during the renewal, want %d", got, test.want)
+				}
+				fleet.store.answer = nil
+				permit, ok := rollLoop.prepareOrders(t.Context(), []rollout.Step{step})
+				test.pause(&suspended)
+				before := engines.orders.Load()
+				if ok {
+					rollLoop.runOrder(t.Context(), step, permit)
+				}
+				if got := engines.orders.Load() - before; got != test.want {
+					t.Errorf("got %d orders after a pause before the order, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
