Open fewer connections to targets that are busy

Causes found in the code: probes of targets that were merely busy (each VM, every 500 ms after 250 ms of silence), probes of up to 8 sound targets every 25 ms after each crash, idle connections closed by a request that may not use them, and a new connection for each retry.

Where roster.Adaptive is true: - a target is probed only if it is silent for longer than its prompts explain and no other VM heard from it within two heartbeat intervals (Beat fields 33 and 34), or for 1 s beyond that, so that a VM that alone is cut off finds out; then ever more rarely; - two sound targets at a time are probed after a crash, none once one answered; - idle connections that are too old for a request stay for others, those that exceed the target's Keep-Alive are closed, and retries use connections idle for 1 s at most.

Connections are counted by cause (metric connections_opened).

A late second copy of an answer could be taken for the answer to the next request in two cases: the same request sent again to the same target after a rejection, and an answer without ID from a target that otherwise echoes IDs. Both are closed, for all services; the tests showed the wrong answer before.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -297,6 +297,7 @@
 	if !hierarchical || zone == "" || zone == gateway.members.Zone {
 		heartbeat.Spending = toSpendings(gateway.limits.Counts())
 		heartbeat.Backlogs = toBacklogs(gateway.roster.Backlogs())
+		heartbeat.HeardTargets = toHeard(gateway.roster.Heard(now), now)
 	}
 	return heartbeat
 }
@@ -327,6 +328,7 @@
 	gateway.mergeBlocked(heartbeat.BlockedParts, now)
 	gateway.mergeTargetLimits(heartbeat.TargetLimits, sentAt)
 	gateway.mergeBrittleTargets(heartbeat.BrittleTargets, sentAt, now)
+	gateway.roster.MergeHeard(fromHeard(heartbeat.HeardTargets, sentAt))
 	gateway.mergeEmpty(heartbeat.Positions)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,7 @@
 	gateway.cacheStores = newCacheStores(gateway.Log)
 	gateway.dialer = peer.NewDialer(nil)
 	gateway.metrics = metric.New(vm.Name)
+	gateway.clients.OnOpen = func(cause target.Cause) { gateway.metrics.Connections.Add(string(cause), 1) }
 	gateway.origins = newOrigins(vm.Name, gateway.members, gateway.dialer, gateway.metrics, gateway.Log)
 	gateway.origins.versions = gateway.roster
 	gateway.tunnels = &tunnels{gateway: gateway}
@@ -357,6 +358,7 @@
 		gateway.reportServices(services, entries, now)
 		listed := gateway.updateTargetMetrics(entries)
 		gateway.clients.Retain(func(id string) bool { return listed[id] })
+		gateway.closeExpired(entries, now)
 		gateway.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
 	}
 	return nil
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -7,6 +7,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
+	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
@@ -35,9 +36,9 @@
 		return
 	}
 	client := gateway.clients.Get(probe.ID, probe.Address)
-	err := client.Reach(ctx, time.Now().Add(probeTimeout))
+	err := client.Reach(ctx, time.Now().Add(probeTimeout), target.CauseProbe)
 	for attempt := 1; attempt < probeAttempts && err != nil; attempt++ {
-		err = client.Reach(ctx, time.Now().Add(probeTimeout))
+		err = client.Reach(ctx, time.Now().Add(probeTimeout), target.CauseProbe)
 	}
 	now := time.Now()
 	if gateway.roster.RecordProbe(probe.ID, err == nil, now) {
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -35,6 +35,8 @@
 	maxTunnels = 512
 	// maxSniffedHead is the number of bytes of an answer in which its head is looked for.
 	maxSniffedHead = 16 << 10
+	// causeCarried is the cause under which connections for other VMs are counted.
+	causeCarried = "carried"
 )
 
 // tunnels connects to targets through other VMs, and for them.
@@ -164,6 +166,7 @@
 		return nil, errors.CombineErrors(errTunnelDenied, err)
 	}
 	gateway.metrics.TunnelsCarried.Add(1)
+	gateway.metrics.Connections.Add(causeCarried, 1)
 	return &carriedConn{Conn: conn, tunnels: tunnels, contact: contact}, nil
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,6 +49,7 @@
 	NotAdmitted   expvar.Int  // requests refused because brittle targets are nearly full
 	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
 	Availability  *expvar.Map // changes of targets' availability by service and new state
+	Connections   *expvar.Map // connections opened to targets, by cause
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	// Records of where streams began, sent to other VMs and received from them, and
 	// batches of them that a VM did not confirm.
@@ -89,7 +90,8 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
+		Connections: new(expvar.Map).Init(),
+		StoreCalls:  new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
 		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
@@ -130,6 +132,7 @@
 		{"targets_brittle", &set.Brittle},
 		{"requests_not_admitted", &set.NotAdmitted},
 		{"parts_blocked", &set.BlockedParts},
+		{"connections_opened", set.Connections},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -33,6 +33,8 @@
 	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
 	encoded.OrdersLease = encodeLease(heartbeat.OrdersLease)
 	encoded.Brittle = encodeBrittle(heartbeat.BrittleTargets)
+	encodeHeard(encoded, heartbeat.HeardTargets)
+	encoded.HotPrefixes = encodeHotPrefixes(heartbeat.HotPrefixes)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -70,6 +72,8 @@
 	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
 	heartbeat.OrdersLease = decodeLease(encoded.GetOrdersLease())
 	heartbeat.BrittleTargets = decodeBrittle(encoded.GetBrittle())
+	heartbeat.HeardTargets = decodeHeard(encoded)
+	heartbeat.HotPrefixes = decodeHotPrefixes(encoded.GetHotPrefixes())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -120,6 +124,7 @@
 			AvailabilityZone: zone.Zone, Teller: zone.Origin, Number: zone.Number,
 			AgeMs: milliseconds(zone.Age), UptimeMs: milliseconds(zone.Uptime), Vms: uint32(zone.VMs),
 			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
+			HotPrefixes: encodeHotPrefixes(zone.HotPrefixes),
 		})
 	}
 }
@@ -161,6 +166,7 @@
 			Age: time.Duration(zone.GetAgeMs()) * time.Millisecond, VMs: int(zone.GetVms()),
 			Uptime:   time.Duration(zone.GetUptimeMs()) * time.Millisecond,
 			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
+			HotPrefixes: decodeHotPrefixes(zone.GetHotPrefixes()),
 		})
 	}
 }
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -32,8 +32,10 @@
 		Zone:      "z1", IsRepresentative: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
 		ZoneSummaries: []ZoneSummary{{
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
-			Spending: spending, Backlogs: backlogs,
+			Spending: spending, Backlogs: backlogs, HotPrefixes: []HotPrefix{{Prefix: 1 << 63, TokensPerSecond: 90_000, Homes: 2}},
 		}},
+		HeardTargets:   []HeardTarget{{Hash: 1 << 31, Age: 40 * time.Millisecond}, {Hash: 5}},
+		HotPrefixes:    []HotPrefix{{Prefix: 7, TokensPerSecond: 30_000, Homes: 3}},
 		BlockedParts:   []BlockedPart{{Part: "p1", Left: time.Minute}},
 		TargetLimits:   []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
 		BrittleTargets: []BrittleTarget{{Target: "i-1", StartTime: 7, Tolerance: 2.5, Age: 3 * time.Millisecond, Running: 4, Waiting: 5, Slots: 6, HasLoad: true, LoadAge: 8 * time.Millisecond, Room: 9.5, HasRejected: true, RejectedAge: 10 * time.Millisecond, Admitted: 0.5}},
--- a/peer/server.go
+++ b/peer/server.go
@@ -82,6 +82,10 @@
 	OrdersLease  LeaseWrite
 	// BrittleTargets are the targets that are brittle or were so lately.
 	BrittleTargets []BrittleTarget
+	// HeardTargets are the targets that lately sent the sender bytes.
+	HeardTargets []HeardTarget
+	// HotPrefixes are the prefixes that may need several homes.
+	HotPrefixes []HotPrefix
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -106,6 +110,8 @@
 	VMs      int
 	Spending []Spending
 	Backlogs []Backlog
+	// HotPrefixes are summed over the zone's VMs.
+	HotPrefixes []HotPrefix
 }
 
 // NamedWeights is a weights version that operators recently named for a model.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,7 +27,7 @@
 	statusMisdirected    = 421
 	minServerErrorStatus = 500
 	// maxConnIdle is the longest idle time of a connection used for a request that
-	// cannot be sent twice.
+	// cannot be sent twice, or for a retry.
 	maxConnIdle = time.Second
 	// deathProbeTimeout bounds the check whether a target still accepts
 	// connections.
@@ -92,16 +92,23 @@
 			call.Priority = min(job.account.Priority, maxPriority)
 		}
 	}
-	if !job.route.Kind.Repeatable() {
-		call.UsedSince = time.Now().Add(-maxConnIdle)
-	}
-	call.NewConnection = job.delivery.Runs() > 0
+	setReuse(&call, job.relay.Roster.Adaptive(job.service.Name), job.route.Kind.Repeatable(), job.delivery.Runs() > 0, time.Now())
 	if request.Prompt != nil && len(job.service.Models) > 0 {
 		job.setCacheFields(&call, assignment)
 	}
 	return call
 }
 
+// setReuse sets which connections the call may use again. A retry is repeatable, so that
+// a lost connection costs it time alone: where targets pay for each connection it uses
+// those that a request that cannot be sent twice may use too.
+func setReuse(call *target.Call, adaptive, repeatable, retry bool, now time.Time) {
+	call.LeaveOlder, call.NewConnection = adaptive, retry && !adaptive
+	if retry || !repeatable {
+		call.UsedSince = now.Add(-maxConnIdle)
+	}
+}
+
 // weightsText returns the wire format of a weights version. It is empty when there
 // is none.
 func weightsText(weights uint64) string {
@@ -186,7 +193,7 @@
 // endWrite records that the caller has taken what was written.
 func (job *job) endWrite() {
 	job.writing.Store(false)
-	job.attempt.assignment.Received(time.Now())
+	job.attempt.assignment.CallerRead(time.Now())
 }
 
 // deliver sends the caller a complete answer.
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -3,12 +3,17 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/bramleygw/bramleygw/target"
 )
 
 // Clients holds a client for each target. It is safe for concurrent use.
 type Clients struct {
+	// OnOpen, if set, is called after each connection that was opened. It is set before
+	// the first call of Get.
+	OnOpen func(target.Cause)
+
 	dialect target.Dialect
 
 	mu      sync.Mutex // guards clients
@@ -33,10 +38,23 @@
 		existing.Close()
 	}
 	created := target.NewWithDialect(address, clients.dialect)
+	created.OnOpen = clients.OnOpen
 	clients.clients[id] = created
 	return created
 }
 
+// CloseExpired closes the idle connections, to the targets for which applies returns
+// true, that are older than the target's Keep-Alive allows.
+func (clients *Clients) CloseExpired(applies func(id string) bool, now time.Time) {
+	clients.mu.Lock()
+	defer clients.mu.Unlock()
+	for id, client := range clients.clients {
+		if applies(id) {
+			client.CloseExpired(now)
+		}
+	}
+}
+
 // Retain closes and removes the clients of targets for which keep returns false.
 func (clients *Clients) Retain(keep func(id string) bool) {
 	clients.mu.Lock()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -56,7 +56,7 @@
 		return // nothing shows whether the target died or the VM in between
 	}
 	now := time.Now()
-	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout)) == nil {
+	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout), target.CauseDeathProbe) == nil {
 		return
 	}
 	if job.relay.Tunnels != nil && job.relay.Tunnels.Reached(ctx, assignment.ID) {
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -14,7 +14,7 @@
 }
 
 // Probes returns the targets to be probed now: those that are unreachable, those
-// that have requests in flight and have sent nothing for silenceLimit, those
+// that have requests in flight and are silent, those
 // whose instance or weights were not the expected ones, and some that show whether this
 // VM is cut off from their service.
 func (roster *Roster) Probes(now time.Time) []Probe {
@@ -27,13 +27,13 @@
 			continue
 		}
 		due, report := target.probeDue(now)
-		if !due && (confirmations == confirmationProbes || !roster.confirmationDue(target, now)) {
+		if !due && (confirmations >= roster.confirmations(target.entry.Service) || !roster.confirmationDue(target, now)) {
 			continue
 		}
 		if !due {
 			confirmations++
 		}
-		target.probeAt = now.Add(probeInterval)
+		target.probeAt = now.Add(target.probePause(now))
 		probes = append(probes, Probe{ID: id, Address: target.entry.Address, Report: report})
 		target.mismatched = false
 	}
@@ -52,11 +52,6 @@
 	return silent || target.unreachable || target.mismatched, report
 }
 
-// silent reports whether the target has requests in flight and sends nothing.
-func (target *Target) silent(now time.Time) bool {
-	return target.inFlight > 0 && now.Sub(target.lastReceived) > silenceLimit
-}
-
 // RecordProbe records a probe's result. It reports whether the result changed the
 // target from unreachable to reachable or the reverse.
 func (roster *Roster) RecordProbe(id string, reached bool, now time.Time) bool {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -80,6 +80,7 @@
 	mu       sync.Mutex // guards the fields below and all targets
 	targets  map[string]*Target
 	services map[string][]*Target
+	byHash   map[uint32]*Target // registered targets by targetHash
 	// platformDown is set while the platform does not answer. platformDownSince is when
 	// it last did; zero if it has not answered this VM yet.
 	platformDown      bool
@@ -247,7 +248,7 @@
 
 // index rebuilds the lists of targets by service. The caller holds mu.
 func (roster *Roster) index() {
-	roster.services = map[string][]*Target{}
+	roster.services, roster.byHash = map[string][]*Target{}, map[uint32]*Target{}
 	ids := slices.Sorted(maps.Keys(roster.targets))
 	// VMs must not prefer the same targets among equals.
 	roster.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
@@ -255,6 +256,7 @@
 		if target := roster.targets[id]; !target.removed {
 			name := target.entry.Service
 			roster.services[name] = append(roster.services[name], target)
+			roster.byHash[uint32(target.seed)] = target
 		}
 	}
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -106,6 +106,10 @@
 	// and when a request begins at an idle target, so that idle time does not count as
 	// silence.
 	lastReceived time.Time
+	// heardAt is when the target last sent this VM a byte, and peerHeardAt when it last
+	// sent another VM one, as far as this VM was told.
+	heardAt     time.Time
+	peerHeardAt time.Time
 }
 
 func newTarget(roster *Roster, entry Entry) *Target {
@@ -269,7 +273,7 @@
 
 // received records that the target sent a byte. The caller holds the roster's lock.
 func (assignment *Assignment) received(now time.Time) {
-	assignment.target.lastReceived, assignment.lastReceived = now, now
+	assignment.target.lastReceived, assignment.lastReceived, assignment.target.heardAt = now, now, now
 }
 
 // Answered records an answer and, if hasLoad is set, its load report. It reports
@@ -282,6 +286,9 @@
 	wasUnreachable := target.unreachable
 	if !target.through.IsValid() && !assignment.Through.IsValid() {
 		target.unreachable, target.failedProbes = false, 0
+		if assignment.roster.adaptive(assignment.Service) {
+			delete(assignment.roster.lost, assignment.Service) // this VM is not cut off from the service
+		}
 	}
 	if hasLoad && load.WorkTime > 0 {
 		assignment.roster.reportWorkTime[assignment.Service] = true
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -78,6 +78,9 @@
 	// UsedSince excludes connections whose last use was before this time; zero
 	// excludes none.
 	UsedSince time.Time
+	// LeaveOlder leaves the connections that UsedSince excludes to other calls, instead of
+	// closing them.
+	LeaveOlder bool
 	// Open, if set, makes the connection for the call instead of a TCP connection to the
 	// target's address.
 	Open func() (net.Conn, error)
--- a/target/forward.go
+++ b/target/forward.go
@@ -122,13 +122,14 @@
 }
 
 // Reach makes a TCP connection to the target's address before the deadline. A nil error
-// means that it succeeded.
-func (client *Client) Reach(ctx context.Context, deadline time.Time) error {
+// means that it succeeded. The cause is reported to OnOpen.
+func (client *Client) Reach(ctx context.Context, deadline time.Time, cause Cause) error {
 	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", client.address.String())
 	if err != nil {
 		return err
 	}
+	client.opened(cause)
 	_ = conn.Close() // no data was sent
 	return nil
 }
--- /dev/null
+++ b/target/idle.go
@@ -0,0 +1,132 @@
+package target
+
+import (
+	"time"
+
+	"github.com/bramleygw/bramleygw/connection"
+)
+
+// Cause is why a connection was opened.
+type Cause string
+
+// The causes.
+const (
+	// CauseNoIdle: there was no idle connection.
+	CauseNoIdle Cause = "no_idle"
+	// CauseIdleTooLong: the idle connections had been used before Call.UsedSince.
+	CauseIdleTooLong Cause = "idle_too_long"
+	// CauseKeepAliveOver: the time for which the target keeps idle connections was over.
+	CauseKeepAliveOver Cause = "keep_alive_over"
+	// CauseClosed: the target had closed the idle connection or sent data on it.
+	CauseClosed Cause = "closed_by_target"
+	// CauseSameRequest: the idle connection had carried an answer to the same request.
+	CauseSameRequest Cause = "same_request"
+	// CauseRequired: the call is an order, or a retry that requires a new connection.
+	CauseRequired Cause = "required"
+	// CauseTunnel: the connection goes through another VM.
+	CauseTunnel Cause = "tunnel"
+	// CauseProbe: it shows whether a target accepts connections.
+	CauseProbe Cause = "probe"
+	// CauseDeathProbe: it shows whether a target died with a request.
+	CauseDeathProbe Cause = "death_probe"
+)
+
+// opened reports a connection that was opened.
+func (client *Client) opened(cause Cause) {
+	if client.OnOpen != nil {
+		client.OnOpen(cause)
+	}
+}
+
+// acquire returns a reusable idle connection, or a new one and why it is opened.
+func (client *Client) acquire(call Call) (*connection.Client, Cause) {
+	switch {
+	case call.Open != nil:
+		return connection.NewOver(client.address, call.Open), CauseTunnel
+	case call.NewConnection:
+		return connection.New(client.address, client.tls), CauseRequired
+	}
+	cause := CauseNoIdle
+	for {
+		idle, ok, obstacle := client.take(call)
+		if obstacle != "" {
+			cause = obstacle
+		}
+		if !ok {
+			return connection.New(client.address, client.tls), cause
+		}
+		cause = idle.obstacle(call, time.Now())
+		if cause == "" {
+			return idle.conn, ""
+		}
+		idle.conn.Close()
+	}
+}
+
+// take removes and returns the most recently used idle connection that may fit the
+// call. It returns the obstacle of those that it left.
+func (client *Client) take(call Call) (idleConnection, bool, Cause) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	var obstacle Cause
+	for i := len(client.idle) - 1; i >= 0; i-- {
+		idle := client.idle[i]
+		if call.LeaveOlder && idle.since.Before(call.UsedSince) {
+			return idleConnection{}, false, CauseIdleTooLong // the others were used before
+		}
+		if call.RequestID != "" && idle.answered == call.RequestID {
+			// A second copy of that answer would be taken for the answer to this call.
+			obstacle = CauseSameRequest
+			continue
+		}
+		client.idle = append(client.idle[:i], client.idle[i+1:]...)
+		return idle, true, obstacle
+	}
+	return idleConnection{}, false, obstacle
+}
+
+// obstacle returns why the connection may not be reused, or an empty cause.
+func (idle *idleConnection) obstacle(call Call, now time.Time) Cause {
+	switch {
+	case idle.expired(now):
+		return CauseKeepAliveOver
+	case idle.since.Before(call.UsedSince):
+		return CauseIdleTooLong
+	case idle.conn.Stale():
+		return CauseClosed
+	}
+	return ""
+}
+
+// expired reports whether the target may close the connection at any time.
+func (idle *idleConnection) expired(now time.Time) bool {
+	return !idle.until.IsZero() && !now.Before(idle.until)
+}
+
+// release makes the connection available for reuse after the answer to the request with
+// the ID. It closes it instead when the client is closed or holds maxIdleConnections.
+func (client *Client) release(conn *connection.Client, until time.Time, requestID string) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if client.closed || len(client.idle) >= maxIdleConnections {
+		conn.Close()
+		return
+	}
+	client.idle = append(client.idle, idleConnection{conn: conn, since: time.Now(), until: until, answered: requestID})
+}
+
+// CloseExpired closes the idle connections that are older than the target's Keep-Alive
+// allows.
+func (client *Client) CloseExpired(now time.Time) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	kept := client.idle[:0]
+	for _, idle := range client.idle {
+		if idle.expired(now) {
+			idle.conn.Close()
+			continue
+		}
+		kept = append(kept, idle)
+	}
+	client.idle = kept
+}
--- a/target/target.go
+++ b/target/target.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,12 +67,18 @@
 
 // Client sends requests to one target. It is safe for concurrent use.
 type Client struct {
+	// OnOpen, if set, is called after each connection that was opened. It is set before
+	// the first call.
+	OnOpen func(Cause)
+
 	address netip.AddrPort
 	tls     *tls.Config
 	dialect Dialect
+	// echoes is set once an answer of the target carried the ID of its request.
+	echoes atomic.Bool
 
-	mu     sync.Mutex // guards idle and closed
-	idle   []idleConnection
+	mu     sync.Mutex       // guards idle and closed
+	idle   []idleConnection // the most recently used one last
 	closed bool
 }
 
@@ -82,6 +89,8 @@
 	// until is the time until which it may be reused; zero when the target did
 	// not report it.
 	until time.Time
+	// answered is the ID of the request that was answered on it last.
+	answered string
 }
 
 // New returns a client that uses the native dialect; a nil tlsConfig means plain
@@ -125,50 +134,6 @@
 	client.idle = nil
 }
 
-// acquire returns a reusable idle connection, or a new one.
-func (client *Client) acquire(call Call) *connection.Client {
-	if call.Open != nil {
-		return connection.NewOver(client.address, call.Open)
-	}
-	for !call.NewConnection {
-		idle, ok := client.pop()
-		if !ok {
-			break
-		}
-		expired := !idle.until.IsZero() && !time.Now().Before(idle.until)
-		if !expired && !idle.since.Before(call.UsedSince) && !idle.conn.Stale() {
-			return idle.conn
-		}
-		idle.conn.Close()
-	}
-	return connection.New(client.address, client.tls)
-}
-
-// pop removes and returns the most recently used idle connection.
-func (client *Client) pop() (idleConnection, bool) {
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	last := len(client.idle) - 1
-	if last < 0 {
-		return idleConnection{}, false
-	}
-	idle := client.idle[last]
-	client.idle = client.idle[:last]
-	return idle, true
-}
-
-// release makes the connection available for reuse. It closes it instead when
-// the client is closed or holds maxIdleConnections.
-func (client *Client) release(conn *connection.Client, until time.Time) {
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	if client.closed || len(client.idle) >= maxIdleConnections {
-		conn.Close()
-		return
-	}
-	client.idle = append(client.idle, idleConnection{conn: conn, since: time.Now(), until: until})
-}
-
 // Do sends a request and returns the complete answer, whatever its status.
 // The body is stored in buffer and valid until the next use of buffer.
 func (client *Client) Do(ctx context.Context, call Call, buffer []byte) (Head, []byte, error) {
@@ -232,7 +197,7 @@
 
 // exchangeWithHead is like exchange and passes the decoded head to read too.
 func (client *Client) exchangeWithHead(ctx context.Context, call Call, read func(Head, *fasthttp.Response, io.Reader) error) (Head, error) {
-	conn := client.acquire(call)
+	conn, cause := client.acquire(call)
 	reused := conn.Used()
 	conn.OnData = call.OnData
 	stop := context.AfterFunc(ctx, conn.Abort)
@@ -244,7 +209,11 @@
 	client.dialect.Fill(request, &call)
 	body := &deadlineBody{conn: conn, call: &call}
 	body.extendDeadline()
-	if err := conn.Do(request, response); err != nil {
+	err := conn.Do(request, response)
+	if !reused && conn.Used() {
+		client.opened(cause)
+	}
+	if err != nil {
 		conn.Close()
 		return Head{}, classify(ctx, err, reused, true)
 	}
@@ -252,7 +221,7 @@
 	if call.OnHead != nil {
 		call.OnHead(head)
 	}
-	err := client.consume(head, response, call, body, read)
+	err = client.consume(head, response, call, body, read)
 	if err != nil || !stop() {
 		conn.Close()
 		return head, classify(ctx, err, reused, false)
@@ -261,7 +230,13 @@
 		conn.Close() // the next call may not need the way that Open took
 		return head, nil
 	}
-	client.release(conn, head.KeepAliveUntil)
+	if head.RequestID != "" {
+		client.echoes.Store(true)
+	} else if call.RequestID != "" && client.echoes.Load() {
+		conn.Close() // a second copy of this answer could not be told from the next one
+		return head, nil
+	}
+	client.release(conn, head.KeepAliveUntil, call.RequestID)
 	return head, nil
 }
 
