Move a stream on whose target sends bytes but completes no event

Cause: silence was counted in bytes, so that a target that sends a byte of an event now and then kept a resumable stream until its deadline.

Change: an event that is incomplete for 1.5 s counts like silence. The stream moves only if another target and retries are reserved, as before; streams with slow but complete events are not affected (TestStalledStreamIsToldFromSlowOne). The job of reserve_test.go gets the new field in its set-up.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,6 +40,7 @@
 func (job *job) send(ctx context.Context, assignment *roster.Assignment) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	job.progress = &eventProgress{}
 	silenceMonitor := job.monitorSilence(assignment, cancel)
 	head, body, err := job.relay.client(assignment).Forward(ctx, job.call(assignment), job)
 	job.next = silenceMonitor.stop()
@@ -81,7 +82,7 @@
 		Method: request.Method, Path: request.PathAndQuery, Host: request.Host, Fields: request.Fields, Body: request.Body,
 		RequestID: request.ID, LastEventID: job.lastEventID, Deadline: job.deadline, Instance: assignment.ID,
 		HasPriority: true, Priority: min(job.route.Priority, maxPriority),
-		OnData: func() { assignment.Received(time.Now()) },
+		OnData: job.onData(assignment),
 	}
 	if assignment.Through.IsValid() {
 		call.Open = func() (net.Conn, error) { return job.relay.Tunnels.Open(assignment) }
@@ -99,6 +100,18 @@
 	return call
 }
 
+// onData returns what is called for each read that returned data.
+func (job *job) onData(assignment *roster.Assignment) func() {
+	progress, streams := job.progress, job.route.Kind.Streams()
+	return func() {
+		now := time.Now()
+		assignment.Received(now)
+		if streams {
+			progress.recordData(now)
+		}
+	}
+}
+
 // setReuse sets which connections the call may use again. A retry is repeatable, so that
 // a lost connection costs it time alone: where targets pay for each connection it uses
 // those that a request that cannot be sent twice may use too.
@@ -143,6 +156,7 @@
 func (job *job) Head(head target.Head) error {
 	now := time.Now()
 	job.attempt.head = head
+	job.progress.recordComplete()
 	assignment := &job.attempt.assignment
 	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting, Slots: head.Load.Slots, WorkTime: head.Load.WorkTime}
 	if assignment.Answered(load, head.HasLoad, now) {
@@ -160,6 +174,7 @@
 // Event implements target.Receiver.
 func (job *job) Event(text []byte) error {
 	now := time.Now()
+	job.progress.recordComplete()
 	job.attempt.assignment.PromptProcessed(now)
 	job.recordEvent(now)
 	id := eventID(text)
--- a/relay/job.go
+++ b/relay/job.go
@@ -59,6 +59,8 @@
 	// firstSentAt.
 	started     bool
 	firstSentAt time.Time
+	// progress is that of the current attempt.
+	progress *eventProgress
 	// writing is set while a part of the answer is written to the caller.
 	writing atomic.Bool
 	// lastEventID is the ID of the last event that the caller received.
@@ -120,7 +122,7 @@
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
 	job := &job{
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
-		deadline: limitDeadline(request, route), lastEventID: request.LastEventID, parts: request.sharedParts(),
+		deadline: limitDeadline(request, route), lastEventID: request.LastEventID, parts: request.sharedParts(), progress: &eventProgress{},
 	}
 	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -39,7 +39,7 @@
 	for i, id := range ids {
 		relay.Roster.Put(entry(id, uint16(i+1)), time.Now())
 	}
-	job := &job{
+	job := &job{progress: &eventProgress{},
 		relay: relay, request: &Request{ID: "r"}, service: &routing.Service{Name: "notes"}, digest: "d",
 		route: &routing.Route{Kind: routing.ResumableStream, Attempts: 3},
 	}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -29,13 +29,14 @@
 	minPrefillRate = 40
 )
 
-// silenceMonitor moves an attempt to another target if its target is unreachable or
-// has sent nothing on any connection for too long. A silent target may still complete
+// silenceMonitor moves an attempt to another target if its target is unreachable,
+// has sent nothing on any connection for too long, or does not complete an event. A silent target may still complete
 // the answer, so the attempt is cancelled only once another target is reserved for the
 // request. Otherwise it continues until its connection breaks or its deadline passes.
 type silenceMonitor struct {
 	job        *job
 	assignment *roster.Assignment
+	progress   *eventProgress
 	cancel     context.CancelCauseFunc
 
 	mu      sync.Mutex // guards the fields below
@@ -46,7 +47,7 @@
 }
 
 func (job *job) monitorSilence(assignment *roster.Assignment, cancel context.CancelCauseFunc) *silenceMonitor {
-	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, cancel: cancel}
+	silenceMonitor := &silenceMonitor{job: job, assignment: assignment, progress: job.progress, cancel: cancel}
 	if !job.delivery.MayLeave() {
 		silenceMonitor.stopped = true
 		return silenceMonitor
@@ -76,7 +77,8 @@
 		return
 	}
 	silence, allowed, unreachable := silenceMonitor.assignment.SilentFor(now), silenceMonitor.job.maxSilence(), silenceMonitor.assignment.Unreachable()
-	if silenceMonitor.job.writing.Load() || !overdue(silence, allowed, unreachable) {
+	stalled := silenceMonitor.progress.stalled(now)
+	if silenceMonitor.job.writing.Load() || !stalled && !overdue(silence, allowed, unreachable) {
 		silenceMonitor.timer.Reset(silenceCheckInterval)
 		return
 	}
@@ -87,7 +89,7 @@
 		return
 	}
 	silenceMonitor.next, silenceMonitor.stopped = next, true
-	silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable))
+	silenceMonitor.cancel(errors.Wrapf(errTimeout, "silent for %d ms of %d, unreachable %t, stalled %t", silence.Milliseconds(), allowed.Milliseconds(), unreachable, stalled))
 }
 
 // overdue reports whether another target should be tried after the given silence.
