Admit requests by priority and fair shares while demand exceeds room

Cause: under overload each VM takes requests first come, first served, and its estimate of the wait at a target is far too low: each other VM's backlog is taken to be processed at the full rate of the target. Targets then read prompts that are late or whose callers have left, and callers come back.

Change: package admission computes on each VM the same shares from what accounts ask of all VMs (heartbeats and zone sums, only while requests wait) and what targets take. Where roster.Adaptive is true, relay refuses prompts beyond their share at once with a spread time to retry, and makes no attempt that would be answered too late. Backlogs of several VMs at an adaptive service are processed once for all VMs.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -154,6 +154,7 @@
 	count := gateway.vmCount()
 	gateway.lastCount.Store(int64(count))
 	gateway.roster.SetFleetSize(count)
+	gateway.relay.Admission.SetFleetSize(count)
 	gateway.limits.SetFleetSize(count, gateway.vmsListed.Load() || now.Sub(gateway.started) > startupTime)
 }
 
@@ -296,7 +297,7 @@
 	}
 	if !hierarchical || zone == "" || zone == gateway.members.Zone {
 		heartbeat.Spending = toSpendings(gateway.limits.Counts())
-		heartbeat.Backlogs = toBacklogs(gateway.roster.Backlogs())
+		heartbeat.Backlogs, heartbeat.Demands = toBacklogs(gateway.roster.Backlogs()), gateway.relay.Admission.Demands(now)
 	}
 	return heartbeat
 }
@@ -313,6 +314,7 @@
 		source := quota.Source{Name: heartbeat.Name, Boot: heartbeat.Boot, VMs: 1, Began: now.Add(-heartbeat.Uptime), SameZone: sameZone}
 		gateway.limits.UpdateCounts(source, fromSpendings(heartbeat.Spending), now, now)
 		gateway.roster.SetBacklogs(heartbeat.Name, fromBacklogs(heartbeat.Backlogs), now)
+		gateway.relay.Admission.Merge(heartbeat.Name, heartbeat.Demands, now)
 	}
 	gateway.weights.recordContact(now)
 	for _, named := range heartbeat.NamedWeights {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/lease"
@@ -188,6 +189,7 @@
 		Stores: gateway.cacheStores, Quarantine: gateway.suspects, Parts: gateway.parts, DeathReporter: gateway, Clients: gateway.clients,
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
+	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -47,9 +47,14 @@
 	Limited       expvar.Int  // targets that name a limit
 	Brittle       expvar.Int  // targets that say that they are brittle
 	NotAdmitted   expvar.Int  // requests refused because brittle targets are nearly full
-	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
-	Availability  *expvar.Map // changes of targets' availability by service and new state
-	StoreCalls    *expvar.Map // calls to the store by verb and collection
+	// Requests refused under overload: beyond the room for their account, too late to be
+	// answered in time, and given up by their callers before a target was chosen.
+	OverRoom     expvar.Int
+	TooLate      expvar.Int
+	Abandoned    expvar.Int
+	BlockedParts expvar.Int  // parts of prompts that are refused because they crash targets
+	Availability *expvar.Map // changes of targets' availability by service and new state
+	StoreCalls   *expvar.Map // calls to the store by verb and collection
 	// Records of where streams began, sent to other VMs and received from them, and
 	// batches of them that a VM did not confirm.
 	OriginsSent     expvar.Int
@@ -130,6 +135,7 @@
 		{"targets_brittle", &set.Brittle},
 		{"requests_not_admitted", &set.NotAdmitted},
 		{"parts_blocked", &set.BlockedParts},
+		{"requests_over_room", &set.OverRoom}, {"requests_too_late", &set.TooLate}, {"requests_abandoned", &set.Abandoned},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -33,6 +33,7 @@
 	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
 	encoded.OrdersLease = encodeLease(heartbeat.OrdersLease)
 	encoded.Brittle = encodeBrittle(heartbeat.BrittleTargets)
+	encoded.Demands = encodeDemands(heartbeat.Demands)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -70,6 +71,7 @@
 	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
 	heartbeat.OrdersLease = decodeLease(encoded.GetOrdersLease())
 	heartbeat.BrittleTargets = decodeBrittle(encoded.GetBrittle())
+	heartbeat.Demands = decodeDemands(encoded.GetDemands())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -119,7 +121,7 @@
 		encoded.Zones = append(encoded.Zones, &peerpb.ZoneSummary{
 			AvailabilityZone: zone.Zone, Teller: zone.Origin, Number: zone.Number,
 			AgeMs: milliseconds(zone.Age), UptimeMs: milliseconds(zone.Uptime), Vms: uint32(zone.VMs),
-			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
+			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs), Demands: encodeDemands(zone.Demands),
 		})
 	}
 }
@@ -160,7 +162,7 @@
 			Zone: zone.GetAvailabilityZone(), Origin: zone.GetTeller(), Number: zone.GetNumber(),
 			Age: time.Duration(zone.GetAgeMs()) * time.Millisecond, VMs: int(zone.GetVms()),
 			Uptime:   time.Duration(zone.GetUptimeMs()) * time.Millisecond,
-			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
+			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()), Demands: decodeDemands(zone.GetDemands()),
 		})
 	}
 }
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
@@ -20,6 +21,7 @@
 	address := netip.MustParseAddrPort("127.0.0.8:1")
 	spending := []Spending{{Account: "derby", Spent: 120, Wanted: 150}}
 	backlogs := []Backlog{{Target: "i-1", Tokens: 900}}
+	demands := []admission.Demand{{Service: "notes", VMs: 20, Counts: []admission.Count{{Account: 1 << 31, Level: 34, Asked: 9000}}}}
 	want := Heartbeat{
 		Name: "vm-1", Address: address, Version: 5, PlatformAge: time.Second,
 		PeerAges: []PeerAge{{"vm-2", 2 * time.Second}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
@@ -32,8 +34,9 @@
 		Zone:      "z1", IsRepresentative: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
 		ZoneSummaries: []ZoneSummary{{
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
-			Spending: spending, Backlogs: backlogs,
+			Spending: spending, Backlogs: backlogs, Demands: demands,
 		}},
+		Demands:        demands,
 		BlockedParts:   []BlockedPart{{Part: "p1", Left: time.Minute}},
 		TargetLimits:   []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
 		BrittleTargets: []BrittleTarget{{Target: "i-1", StartTime: 7, Tolerance: 2.5, Age: 3 * time.Millisecond, Running: 4, Waiting: 5, Slots: 6, HasLoad: true, LoadAge: 8 * time.Millisecond, Room: 9.5, HasRejected: true, RejectedAge: 10 * time.Millisecond, Admitted: 0.5}},
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,6 +29,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
@@ -82,6 +83,8 @@
 	OrdersLease  LeaseWrite
 	// BrittleTargets are the targets that are brittle or were so lately.
 	BrittleTargets []BrittleTarget
+	// Demands are what the sender is asked for, of services whose targets take less.
+	Demands []admission.Demand
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -106,6 +109,7 @@
 	VMs      int
 	Spending []Spending
 	Backlogs []Backlog
+	Demands  []admission.Demand
 }
 
 // NamedWeights is a weights version that operators recently named for a model.
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -28,6 +28,10 @@
 		fields = append(fields, event.F("all_rest_until", job.restEnd))
 	case job.notAdmitted:
 		fields = append(fields, event.F("brittle_and_full", true))
+	case job.overRoom:
+		fields = append(fields, event.F("over_room", true))
+	case job.tooLate:
+		fields = append(fields, event.F("too_late", true))
 	case job.limited:
 		fields = append(fields, event.F("all_at_limit", true))
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
@@ -101,6 +102,11 @@
 	// notAdmitted is set if the request was refused because the targets of its service
 	// are brittle and nearly full.
 	notAdmitted bool
+	// controller is set if the request was admitted by the room at targets. overRoom is
+	// set if there was none for it, tooLate if no target would answer it in time.
+	controller *admission.Controller
+	overRoom   bool
+	tooLate    bool
 	// obstacles are why each target was not taken when none was found last.
 	obstacles map[roster.Obstacle]int
 	attempt   attempt
@@ -159,6 +165,9 @@
 	defer job.releaseReservation()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
 	err := job.checkAdmission(time.Now())
+	if err == nil {
+		err = job.checkRoom(time.Now())
+	}
 	if err == nil {
 		err = job.findOrigin(ctx)
 	}
@@ -210,7 +219,7 @@
 // weights, to report its weights or to become reachable again. A stream that has begun
 // is held for longer, because only targets of its software version may take it.
 func (job *job) chooseTarget(ctx context.Context) (bool, error) {
-	if job.service == nil {
+	if job.service == nil || job.abandoned(ctx) {
 		return false, nil
 	}
 	if job.takeNext(time.Now()) {
@@ -222,6 +231,9 @@
 		if ok {
 			job.releaseReservation()
 			job.attempt = attempt{assignment: assignment}
+			if job.late(&job.attempt.assignment, now) {
+				return false, job.leave(&job.attempt.assignment, now)
+			}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
 		if job.retryLeft() {
@@ -253,9 +265,11 @@
 	}
 	assignment.End()
 	job.refusedWait = wait
+	if job.controller != nil && job.controller.Overloaded(now) {
+		return overloaded(job.controller.Refuse(job.demand(), now))
+	}
 	// By then the target has processed the prompts that wait now.
-	pause := wait + rand.N(delivery.RetryAfter)
-	return refusal.New(refusal.Overloaded, "all targets are busy; retry after the time in Retry-After").WithRetryAt(now.Add(pause))
+	return overloaded(now.Add(wait + rand.N(delivery.RetryAfter)))
 }
 
 // criteria returns what the request requires of a target.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/metric"
@@ -105,6 +106,8 @@
 	Tunnels Tunnels
 	// Origins may be nil: then no VM knows the origins of streams.
 	Origins Origins
+	// Admission may be nil: then requests are admitted by estimated waits alone.
+	Admission *admission.Services
 
 	table   atomic.Pointer[routing.Table]
 	running atomic.Int64
@@ -133,6 +136,9 @@
 // Configure activates a configuration.
 func (relay *Relay) Configure(table *routing.Table) {
 	relay.table.Store(table)
+	if relay.Admission != nil {
+		relay.Admission.SetWeights(table.TokenRates())
+	}
 }
 
 // Table returns the active configuration, or nil.
--- a/roster/backlog.go
+++ b/roster/backlog.go
@@ -15,6 +15,75 @@
 	return max(0, backlog.tokens-processed)
 }
 
+// peerTokens estimates the unprocessed prompt tokens of the other VMs.
+func (target *Target) peerTokens(now time.Time) int {
+	tokens := 0
+	if !target.roster.adaptive(target.entry.Service) {
+		for _, peerBacklog := range target.peerBacklogs {
+			tokens += peerBacklog.remaining(now)
+		}
+		return tokens
+	}
+	for _, peerBacklog := range target.peerBacklogs {
+		tokens += peerBacklog.tokens
+	}
+	return int(float64(tokens) * target.unprocessedPart(now))
+}
+
+// peerTokensOf is like peerTokens for the named VMs.
+func (target *Target) peerTokensOf(vms map[string]bool, now time.Time) int {
+	if len(vms) == 0 {
+		return 0
+	}
+	tokens, adaptive := 0, target.roster.adaptive(target.entry.Service)
+	for vm, peerBacklog := range target.peerBacklogs {
+		switch {
+		case !vms[vm]:
+		case adaptive:
+			tokens += peerBacklog.tokens
+		default:
+			tokens += peerBacklog.remaining(now)
+		}
+	}
+	if !adaptive {
+		return tokens
+	}
+	return int(float64(tokens) * target.unprocessedPart(now))
+}
+
+// unprocessedPart estimates the part of the other VMs' prompt tokens that the target has
+// not processed since they were reported. The target processes one prompt at a time, so
+// what it processed counts once for all VMs, and not once for each.
+func (target *Target) unprocessedPart(now time.Time) float64 {
+	tokens, age := 0, 0 // the age is in microseconds, summed by tokens
+	for _, peerBacklog := range target.peerBacklogs {
+		tokens += peerBacklog.tokens
+		age += peerBacklog.tokens * int(now.Sub(peerBacklog.measuredAt).Microseconds())
+	}
+	if tokens == 0 {
+		return 1
+	}
+	processed := float64(age) / float64(tokens) / prefillTokenCost
+	return max(0, 1-processed/float64(tokens+target.pendingTokens))
+}
+
+// MeanWait estimates how long a new prompt waits at the usable targets of a service, in
+// the mean over them.
+func (roster *Roster) MeanWait(service string, now time.Time) time.Duration {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	sum, count := time.Duration(0), 0
+	for _, target := range roster.services[service] {
+		if target.usable(now) && !target.ejected() {
+			sum, count = sum+target.wait(now), count+1
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
+}
+
 // Backlog is the number of unprocessed prompt tokens at a target.
 type Backlog struct {
 	Target string
@@ -34,12 +103,7 @@
 	defer roster.mu.Unlock()
 	var backlogs []Backlog
 	for id, target := range roster.targets {
-		tokens := target.pendingTokens
-		for vm, peerBacklog := range target.peerBacklogs {
-			if vms[vm] {
-				tokens += peerBacklog.remaining(now)
-			}
-		}
+		tokens := target.pendingTokens + target.peerTokensOf(vms, now)
 		if tokens > 0 {
 			backlogs = append(backlogs, Backlog{Target: id, Tokens: tokens})
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -121,6 +121,14 @@
 	}
 }
 
+// SetSeed makes the order of equal targets the same in each run of a simulation. It is
+// called before the first registration.
+func (roster *Roster) SetSeed(seed uint64) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	roster.random = rand.New(rand.NewPCG(seed, 0))
+}
+
 // PlatformDown records that the platform does not answer; since is when it last did. It
 // is zero if it has not answered this VM yet, so that the outage may be of any length.
 func (roster *Roster) PlatformDown(since time.Time) {
--- a/roster/target.go
+++ b/roster/target.go
@@ -182,10 +182,7 @@
 // prompts before a new one. It is the greater of two estimates: from the tokens
 // that all VMs sent, and from the queue that the target reports.
 func (target *Target) waitMicros(now time.Time) int {
-	tokens := target.pendingTokens
-	for _, peerBacklog := range target.peerBacklogs {
-		tokens += peerBacklog.remaining(now)
-	}
+	tokens := target.pendingTokens + target.peerTokens(now)
 	age := now.Sub(target.reportedAt)
 	reported := 0.0
 	if age < maxReportAge {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -168,6 +168,7 @@
 	accountsByName map[string]*Account
 	services       map[string]*Service
 	cacheStores    []*Service
+	leastWaits     map[string]settings.Span // by service
 }
 
 // NewTable indexes a configuration and sets MaxWait of its routes. The table keeps
@@ -188,6 +189,7 @@
 	for i := range config.Routes {
 		config.Routes[i].MaxWait = maxWait(&config.Routes[i], config.Routes)
 	}
+	table.leastWaits = leastWaits(config.Routes)
 	for _, routes := range table.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
