Leave late requests to others also when a silent target is left

Cause: while requests wait in long queues, targets that send nothing for a while are left for others at which the request is late too; and a fleet whose targets take less than they are known to was not found to be overloaded.

Change: no target is reserved at which the request would be late. Long waits count as overload whatever the targets are known to take.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -202,10 +202,12 @@
 	}
 	room, before := controller.room(now), controller.overloaded
 	relative := room.Wait.Seconds() / room.AimedWait.Seconds()
+	// Long waits show that the targets take less than they are known to.
+	takes := min(room.TokensPerSecond, room.tokens())
 	if controller.overloaded {
-		controller.overloaded = relative >= leaveWait && asked >= leaveDemand*room.TokensPerSecond
+		controller.overloaded = relative >= leaveWait && asked >= leaveDemand*takes
 	} else {
-		controller.overloaded = relative >= enterWait && asked >= enterDemand*room.TokensPerSecond
+		controller.overloaded = relative >= enterWait && asked >= enterDemand*takes
 	}
 	controller.reporting = controller.overloaded || relative >= reportWait
 	controller.plan = newPlan(demands, controller.weights, room.tokens())
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -121,38 +121,39 @@
 	}
 }
 
-// Guards against VMs that take the silence of others for room, and against refusals by a
-// VM that knows nothing yet.
+// Guards against VMs that take the silence of others for room, against refusals by a VM
+// that knows nothing yet, and against targets that take less than they are known to.
 func TestDecideWithoutOthers(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
-	room := func(time.Time) Room {
-		return Room{TokensPerSecond: 100_000, Wait: 200 * time.Millisecond, AimedWait: 100 * time.Millisecond}
-	}
 	for _, test := range []struct {
 		name        string
 		age         time.Duration
+		wait        time.Duration
 		vms         int
 		report      float64 // of another VM, tokens a second
 		reportAge   time.Duration
 		least, most int // admitted of 100
 	}{
-		{"alone", 10 * time.Second, 1, 0, 0, 100, 100},
-		{"others silent", 10 * time.Second, 10, 0, 0, 15, 30},
-		{"other asks for little", 10 * time.Second, 2, 1000, 0, 100, 100},
-		{"other asks for much", 10 * time.Second, 2, 900_000, 0, 60, 100},
-		{"message is old", 10 * time.Second, 2, 900_000, 2 * time.Second, 100, 100},
-		{"just started", 0, 10, 0, 0, 100, 100},
+		{"alone", 10 * time.Second, 100 * time.Millisecond, 1, 0, 0, 100, 100},
+		{"others silent", 10 * time.Second, 100 * time.Millisecond, 10, 0, 0, 15, 30},
+		{"other asks for little", 10 * time.Second, 100 * time.Millisecond, 2, 1000, 0, 100, 100},
+		{"other asks for much", 10 * time.Second, 100 * time.Millisecond, 2, 900_000, 0, 60, 100},
+		{"message is old", 10 * time.Second, 100 * time.Millisecond, 2, 900_000, 2 * time.Second, 100, 100},
+		{"slower than known", 10 * time.Second, 400 * time.Millisecond, 1, 0, 0, 65, 85}, // 0.75 of what is asked
+		{"nothing waits", 10 * time.Second, 0, 10, 0, 0, 100, 100},
+		{"just started", 0, 100 * time.Millisecond, 10, 0, 0, 100, 100},
 	} {
-		controller := New("vm-1", room, start)
+		room := Room{TokensPerSecond: 100_000, Wait: test.wait, AimedWait: 100 * time.Millisecond}
+		controller := New("vm-1", func(time.Time) Room { return room }, start)
 		controller.SetFleetSize(test.vms)
 		admitted := 0
-		for i := range 300 { // 40,000 tokens a second
-			now := start.Add(test.age + time.Duration(i)*2500*time.Microsecond)
+		for i := range 600 { // 40,000 tokens a second
+			now := start.Add(test.age + time.Duration(i)*1500*time.Microsecond)
 			if test.report > 0 {
 				controller.Merge("vm-2", 1, []Count{{Account: 7, Asked: test.report}}, now.Add(-test.reportAge))
 			}
-			decision := controller.Decide(Request{Account: "a", Tokens: 100}, now)
-			if i >= 200 && decision.Admitted {
+			decision := controller.Decide(Request{Account: "a", Tokens: 60}, now)
+			if i >= 500 && decision.Admitted {
 				admitted++
 			}
 			if delay := decision.RetryAt.Sub(now); !decision.Admitted && (delay < minDelay/2 || delay > 3*time.Second) {
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -17,8 +17,6 @@
 	aimedWaitDivisor = 7
 	// defaultAimedWait applies to services whose routes have no latency target.
 	defaultAimedWait = 70 * time.Millisecond
-	// deniedByDeadline denies an attempt that would not be answered in time.
-	deniedByDeadline = "deadline"
 )
 
 // Room returns what the targets of a service take, for the admission of requests.
@@ -95,17 +93,14 @@
 	}
 	prompt := time.Duration(job.request.Prompt.unsharedTokens()) * prefillPerToken
 	wait := job.relay.waitCorrector.correct(assignment.Wait, now)
-	if !now.Add(wait).Add(prompt).After(latest) {
-		return false
-	}
-	job.tooLate = true
-	job.relay.Metrics.TooLate.Add(1)
-	return true
+	return now.Add(wait).Add(prompt).After(latest)
 }
 
 // leave gives up the assigned target. A request that has run nowhere is refused.
 func (job *job) leave(assignment *roster.Assignment, now time.Time) error {
 	assignment.Withdraw()
+	job.tooLate = true
+	job.relay.Metrics.TooLate.Add(1)
 	if job.delivery.Runs() > 0 {
 		job.retryDenial = deniedByDeadline
 		return nil
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -15,6 +15,8 @@
 const (
 	deniedByQuarantine = "quarantine"
 	deniedByBudget     = "budget"
+	// deniedByDeadline denies an attempt that would not be answered in time.
+	deniedByDeadline = "deadline"
 )
 
 // AllowRetry implements delivery.Sender. The retries at a reserved target and back at
@@ -72,6 +74,10 @@
 	if !ok {
 		return nil, string(delivery.NoTarget)
 	}
+	if job.late(&next, now) {
+		next.Withdraw()
+		return nil, deniedByDeadline
+	}
 	if denial := job.takeRetry(delivery.Broken, now); denial != "" {
 		next.Withdraw()
 		return nil, denial
