--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -25,6 +25,7 @@
 			pattern.burst = pattern.short // the account sends no more than others
 			calm := newSim(pattern, true, uint64(seed+1))
 			calm.run()
+			t.Logf("without the burst: %v", calm.shares())
 			if got, want := shares["others"], calm.shares()["others"]-tolerance; got < want {
 				t.Errorf("got %.2f of the short requests of other accounts, want %.2f as without the burst of one", got, want)
 			}
--- a/roster/backlog.go
+++ b/roster/backlog.go
@@ -17,17 +17,15 @@
 
 // peerTokens estimates the unprocessed prompt tokens of the other VMs.
 func (target *Target) peerTokens(now time.Time) int {
-	tokens := 0
 	if !target.roster.adaptive(target.entry.Service) {
+		tokens := 0
 		for _, peerBacklog := range target.peerBacklogs {
 			tokens += peerBacklog.remaining(now)
 		}
 		return tokens
 	}
-	for _, peerBacklog := range target.peerBacklogs {
-		tokens += peerBacklog.tokens
-	}
-	return int(float64(tokens) * target.unprocessedPart(now))
+	reported, part := target.unprocessed(now)
+	return int(float64(reported) * part)
 }
 
 // peerTokensOf is like peerTokens for the named VMs.
@@ -48,23 +46,24 @@
 	if !adaptive {
 		return tokens
 	}
-	return int(float64(tokens) * target.unprocessedPart(now))
+	_, part := target.unprocessed(now)
+	return int(float64(tokens) * part)
 }
 
-// unprocessedPart estimates the part of the other VMs' prompt tokens that the target has
-// not processed since they were reported. The target processes one prompt at a time, so
-// what it processed counts once for all VMs, and not once for each.
-func (target *Target) unprocessedPart(now time.Time) float64 {
-	tokens, age := 0, 0 // the age is in microseconds, summed by tokens
+// unprocessed returns the prompt tokens that the other VMs reported and estimates the part
+// of them that the target has not processed since. The target processes one prompt at a
+// time, so what it processed counts once for all VMs, and not once for each.
+func (target *Target) unprocessed(now time.Time) (tokens int, part float64) {
+	age := 0 // in microseconds, summed by tokens
 	for _, peerBacklog := range target.peerBacklogs {
 		tokens += peerBacklog.tokens
 		age += peerBacklog.tokens * int(now.Sub(peerBacklog.measuredAt).Microseconds())
 	}
 	if tokens == 0 {
-		return 1
+		return 0, 1
 	}
 	processed := float64(age) / float64(tokens) / prefillTokenCost
-	return max(0, 1-processed/float64(tokens+target.pendingTokens))
+	return tokens, max(0, 1-processed/float64(tokens+target.pendingTokens))
 }
 
 // MeanWait estimates how long a new prompt waits at the usable targets of a service, in
