--- a/peer/encode.go
+++ b/peer/encode.go
@@ -35,6 +35,7 @@
 	encoded.Brittle = encodeBrittle(heartbeat.BrittleTargets)
 	encodeHeard(encoded, heartbeat.HeardTargets)
 	encoded.HotPrefixes = encodeHotPrefixes(heartbeat.HotPrefixes)
+	encoded.Demands = encodeDemands(heartbeat.Demands)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -74,6 +75,7 @@
 	heartbeat.BrittleTargets = decodeBrittle(encoded.GetBrittle())
 	heartbeat.HeardTargets = decodeHeard(encoded)
 	heartbeat.HotPrefixes = decodeHotPrefixes(encoded.GetHotPrefixes())
+	heartbeat.Demands = decodeDemands(encoded.GetDemands())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -125,6 +127,7 @@
 			AgeMs: milliseconds(zone.Age), UptimeMs: milliseconds(zone.Uptime), Vms: uint32(zone.VMs),
 			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
 			HotPrefixes: encodeHotPrefixes(zone.HotPrefixes),
+			Demands:     encodeDemands(zone.Demands),
 		})
 	}
 }
@@ -167,6 +170,7 @@
 			Uptime:   time.Duration(zone.GetUptimeMs()) * time.Millisecond,
 			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
 			HotPrefixes: decodeHotPrefixes(zone.GetHotPrefixes()),
+			Demands:     decodeDemands(zone.GetDemands()),
 		})
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,6 +29,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/objects"
@@ -86,6 +87,8 @@
 	HeardTargets []HeardTarget
 	// HotPrefixes are the prefixes that may need several homes.
 	HotPrefixes []HotPrefix
+	// Demands are what the sender is asked for, of services whose targets take less.
+	Demands []admission.Demand
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -112,6 +115,7 @@
 	Backlogs []Backlog
 	// HotPrefixes are summed over the zone's VMs.
 	HotPrefixes []HotPrefix
+	Demands     []admission.Demand
 }
 
 // NamedWeights is a weights version that operators recently named for a model.
