Keep origins of streams in the store for the loss of all VMs

Cause: records of where streams began are in the memory of VMs. After the loss of all VMs no stream can be continued for as long as a record lasts. Change: a log of software versions by service and the records by availability zone are kept in the store; a VM that has just started loads them for a stream that no VM knows.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -97,6 +97,15 @@
 	CacheStoreDown   = register(614, "cache_store_down", LevelWarn, "a KV cache store closed its connection; targets do not fetch from it", "check the KV cache store")
 )
 
+// Events of streams that can be resumed: what the store has for the loss of all VMs.
+var (
+	SoftwareLogged    = register(640, "software_logged", LevelInfo, "the log of a service's software versions was changed in the store; the fields hold its versions", "none")
+	SoftwareNotLogged = register(641, "software_not_logged", LevelWarn, "the log of a service's software versions could not be read or written; streams begin all the same, and after the loss of all VMs may be refused", "check the platform")
+	OriginsNotStored  = register(642, "origins_not_stored", LevelInfo, "records of where streams began could not be written to the store; they are written again", "check the platform if many lines follow each other")
+	OriginsReloaded   = register(643, "origins_reloaded", LevelInfo, "this VM loaded the records of where streams began from the store, to continue streams that no VM knows", "none; it follows the loss of many VMs")
+	OriginsNotLoaded  = register(644, "origins_not_loaded", LevelWarn, "this VM could not load the records of where streams began, or one object of them, from the store; streams that no VM knows are refused", "check the platform; delete an object that cannot be read")
+)
+
 // Weights events.
 var (
 	WeightsNamed = register(620, "weights_named", LevelInfo, "operators named a new weights version", "none")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,6 +180,9 @@
 	gateway.metrics = metric.New(vm.Name)
 	gateway.origins = newOrigins(vm.Name, gateway.members, gateway.dialer, gateway.metrics, gateway.Log)
 	gateway.origins.versions = gateway.roster
+	if gateway.Store != nil {
+		gateway.origins.durable = newDurableOrigins(gateway)
+	}
 	gateway.tunnels = &tunnels{gateway: gateway}
 	gateway.fetchAddresses = make(chan netip.AddrPort, 1)
 	gateway.heartbeatFailures = map[netip.AddrPort]int{}
@@ -288,6 +291,9 @@
 		gateway.cacheStores.run, gateway.runReloads, gateway.runProbes, gateway.origins.run,
 		gateway.partStore.run,
 	}
+	if durable := gateway.origins.durable; durable != nil {
+		loops = append(loops, durable.logs.run, durable.writer.run)
+	}
 	if gateway.metricsServer != nil {
 		loops = append(loops, gateway.metricsServer.run)
 	}
--- /dev/null
+++ b/gateway/origin_durable.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleygw/bramleygw/origin"
+)
+
+// durableOrigins keeps in the store what is needed to continue streams after the loss of
+// all VMs. It does nothing for services without streams that can be resumed.
+type durableOrigins struct {
+	gateway *Gateway
+	logs    *softwareLogs
+	writer  *originWriter
+	loader  *originLoader
+}
+
+func newDurableOrigins(gateway *Gateway) *durableOrigins {
+	return &durableOrigins{gateway: gateway, logs: newSoftwareLogs(gateway), writer: newOriginWriter(gateway), loader: newOriginLoader(gateway)}
+}
+
+// writerName returns the VM that writes the records of this VM's availability zone, empty
+// if none of them reaches the store. VMs that differ for a moment both write: the objects'
+// versions keep their records.
+func (durable *durableOrigins) writerName(now time.Time) string {
+	gateway := durable.gateway
+	self := gateway.Settings.Name
+	var candidates []string
+	for _, view := range gateway.members.Views(now) {
+		if view.Name != self && view.AvailabilityZone == gateway.members.Zone && reachesStore(view) && !view.Leaving {
+			candidates = append(candidates, view.Name)
+		}
+	}
+	if gateway.storeHealth.answerAge(now) == 0 {
+		candidates = append(candidates, self)
+	}
+	writers := origin.Holders(gateway.members.Zone, candidates, 1)
+	if len(writers) == 0 {
+		return ""
+	}
+	return writers[0]
+}
+
+// several reports whether records of the service's streams have to be in the store.
+func (durable *durableOrigins) several(service string) bool {
+	return durable != nil && durable.logs.several(service)
+}
+
+// destination is where the records of a service's streams are to be stored; the writer is
+// empty if they need not be.
+type destination struct {
+	writer string
+	// resend counts the batches that the writer did not confirm.
+	resend int
+}
+
+// sweepDestinations has the own records of a service sent again when they have to be
+// stored for the first time, or elsewhere. The caller holds the lock of origins.
+func (origins *origins) sweepDestinations(writer string) {
+	for _, service := range origins.durable.logs.names() {
+		next := destination{}
+		if origins.durable.several(service) {
+			next = destination{writer, origins.notStored}
+		}
+		if next.writer != "" && next != origins.destinations[service] {
+			origins.unstored = append(origins.unstored, service)
+		}
+		origins.destinations[service] = next
+	}
+	origins.writer = writer
+}
+
+// enqueueStored has a record stored. The caller holds the lock of origins. It reports
+// whether a batch is due earlier than before.
+func (origins *origins) enqueueStored(record origin.Record, now time.Time) bool {
+	switch origins.writer {
+	case "":
+		return false // sweep sends all records once a VM writes
+	case origins.self:
+		origins.durable.writer.put(record, now)
+		return false
+	}
+	return origins.outbox.Add(origins.writer, record, now.Add(originBatchTime))
+}
+
+// enqueueUnstored has the records of the services stored that sweep selected: the own
+// ones and, at the VM that writes, those that it holds for others.
+func (origins *origins) enqueueUnstored(services []string, now time.Time) {
+	for _, service := range services {
+		records := origins.own.Records(service, now)
+		origins.mu.Lock()
+		if origins.writer == origins.self {
+			records = append(records, origins.held.Records(service, now)...)
+		}
+		for _, record := range records {
+			origins.enqueueStored(record, now)
+		}
+		origins.mu.Unlock()
+	}
+}
+
+// Await waits until the version of a recorded stream is in the log and, if the stream
+// moved from another version, until the store has the new record.
+func (origins *origins) Await(ctx context.Context, record origin.Record, moved bool) bool {
+	durable := origins.durable
+	if durable == nil {
+		return true
+	}
+	durable.logs.await(ctx, record.Origin.Service, record.Origin.Software)
+	if !moved || !durable.several(record.Origin.Service) {
+		return true
+	}
+	origins.mu.Lock()
+	writer := origins.writer
+	origins.mu.Unlock()
+	if writer == origins.self {
+		return durable.writer.awaitStored(ctx, []origin.Record{record})
+	}
+	if writer == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, originAwaitTimeout)
+	defer cancel()
+	stored, err := origins.peers.StoreOrigins(ctx, origins.members.Address(writer), []origin.Record{record})
+	return stored && err == nil
+}
+
+// reload decides again with what the store has, if this VM has run for less time than
+// the record of a stream lasts. Until then, the VMs that knew the stream may all be gone.
+func (origins *origins) reload(ctx context.Context, query origin.Query, evidence origin.Evidence) origin.Evidence {
+	durable := origins.durable
+	if durable == nil || !durable.gateway.started.After(query.Since) || !durable.logs.has(query.Service) {
+		return evidence
+	}
+	began, known := durable.loader.records.Get(query.RequestID, time.Now())
+	if !known {
+		loaded := durable.loader.load(ctx, time.Now())
+		if loaded == nil {
+			return evidence
+		}
+		began, known = durable.loader.records.Get(query.RequestID, time.Now())
+		evidence.Logged = durable.logs.single(query.Service, loaded.logs, time.Now())
+	}
+	evidence.Own.Origin, evidence.Own.Known = began, known
+	return evidence
+}
+
+// StoreOrigins implements peer.Handler.
+func (gateway *Gateway) StoreOrigins(ctx context.Context, records []origin.Record) bool {
+	gateway.origins.hold(records)
+	return gateway.origins.durable != nil && gateway.origins.durable.writer.awaitStored(ctx, records)
+}
--- a/gateway/origin_lookup.go
+++ b/gateway/origin_lookup.go
@@ -11,7 +11,8 @@
 
 // Find returns where the stream of an earlier request began that a caller takes up. The
 // stream can have begun at since or later, and would go on at the service. Find asks other
-// VMs if this one has no record, for originTimeout at most.
+// VMs if this one has no record, for originTimeout at most. A VM that has just started
+// then loads the records in the store, for originReloadTimeout at most.
 func (origins *origins) Find(ctx context.Context, requestID, service string, since time.Time) (origin.Origin, origin.Knowledge) {
 	now := time.Now()
 	query := origin.Query{RequestID: origin.ID(requestID), Service: service, Since: since}
@@ -23,11 +24,15 @@
 		evidence.Answers = origins.ask(ctx, calls, now.Add(originTimeout))
 	}
 	began, knowledge := evidence.Decide(service)
+	if knowledge == origin.Unknown {
+		evidence = origins.reload(ctx, query, evidence)
+		began, knowledge = evidence.Decide(service)
+	}
 	origins.metrics.OriginLookups.Add(knowledge.String(), 1)
 	origins.log.Emit(event.OriginLookup,
 		event.F("resumes", query.RequestID), event.F("service", service), event.F("result", knowledge.String()),
 		event.F("origin_service", began.Service), event.F("software", began.Software), event.F("asked", asked),
-		event.F("answers", len(evidence.Answers)), event.F("own_several", evidence.Own.Several), event.F("ms", time.Since(now).Milliseconds()))
+		event.F("answers", len(evidence.Answers)), event.F("own_several", evidence.Own.Several), event.F("logged", evidence.Logged), event.F("ms", time.Since(now).Milliseconds()))
 	return began, knowledge
 }
 
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 // originPeers calls other VMs.
 type originPeers interface {
 	RecordOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) error
+	StoreOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) (bool, error)
 	FindOrigin(ctx context.Context, address netip.AddrPort, query origin.Query) (origin.Answer, error)
 }
 
@@ -70,6 +72,8 @@
 	log     *event.Log
 	// versions must be set before the first call.
 	versions versions
+	// durable may be nil: then no records are stored. It must be set before the first call.
+	durable *durableOrigins
 
 	own  *origin.Table
 	held *origin.Table // for other VMs
@@ -83,13 +87,21 @@
 	lastSweep time.Time
 	// unsent are the services whose own records have to be sent now.
 	unsent []string
+	// writer is the VM that stores the records of this VM's availability zone; empty if
+	// none does. unstored are the services whose records have to be sent to it now,
+	// destinations where those of each service were sent last, and notStored is the
+	// number of batches that it did not confirm.
+	writer       string
+	unstored     []string
+	destinations map[string]destination
+	notStored    int
 }
 
 func newOrigins(self string, members *membership.Table, peers originPeers, metrics *metric.Set, log *event.Log) *origins {
 	return &origins{
 		self: self, members: members, peers: peers, metrics: metrics, log: log, versions: noVersions{},
 		own: origin.NewTable(maxOwnOrigins), held: origin.NewTable(maxHeldOrigins), wake: make(chan struct{}, 1),
-		outbox: origin.NewOutbox(maxOriginBatch), several: map[string]bool{},
+		outbox: origin.NewOutbox(maxOriginBatch), several: map[string]bool{}, destinations: map[string]destination{},
 	}
 }
 
@@ -108,9 +120,10 @@
 		origins.several[service] = false
 	}
 	origins.mu.Unlock()
+	stores := origins.durable.several(service)
 	// A lookup until record.Until goes about as far back as the record lasts.
-	if since := now.Add(now.Sub(record.Until)); origins.mayBeSeveral(service, since, now) {
-		origins.enqueue(record, origins.zonePeers(now), now)
+	if since := now.Add(now.Sub(record.Until)); origins.mayBeSeveral(service, since, now) || stores {
+		origins.enqueue(record, origins.zonePeers(now), stores, now)
 	}
 }
 
@@ -121,11 +134,15 @@
 	return !ok || watched.After(since) || origins.versions.Several(service, since, now)
 }
 
-// enqueue adds a record to the batches of its holders.
-func (origins *origins) enqueue(record origin.Record, peers []membership.Peer, now time.Time) {
+// enqueue adds a record to the batches of its holders and, if it has to be stored, of the
+// VM that writes.
+func (origins *origins) enqueue(record origin.Record, peers []membership.Peer, stores bool, now time.Time) {
 	holders := origin.Holders(record.RequestID, names(peers), originHolders)
 	sooner := false
 	origins.mu.Lock()
+	if stores && !slices.Contains(holders, origins.writer) {
+		sooner = origins.enqueueStored(record, now)
+	}
 	for _, holder := range holders {
 		sooner = origins.outbox.Add(holder, record, now.Add(originBatchTime)) || sooner
 	}
@@ -171,6 +188,11 @@
 func (origins *origins) sweep(now time.Time) {
 	origins.own.Sweep(now)
 	origins.held.Sweep(now)
+	writer := ""
+	if origins.durable != nil {
+		writer = origins.durable.writerName(now)
+		origins.durable.writer.setActive(writer == origins.self)
+	}
 	origins.mu.Lock()
 	defer origins.mu.Unlock()
 	for service, before := range origins.several {
@@ -181,7 +203,10 @@
 		}
 	}
 	origins.lastSweep = now
-	if len(origins.unsent) > 0 {
+	if origins.durable != nil {
+		origins.sweepDestinations(writer)
+	}
+	if len(origins.unsent)+len(origins.unstored) > 0 {
 		origins.wakeRun()
 	}
 }
@@ -227,13 +252,14 @@
 // enqueueUnsent adds the own records of the services that sweep selected.
 func (origins *origins) enqueueUnsent(now time.Time) {
 	origins.mu.Lock()
-	services := origins.unsent
-	origins.unsent = nil
+	services, unstored := origins.unsent, origins.unstored
+	origins.unsent, origins.unstored = nil, nil
 	origins.mu.Unlock()
+	origins.enqueueUnstored(unstored, now)
 	for _, service := range services {
 		peers := origins.zonePeers(now)
 		for _, record := range origins.own.Records(service, now) {
-			origins.enqueue(record, peers, now)
+			origins.enqueue(record, peers, false, now)
 		}
 	}
 }
@@ -244,18 +270,32 @@
 	defer cancel()
 	if err := origins.peers.RecordOrigins(ctx, origins.members.Address(batch.Holder), batch.Records); err != nil {
 		origins.metrics.OriginsNotSent.Add(1)
+		origins.recordNotSent(batch.Holder)
 		origins.log.Emit(event.OriginsNotSent, event.F("peer", batch.Holder), event.F("records", len(batch.Records)), event.Err(err))
 		return
 	}
 	origins.metrics.OriginsSent.Add(int64(len(batch.Records)))
 }
 
-// hold keeps records for another VM.
+// recordNotSent has the own records sent again if the VM that writes did not confirm
+// some.
+func (origins *origins) recordNotSent(holder string) {
+	origins.mu.Lock()
+	defer origins.mu.Unlock()
+	if holder == origins.writer {
+		origins.notStored++
+	}
+}
+
+// hold keeps records for another VM, and stores them if this VM writes.
 func (origins *origins) hold(records []origin.Record) {
 	now := time.Now()
 	origins.metrics.OriginsReceived.Add(int64(len(records)))
 	for _, record := range records {
 		origins.held.Put(record, now)
+		if origins.durable.several(record.Origin.Service) {
+			origins.durable.writer.put(record, now)
+		}
 	}
 }
 
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -157,6 +157,15 @@
 	return nil
 }
 
+// StoreOrigins implements originPeers.
+func (link originLink) StoreOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) (bool, error) {
+	to, err := link.receiver(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	return to.StoreOrigins(ctx, records), nil
+}
+
 // FindOrigin implements originPeers.
 func (link originLink) FindOrigin(ctx context.Context, address netip.AddrPort, query origin.Query) (origin.Answer, error) {
 	to, err := link.receiver(ctx, address)
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -249,6 +249,9 @@
 		return
 	}
 	table := routing.NewTable(config)
+	if gateway.origins.durable != nil {
+		gateway.origins.durable.logs.configure(config.Routes)
+	}
 	gateway.relay.Configure(table)
 	gateway.limits.SetLimits(accountLimits(config), time.Now())
 	gateway.cacheStores.setAddresses(cacheStoreAddresses(table))
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -55,13 +55,17 @@
 	OriginsSent     expvar.Int
 	OriginsReceived expvar.Int
 	OriginsNotSent  expvar.Int
-	Tunneled        expvar.Int // targets that are reached through other VMs
-	TunnelsOpened   expvar.Int
-	TunnelsCarried  expvar.Int
-	OriginLookups   *expvar.Map // of streams taken up, by what was known of where they began
-	ByRoute         *Rows
-	ByAccount       *Rows
-	ByTarget        *Rows
+	// Writes of such records to the store, writes that failed, and loads from it.
+	OriginsStored    expvar.Int
+	OriginsNotStored expvar.Int
+	OriginsReloaded  expvar.Int
+	Tunneled         expvar.Int // targets that are reached through other VMs
+	TunnelsOpened    expvar.Int
+	TunnelsCarried   expvar.Int
+	OriginLookups    *expvar.Map // of streams taken up, by what was known of where they began
+	ByRoute          *Rows
+	ByAccount        *Rows
+	ByTarget         *Rows
 }
 
 // The maximum numbers of rows: as many accounts and targets as the largest
@@ -124,6 +128,7 @@
 		{"targets_ejected", &set.Ejected}, {"by_route", set.ByRoute}, {"by_account", set.ByAccount},
 		{"by_target", set.ByTarget}, {"origins_sent", &set.OriginsSent}, {"origins_received", &set.OriginsReceived},
 		{"origins_not_sent", &set.OriginsNotSent}, {"origin_lookups", set.OriginLookups},
+		{"origins_stored", &set.OriginsStored}, {"origins_not_stored", &set.OriginsNotStored}, {"origins_reloaded", &set.OriginsReloaded},
 		{"targets_tunneled", &set.Tunneled}, {"tunnels_opened", &set.TunnelsOpened}, {"tunnels_carried", &set.TunnelsCarried},
 		{"availability", set.Availability}, {"targets_leaving", &set.Leaving}, {"targets_resting", &set.Resting},
 		{"targets_limited", &set.Limited},
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -53,6 +53,10 @@
 	Weights Collection = "weights"
 	// Quarantines contains the parts of prompts that crash targets.
 	Quarantines Collection = "quarantines"
+	// Software contains the log of software versions of each service with streams that
+	// can be resumed, Origins the records of where such streams began.
+	Software Collection = "software"
+	Origins  Collection = "origins"
 )
 
 // APIPath is the path prefix of the collections.
--- a/origin/decision.go
+++ b/origin/decision.go
@@ -72,6 +72,10 @@
 	OtherVMs bool
 	// Answers are those of other VMs.
 	Answers []Answer
+	// Logged is set if the log of software versions, as the store has it now, and the
+	// registered targets have one version together. Then the stream cannot have begun at
+	// another one, also if no VM has run for long enough to know.
+	Logged bool
 }
 
 // Decide returns where the stream began. If the knowledge is Single, the origin has the
@@ -81,7 +85,11 @@
 	switch {
 	case combined.Known:
 		return combined.Origin, Known
-	case combined.Several, !combined.vouches(evidence.Since):
+	case combined.Several:
+		return Origin{}, Unknown
+	case evidence.Logged:
+		return Origin{Service: service}, Single
+	case !combined.vouches(evidence.Since):
 		return Origin{}, Unknown
 	case evidence.OtherVMs && len(evidence.Answers) == 0:
 		// A VM that is cut off may have an old list of targets.
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -199,6 +199,18 @@
 	return errors.Wrap(err, "send origins of streams")
 }
 
+// StoreOrigins sends records to the VM that writes those of its availability zone to the
+// store. It reports whether they are in the store; a VM of an older build never says so.
+func (dialer *Dialer) StoreOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) (bool, error) {
+	client, err := dialer.client(address)
+	if err != nil {
+		return false, err
+	}
+	request := &peerpb.RecordOriginsRequest{Records: encodeOrigins(records, time.Now()), AwaitStored: true}
+	reply, err := client.RecordOrigins(ctx, request)
+	return reply.GetStored(), errors.Wrap(err, "have origins of streams stored")
+}
+
 // FindOrigin asks a VM where a stream began.
 func (dialer *Dialer) FindOrigin(ctx context.Context, address netip.AddrPort, query origin.Query) (origin.Answer, error) {
 	client, err := dialer.client(address)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -61,6 +61,10 @@
 	return handler.objects, 9
 }
 
+func (handler *handler) StoreOrigins(_ context.Context, records []origin.Record) bool {
+	return len(records) == 1
+}
+
 func (handler *handler) RecordOrigins(records []origin.Record) {
 	handler.mu.Lock()
 	defer handler.mu.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -246,6 +246,9 @@
 	Objects(above objects.Version, known []objects.Position) ([]catalog.Object, objects.Version)
 	// RecordOrigins keeps records of where streams began for the VM that sent them.
 	RecordOrigins(records []origin.Record)
+	// StoreOrigins keeps records too and reports whether they were put into the store,
+	// before the context ends.
+	StoreOrigins(ctx context.Context, records []origin.Record) bool
 	// FindOrigin returns what this VM knows of where a stream began.
 	FindOrigin(ctx context.Context, query origin.Query) origin.Answer
 	// DialTarget connects to a target for another VM that does not reach it.
@@ -328,8 +331,12 @@
 }
 
 // RecordOrigins implements peerpb.PeerServer.
-func (service *service) RecordOrigins(_ context.Context, request *peerpb.RecordOriginsRequest) (*peerpb.RecordOriginsReply, error) {
-	service.handler.RecordOrigins(decodeOrigins(request.GetRecords(), time.Now()))
+func (service *service) RecordOrigins(ctx context.Context, request *peerpb.RecordOriginsRequest) (*peerpb.RecordOriginsReply, error) {
+	records := decodeOrigins(request.GetRecords(), time.Now())
+	if request.GetAwaitStored() {
+		return &peerpb.RecordOriginsReply{Stored: service.handler.StoreOrigins(ctx, records)}, nil
+	}
+	service.handler.RecordOrigins(records)
 	return &peerpb.RecordOriginsReply{}, nil
 }
 
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -170,6 +170,8 @@
 // fakeOrigins implements Origins with what was recorded, and absent for the rest.
 type fakeOrigins struct {
 	absent origin.Knowledge
+	// stored is set if records of earlier attempts are in a store that is down.
+	stored bool
 
 	mu      sync.Mutex // guards the fields below
 	records []origin.Record
@@ -183,6 +185,11 @@
 	fakeOrigins.records = append(fakeOrigins.records, record)
 }
 
+// Await implements Origins. Streams may begin at any version unless stored is set.
+func (fakeOrigins *fakeOrigins) Await(_ context.Context, _ origin.Record, moved bool) bool {
+	return !fakeOrigins.stored || !moved
+}
+
 func (fakeOrigins *fakeOrigins) Find(_ context.Context, requestID, _ string, since time.Time) (origin.Origin, origin.Knowledge) {
 	fakeOrigins.mu.Lock()
 	defer fakeOrigins.mu.Unlock()
--- a/relay/job.go
+++ b/relay/job.go
@@ -73,6 +73,8 @@
 	// Origins.
 	originKnowledge string
 	attempts        int
+	// recordedSoftware is the software version of the last attempt recorded with Origins.
+	recordedSoftware string
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
@@ -189,7 +191,7 @@
 // ChooseTarget implements delivery.Sender. Whatever the request waited for, it is not
 // sent if a part of its prompt was blocked in the meantime.
 func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
-	ok, err := job.chooseTarget(ctx)
+	ok, err := job.chooseOrigin(ctx)
 	if !ok || err != nil {
 		return ok, err
 	}
@@ -262,6 +264,7 @@
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
 		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Rejected: job.targetFull, Reservation: job.reservation,
+		PreferLogged: job.route.Kind == routing.ResumableStream,
 	}
 	if software := job.software.Load(); software != nil {
 		criteria.FixedSoftware, criteria.Software = true, *software
@@ -292,7 +295,6 @@
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
-	job.recordOrigin(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
 	job.tried = append(job.tried, assignment.ID)
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -20,6 +20,11 @@
 	// Record records, before an attempt is sent, where the stream begins if this
 	// attempt brings its first event.
 	Record(record origin.Record)
+	// Await waits until the stream may begin where the record states. moved is set if
+	// the record of an earlier attempt states another software version. Await returns
+	// false if that one may still be found after the loss of all VMs: then the stream
+	// must not begin there.
+	Await(ctx context.Context, record origin.Record, moved bool) bool
 	// Find returns the origin of the stream that a request began, at the given time or
 	// later, on any VM. If it is not known, Find reports whether a single software
 	// version of the service can have begun it.
@@ -99,17 +104,52 @@
 	return origin.ID(strconv.Quote(account) + "/" + job.streamID())
 }
 
-// recordOrigin records where the stream begins if the next attempt brings its first
-// event. The origin of a stream that is taken up is recorded already if it is known.
-func (job *job) recordOrigin(assignment *roster.Assignment) {
-	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == origin.Known.String() {
-		return
+// OriginLifetime returns for how long, after it began, the origin of a stream of the route
+// is kept at most.
+func OriginLifetime(route *routing.Route) time.Duration {
+	if route.Timeout > 0 {
+		return time.Duration(route.Timeout) + originMargin
+	}
+	return defaultDeadline + originMargin
+}
+
+// recordOrigin records where the stream begins if the next attempt, at the chosen target,
+// brings its first event, and reports whether it may begin there. The origin of a stream
+// that is taken up is recorded already if it is known.
+func (job *job) recordOrigin(ctx context.Context, assignment *roster.Assignment) bool {
+	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == origin.Known.String() || job.started {
+		return true
 	}
 	job.attempts++
-	job.relay.Origins.Record(origin.Record{
+	record := origin.Record{
 		RequestID: job.originKey(), Attempt: job.attempts,
 		Origin: origin.Origin{Service: assignment.Service, Software: assignment.Software}, Until: job.deadline.Add(originMargin),
-	})
+	}
+	job.relay.Origins.Record(record)
+	moved := job.attempts > 1 && assignment.Software != job.recordedSoftware
+	if !job.relay.Origins.Await(ctx, record, moved) {
+		return false
+	}
+	job.recordedSoftware = assignment.Software
+	return true
+}
+
+// chooseOrigin chooses the next target and records that the stream may begin there. If
+// the records of an earlier attempt cannot be replaced, only targets of the version of
+// that attempt are chosen.
+func (job *job) chooseOrigin(ctx context.Context) (bool, error) {
+	ok, err := job.chooseTarget(ctx)
+	if !ok || err != nil || job.recordOrigin(ctx, &job.attempt.assignment) {
+		return ok, err
+	}
+	job.attempt.assignment.Withdraw()
+	job.fixSoftware(job.recordedSoftware)
+	ok, err = job.chooseTarget(ctx)
+	if !ok || err != nil {
+		return ok, err
+	}
+	job.recordOrigin(ctx, &job.attempt.assignment)
+	return true, nil
 }
 
 // findOrigin makes a request that takes up a stream go on at the service and the
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleygw/bramleygw/prefix"
@@ -50,6 +51,9 @@
 	// used: what two versions write to one stream does not fit together.
 	FixedSoftware bool
 	Software      string
+	// PreferLogged is set for streams that can be resumed: they prefer software versions
+	// that are in the log of the store, see SetLogged.
+	PreferLogged bool
 	// Repeatable requests may be sent to an ejected target as trial requests.
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
@@ -155,7 +159,13 @@
 	all.count = len(targets)
 	ejected := all
 	ejected.includeEjected = true
-	for _, search := range []search{sampled, all, ejected} {
+	searches := []search{sampled, all, ejected}
+	if roster.prefersLogged(criteria) {
+		inLog := all
+		inLog.logged = roster.logged[criteria.Service]
+		searches = []search{inLog, all, ejected}
+	}
+	for _, search := range searches {
 		if found := roster.cheapest(targets, search); found != nil {
 			return found
 		}
@@ -173,6 +183,8 @@
 	count int
 	// includeEjected is set when ejected targets are eligible too.
 	includeEjected bool
+	// logged, if set, are the eligible software versions.
+	logged []string
 }
 
 // cheapest returns the eligible target with the least cost among the home and
@@ -204,7 +216,7 @@
 
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
-	return target.obstacle(search) == ""
+	return (search.logged == nil || slices.Contains(search.logged, target.entry.Software)) && target.obstacle(search) == ""
 }
 
 // requiredWeights returns the oldest version that a target may have at which the
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -90,6 +90,8 @@
 	roundRobin      uint64
 	// versions holds the software versions of each service that are or were listed.
 	versions map[string]softwareVersions
+	// logged holds the software versions of each service that the log in the store has.
+	logged map[string][]string
 	// listedSince is the time since which every change of the complete list is known;
 	// zero before the first list.
 	listedSince time.Time
@@ -115,7 +117,7 @@
 func New(zone string) *Roster {
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
-		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
+		versions: map[string]softwareVersions{}, logged: map[string][]string{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/roster/software.go
+++ b/roster/software.go
@@ -74,6 +74,49 @@
 	return count > 1
 }
 
+// Software returns the software versions of a service's registered targets, and those
+// that had a registered target at the given time or later, which include the former.
+func (roster *Roster) Software(service string, since time.Time) (listed, recent []string) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	for version, listing := range roster.versions[service] {
+		if listing.listed {
+			listed = append(listed, version)
+		}
+		if listing.listed || !listing.until.Before(since) {
+			recent = append(recent, version)
+		}
+	}
+	slices.Sort(listed)
+	slices.Sort(recent)
+	return listed, recent
+}
+
+// SetLogged sets the software versions of a service that the log in the store has. While
+// it lacks a version, streams that can be resumed prefer targets of the others.
+func (roster *Roster) SetLogged(service string, versions []string) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	roster.logged[service] = versions
+}
+
+// prefersLogged reports whether the request should go to a target of a logged version,
+// because the service has targets of logged and of other versions. The caller holds mu.
+func (roster *Roster) prefersLogged(criteria Criteria) bool {
+	logged, ok := roster.logged[criteria.Service]
+	if !criteria.PreferLogged || criteria.FixedSoftware || !ok {
+		return false
+	}
+	inLog, others := false, false
+	for version, listing := range roster.versions[criteria.Service] {
+		if listing.listed {
+			found := slices.Contains(logged, version)
+			inLog, others = inLog || found, others || !found
+		}
+	}
+	return inLog && others
+}
+
 // OnlySoftware returns the software version that all registered targets of a service
 // have. It returns false if there are several versions or no targets.
 func (roster *Roster) OnlySoftware(service string) (string, bool) {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -192,6 +192,9 @@
 // of targets, so there is nothing to keep.
 func (router *Router) RecordOrigins([]origin.Record) {}
 
+// StoreOrigins implements peer.Handler. It stores none.
+func (router *Router) StoreOrigins(context.Context, []origin.Record) bool { return false }
+
 // FindOrigin implements peer.Handler. It knows of no stream because RecordOrigins keeps none.
 func (router *Router) FindOrigin(context.Context, origin.Query) origin.Answer {
 	return origin.Answer{}
