Test the loss of all VMs, and keep a stream at its version if the store cannot follow

Cause: an attempt at a second version whose record is not stored yet leaves the store with the first one, at which the stream would go on after the loss of all VMs. Change: such an attempt waits until its record is stored; without the store the request stays at the first version. In a large fleet a representative of the zone writes, since VMs of one zone hear from each other too rarely to agree on others.

--- a/gateway/origin_durable.go
+++ b/gateway/origin_durable.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bramleygw/bramleygw/origin"
@@ -21,18 +22,19 @@
 }
 
 // writerName returns the VM that writes the records of this VM's availability zone, empty
-// if none of them reaches the store. VMs that differ for a moment both write: the objects'
-// versions keep their records.
+// if none that may reaches the store. VMs that differ for a moment both write: the
+// objects' versions keep their records.
 func (durable *durableOrigins) writerName(now time.Time) string {
 	gateway := durable.gateway
 	self := gateway.Settings.Name
+	mayWrite := durable.writerCandidates(now)
 	var candidates []string
 	for _, view := range gateway.members.Views(now) {
-		if view.Name != self && view.AvailabilityZone == gateway.members.Zone && reachesStore(view) && !view.Leaving {
+		if view.Name != self && view.AvailabilityZone == gateway.members.Zone && reachesStore(view) && !view.Leaving && mayWrite(view.Name) {
 			candidates = append(candidates, view.Name)
 		}
 	}
-	if gateway.storeHealth.answerAge(now) == 0 {
+	if gateway.storeHealth.answerAge(now) == 0 && mayWrite(self) {
 		candidates = append(candidates, self)
 	}
 	writers := origin.Holders(gateway.members.Zone, candidates, 1)
@@ -42,6 +44,18 @@
 	return writers[0]
 }
 
+// writerCandidates returns which VMs of this availability zone may write. In a large fleet
+// they are its representatives: VMs of one zone receive heartbeats from each other too
+// rarely to agree on others.
+func (durable *durableOrigins) writerCandidates(now time.Time) func(name string) bool {
+	members := durable.gateway.members
+	if !members.Hierarchical(maxHeartbeatPeers, now) {
+		return func(string) bool { return true }
+	}
+	representatives := names(members.Representatives(members.Zone, now))
+	return func(name string) bool { return slices.Contains(representatives, name) }
+}
+
 // several reports whether records of the service's streams have to be in the store.
 func (durable *durableOrigins) several(service string) bool {
 	return durable != nil && durable.logs.several(service)
@@ -126,6 +140,17 @@
 	return stored && err == nil
 }
 
+// MayMove reports whether a VM that stores records is known, if the service's streams have
+// to be stored.
+func (origins *origins) MayMove(service string) bool {
+	if !origins.durable.several(service) {
+		return true
+	}
+	origins.mu.Lock()
+	defer origins.mu.Unlock()
+	return origins.writer != "" && origins.durable.gateway.storeHealth.answerAge(time.Now()) == 0
+}
+
 // reload decides again with what the store has, if this VM has run for less time than
 // the record of a stream lasts. Until then, the VMs that knew the stream may all be gone.
 func (origins *origins) reload(ctx context.Context, query origin.Query, evidence origin.Evidence) origin.Evidence {
--- a/gateway/software_log.go
+++ b/gateway/software_log.go
@@ -158,7 +158,7 @@
 	watchedSince, watched := gateway.roster.WatchedSince()
 	synced, _ := gateway.mirror.SyncedVersion(objects.Targets)
 	return origin.Sighting{
-		Recent: recent, Complete: watched && !watchedSince.After(since), Removes: rank == 0, Newer: synced > serviceLog.version,
+		Recent: recent, Complete: watched && !watchedSince.After(since), Removes: rank == 0, Newer: synced >= serviceLog.version,
 	}, listed
 }
 
--- a/origin/software_log.go
+++ b/origin/software_log.go
@@ -32,7 +32,7 @@
 	Complete bool
 	// Removes is set at the VM that removes versions.
 	Removes bool
-	// Newer is set if the VM's list of targets is newer than the stored log: a version
+	// Newer is set if the VM's list of targets is not older than the stored log: a version
 	// that was registered again before the log was written is among Recent.
 	Newer bool
 }
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -170,8 +170,9 @@
 // fakeOrigins implements Origins with what was recorded, and absent for the rest.
 type fakeOrigins struct {
 	absent origin.Knowledge
-	// stored is set if records of earlier attempts are in a store that is down.
-	stored bool
+	// Records of earlier attempts are in a store, which is down, or slow: it stores the
+	// next one after the wait for it.
+	down, slow bool
 
 	mu      sync.Mutex // guards the fields below
 	records []origin.Record
@@ -185,11 +186,14 @@
 	fakeOrigins.records = append(fakeOrigins.records, record)
 }
 
-// Await implements Origins. Streams may begin at any version unless stored is set.
+// Await implements Origins.
 func (fakeOrigins *fakeOrigins) Await(_ context.Context, _ origin.Record, moved bool) bool {
-	return !fakeOrigins.stored || !moved
+	return !moved || !fakeOrigins.slow
 }
 
+// MayMove implements Origins.
+func (fakeOrigins *fakeOrigins) MayMove(string) bool { return !fakeOrigins.down }
+
 func (fakeOrigins *fakeOrigins) Find(_ context.Context, requestID, _ string, since time.Time) (origin.Origin, origin.Knowledge) {
 	fakeOrigins.mu.Lock()
 	defer fakeOrigins.mu.Unlock()
--- a/relay/job.go
+++ b/relay/job.go
@@ -73,8 +73,11 @@
 	// Origins.
 	originKnowledge string
 	attempts        int
-	// recordedSoftware is the software version of the last attempt recorded with Origins.
+	// recordedSoftware is the software version of the last attempt recorded with Origins
+	// that was sent.
 	recordedSoftware string
+	// unsettled is set while the store may have any of several versions for the stream.
+	unsettled bool
 	// failedHead and failedBody are the last complete answer that reported a
 	// failure.
 	failedHead *target.Head
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -21,10 +21,13 @@
 	// attempt brings its first event.
 	Record(record origin.Record)
 	// Await waits until the stream may begin where the record states. moved is set if
-	// the record of an earlier attempt states another software version. Await returns
+	// an earlier record of the request states another software version. Await returns
 	// false if that one may still be found after the loss of all VMs: then the stream
 	// must not begin there.
 	Await(ctx context.Context, record origin.Record, moved bool) bool
+	// MayMove reports whether Await can succeed now for a stream of the service that
+	// moved. The store may be unavailable.
+	MayMove(service string) bool
 	// Find returns the origin of the stream that a request began, at the given time or
 	// later, on any VM. If it is not known, Find reports whether a single software
 	// version of the service can have begun it.
@@ -120,14 +123,18 @@
 	if job.relay.Origins == nil || job.route.Kind != routing.ResumableStream || job.originKnowledge == origin.Known.String() || job.started {
 		return true
 	}
+	moved := job.attempts > 0 && (job.unsettled || assignment.Software != job.recordedSoftware)
+	if moved && !job.relay.Origins.MayMove(assignment.Service) {
+		return false
+	}
 	job.attempts++
 	record := origin.Record{
 		RequestID: job.originKey(), Attempt: job.attempts,
 		Origin: origin.Origin{Service: assignment.Service, Software: assignment.Software}, Until: job.deadline.Add(originMargin),
 	}
 	job.relay.Origins.Record(record)
-	moved := job.attempts > 1 && assignment.Software != job.recordedSoftware
-	if !job.relay.Origins.Await(ctx, record, moved) {
+	job.unsettled = !job.relay.Origins.Await(ctx, record, moved)
+	if job.unsettled {
 		return false
 	}
 	job.recordedSoftware = assignment.Software
@@ -135,7 +142,7 @@
 }
 
 // chooseOrigin chooses the next target and records that the stream may begin there. If
-// the records of an earlier attempt cannot be replaced, only targets of the version of
+// the record of an earlier attempt cannot be replaced, only targets of the version of
 // that attempt are chosen.
 func (job *job) chooseOrigin(ctx context.Context) (bool, error) {
 	ok, err := job.chooseTarget(ctx)
@@ -145,11 +152,11 @@
 	job.attempt.assignment.Withdraw()
 	job.fixSoftware(job.recordedSoftware)
 	ok, err = job.chooseTarget(ctx)
-	if !ok || err != nil {
+	if !ok || err != nil || job.recordOrigin(ctx, &job.attempt.assignment) {
 		return ok, err
 	}
-	job.recordOrigin(ctx, &job.attempt.assignment)
-	return true, nil
+	job.attempt.assignment.Withdraw()
+	return false, nil
 }
 
 // findOrigin makes a request that takes up a stream go on at the service and the
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -80,6 +80,43 @@
 	}
 }
 
+// Guards against a stream that begins at a second version while the store may still name
+// the first one: after the loss of all VMs it would go on at the first.
+func TestStreamMovesToAnotherVersionOnlyIfTheStoreHasIt(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		origins *fakeOrigins
+		same    int  // further targets of the first version
+		moves   bool // to the second one
+		ok      bool
+	}{
+		{"store available", &fakeOrigins{}, 0, true, true},
+		{"store down", &fakeOrigins{down: true}, 0, false, false},
+		{"store down, another target of the version", &fakeOrigins{down: true}, 1, false, true},
+		{"store slow", &fakeOrigins{slow: true}, 0, false, false},
+	} {
+		fixture := newFixture(t, resumableRoute)
+		fixture.relay.Origins = test.origins
+		fixture.relay.Roster.SetLogged("s1", []string{"v1"}) // the first attempt goes there
+		var attempts, moved atomic.Int64
+		for range test.same + 1 {
+			fixture.addTarget(t, "s1", "v1").receive = func(string) {
+				if attempts.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+			}
+		}
+		fixture.addTarget(t, "s1", "v2").receive = func(string) { moved.Add(1) }
+		_, err := fixture.serve(t, Request{ID: "first"})
+		if got := moved.Load() > 0; got != test.moves {
+			t.Errorf("%s: got moved %t, want %t", test.name, got, test.moves)
+		}
+		if (err == nil) != test.ok {
+			t.Errorf("%s: got %v, want success %t", test.name, err, test.ok)
+		}
+	}
+}
+
 // Guards against take-ups at another service or software version than the one that
 // began the stream, and against take-ups that wait for what cannot come.
 func TestTakeUpGoesOnOnlyAtItsOrigin(t *testing.T) {
