Prefer a subset of targets on each VM

A VM that spread its requests over 60 or 90 targets used a connection to each every 7 to 12 s. Requests that may run only once use none that was idle for over 1 s, so that nearly each request opened one.

Where roster.Adaptive is true and a service has more targets than a subset, a VM prefers a few targets (package subset). It is left when no member has a slot or an estimated wait of at most a quarter of the route's maximum wait, while members have weights that are being replaced, and to ask a limited target again. Services with brittle targets use none.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -7,6 +7,30 @@
 	"github.com/bramleygw/bramleygw/roster"
 )
 
+// updateSubsets adapts the targets that this VM prefers. In a large fleet it knows the VMs
+// of its own availability zone alone.
+func (gateway *Gateway) updateSubsets(now time.Time) {
+	zone := ""
+	if gateway.members.Hierarchical(maxHeartbeatPeers, now) {
+		zone = gateway.members.Zone
+	}
+	gateway.roster.UpdateSubsets(roster.Peers{
+		Self: gateway.Settings.Name, Names: gateway.presentVMs(zone, now), FleetSize: max(gateway.fleetSize(), gateway.listedVMs(now)),
+	}, now)
+}
+
+// listedVMs returns the number of VMs in the store's list. It is also known to a VM that
+// hears from no other.
+func (gateway *Gateway) listedVMs(now time.Time) int {
+	count := 0
+	for _, view := range gateway.members.Views(now) {
+		if view.Listed {
+			count++
+		}
+	}
+	return count
+}
+
 // closeExpired closes the idle connections that adaptive targets may close themselves.
 func (gateway *Gateway) closeExpired(entries []roster.Entry, now time.Time) {
 	adaptive := map[string]bool{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -354,6 +354,7 @@
 		gateway.updateLimitShares(now)
 		gateway.logReachability(&detector, now)
 		gateway.updateVMCount(now)
+		gateway.updateSubsets(now)
 		entries := gateway.roster.Entries()
 		gateway.reportServices(services, entries, now)
 		listed := gateway.updateTargetMetrics(entries)
--- a/relay/job.go
+++ b/relay/job.go
@@ -25,6 +25,10 @@
 	holdDivisor      = 8
 	maxHold          = 100 * time.Millisecond
 	holdPollInterval = 10 * time.Millisecond
+	// Preferred targets are used for waits up to the maximum wait divided by
+	// preferredWaitDivisor: estimates miss what other VMs have sent since their last
+	// heartbeats.
+	preferredWaitDivisor = 4
 )
 
 // job is the processing of one request, from admission to its end.
@@ -274,6 +278,11 @@
 	criteria.Prefix = prompt.sharedPrefix(job.cacheScope())
 	criteria.Tokens = prompt.unsharedTokens()
 	criteria.NewestWeights = job.relay.Weights.Named(prompt.Model, now.Add(-weightsGrace))
+	if maxWait := job.route.MaxWait.After(now).Sub(now); maxWait > 0 {
+		criteria.InTime = func(wait time.Duration) bool {
+			return job.relay.waitCorrector.correct(wait, now) <= maxWait/preferredWaitDivisor
+		}
+	}
 	criteria.RequiredWeights = func(wait time.Duration) uint64 { return job.requiredWeights(wait, now) }
 	return criteria
 }
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -50,6 +50,10 @@
 	// used: what two versions write to one stream does not fit together.
 	FixedSoftware bool
 	Software      string
+	// InTime reports whether a request that waits for the given time is reached in time.
+	// Otherwise other targets than the preferred ones are examined. If it is nil, any wait
+	// will do.
+	InTime func(wait time.Duration) bool
 	// Repeatable requests may be sent to an ejected target as trial requests.
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
@@ -136,7 +140,8 @@
 	return home
 }
 
-// best returns the eligible target with the least cost, or nil. With more than
+// best returns the eligible target with the least cost, or nil. The home and the targets
+// that this VM prefers come first. Otherwise, with more than
 // fullScanLimit targets it examines the home and a round-robin sample, and all
 // targets only when none of those is eligible. Ejected targets get only trial
 // requests unless no other target is eligible.
@@ -144,6 +149,9 @@
 	if len(targets) == 0 {
 		return nil
 	}
+	if found := roster.bestPreferred(criteria, home, now); found != nil {
+		return found
+	}
 	sampled := search{criteria: criteria, home: home, now: now, count: len(targets)}
 	roster.roundRobin++
 	if len(targets) > fullScanLimit {
@@ -173,6 +181,8 @@
 	count int
 	// includeEjected is set when ejected targets are eligible too.
 	includeEjected bool
+	// inTime is set when only targets are eligible that take the request in time.
+	inTime bool
 }
 
 // cheapest returns the eligible target with the least cost among the home and
@@ -204,7 +214,7 @@
 
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
-	return target.obstacle(search) == ""
+	return target.obstacle(search) == "" && (!search.inTime || target.takesInTime(search.criteria, search.now))
 }
 
 // requiredWeights returns the oldest version that a target may have at which the
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -108,6 +108,8 @@
 	// reportWorkTime holds the services of which a target reported how long work takes.
 	memoryPressure bool
 	reportWorkTime map[string]bool
+	// preferred holds the services of which this VM prefers some targets.
+	preferred map[string]*preferred
 	// random spreads requests over brittle targets.
 	random *rand.Rand
 }
@@ -117,7 +119,7 @@
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
-		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{},
+		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{}, preferred: map[string]*preferred{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -259,6 +261,9 @@
 			roster.byHash[uint32(target.seed)] = target
 		}
 	}
+	for _, preferred := range roster.preferred {
+		preferred.resolve(roster.targets)
+	}
 }
 
 // Size returns the number of registered targets.
--- /dev/null
+++ b/roster/subset.go
@@ -0,0 +1,159 @@
+package roster
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bramleygw/bramleygw/subset"
+)
+
+// Where targets are adaptive, a VM prefers a subset of them, so that its connections are
+// used again before they are too old; see the package subset.
+
+// preferred holds the targets of a service that this VM prefers.
+type preferred struct {
+	width subset.Width
+	// basis is what the members were computed from; they are the IDs of targets.
+	basis   string
+	members []string
+	targets []*Target // those of the members that are registered
+}
+
+// Peers is what a VM knows of the fleet for the choice of subsets.
+type Peers struct {
+	Self string
+	// Names are the VMs that agree on subsets by the same list of names.
+	Names []string
+	// FleetSize is the number of VMs that use the same targets.
+	FleetSize int
+}
+
+// UpdateSubsets adapts the targets that this VM prefers to the VMs and targets there are
+// and to its load. It is called by one goroutine.
+func (roster *Roster) UpdateSubsets(peers Peers, now time.Time) {
+	for _, service := range roster.serviceNames() {
+		roster.updateSubset(service, peers, now)
+	}
+}
+
+// serviceNames returns the names of the services with registered targets or a subset.
+func (roster *Roster) serviceNames() []string {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	var names []string
+	for name := range roster.services {
+		names = append(names, name)
+	}
+	for name := range roster.preferred {
+		if _, ok := roster.services[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// updateSubset computes the members without the lock: it takes milliseconds in the largest
+// fleets.
+func (roster *Roster) updateSubset(service string, peers Peers, now time.Time) {
+	targets, base, size := roster.subsetSize(service, peers, now)
+	if size == 0 {
+		return
+	}
+	names := slices.Sorted(slices.Values(peers.Names))
+	basis := strings.Join([]string{peers.Self, strings.Join(names, ","), strings.Join(targets, ","), strconv.Itoa(base), strconv.Itoa(size)}, ";")
+	if roster.subsetBasis(service) == basis {
+		return
+	}
+	members := subset.Widen(peers.Self, subset.Members(peers.Self, names, targets, base), targets, size)
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	if known, ok := roster.preferred[service]; ok {
+		known.basis, known.members = basis, members
+		known.resolve(roster.targets)
+	}
+}
+
+func (roster *Roster) subsetBasis(service string) string {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	if known, ok := roster.preferred[service]; ok {
+		return known.basis
+	}
+	return ""
+}
+
+// subsetSize returns the IDs of the service's targets that stay and the size of the
+// subset, base without this VM's load. The size is 0 if there is no subset.
+func (roster *Roster) subsetSize(service string, peers Peers, now time.Time) (targets []string, base, size int) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	inFlight := 0
+	for _, target := range roster.services[service] {
+		inFlight += target.inFlight
+		if !target.entry.Draining {
+			targets = append(targets, target.entry.ID)
+		}
+	}
+	base = subset.Size(peers.FleetSize, len(targets))
+	// What a brittle target has to reject is estimated for VMs that use all targets.
+	if !roster.adaptive(service) || roster.admissions[service] != nil || base >= len(targets) {
+		delete(roster.preferred, service)
+		return nil, 0, 0
+	}
+	known, ok := roster.preferred[service]
+	if !ok {
+		known = &preferred{}
+		roster.preferred[service] = known
+	}
+	slices.Sort(targets)
+	return targets, base, min(len(targets), known.width.Update(base, inFlight, now))
+}
+
+// resolve finds the registered targets of the members.
+func (preferred *preferred) resolve(targets map[string]*Target) {
+	preferred.targets = nil
+	for _, id := range preferred.members {
+		if target, ok := targets[id]; ok && !target.removed {
+			preferred.targets = append(preferred.targets, target)
+		}
+	}
+}
+
+// bestPreferred returns the target with the least cost among the home and the targets that
+// this VM prefers, or nil if none of them can take the request in time. The home takes
+// precedence if it costs less.
+func (roster *Roster) bestPreferred(criteria Criteria, home *Target, now time.Time) *Target {
+	known, ok := roster.preferred[criteria.Service]
+	if !ok || len(known.targets) == 0 || roster.recheckDue(criteria.Service, now) {
+		return nil
+	}
+	roster.roundRobin++
+	return roster.cheapest(known.targets, search{
+		criteria: criteria, home: home, now: now, first: int(roster.roundRobin % uint64(len(known.targets))), count: len(known.targets), inTime: true,
+	})
+}
+
+// recheckDue reports whether this VM may ask a target of the service whether its limit
+// still holds. The VMs with a share of a limit need not be those that prefer the target.
+func (roster *Roster) recheckDue(service string, now time.Time) bool {
+	for _, target := range roster.services[service] {
+		if target.limit.recheckDue(now) && target.limit.allows(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// takesInTime reports whether the target has a slot for the request and reaches it in
+// time, as far as is known, with weights that are not being replaced.
+func (target *Target) takesInTime(criteria Criteria, now time.Time) bool {
+	if weights, ok := target.weights(criteria.Model); ok && weights < criteria.NewestWeights {
+		return false
+	}
+	if target.load.Slots > 0 && target.requestCount(now) >= target.load.Slots {
+		return false
+	}
+	return criteria.InTime == nil || criteria.InTime(target.wait(now))
+}
