--- a/roster/subset.go
+++ b/roster/subset.go
@@ -13,7 +13,7 @@
 // used again before they are too old; see the package subset.
 
 // minSubsetInterval is the least time between two computations of the members of a service,
-// which take about 6 ms with 114 VMs and 600 targets, while many targets come and go.
+// which take 3 to 6 ms with 114 VMs and 600 targets, while many targets come and go.
 const minSubsetInterval = time.Second
 
 // preferred holds the targets of a service that this VM prefers.
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -36,7 +36,7 @@
 	// slack, plus up to 1, is by how many VMs a target may exceed the mean.
 	slack = 0.5
 	// candidateFactor is how many pairs are considered first for each member of a subset.
-	// Sorting all pairs would take several times as long.
+	// Sorting all pairs took 46 ms in place of 3 ms with 114 VMs and 600 targets.
 	candidateFactor = 4
 )
 
