--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -94,6 +94,8 @@
 	BrittleNotTaken   = register(635, "brittle_not_taken", LevelWarn, "a target said how brittle it is in a way that cannot be used as it is: no positive decimal number; the fields hold the value and the number that was taken", "correct the target's header")
 	ServiceOverloaded = register(660, "service_overloaded", LevelWarn, "callers ask all VMs for more prompt tokens of a service than its targets take; requests are refused by priority and fair shares", "add targets, or find out with by_account which account asks for more than usual")
 	ServiceRelieved   = register(661, "service_relieved", LevelInfo, "the targets of a service take again what callers ask for", "none")
+	SubsetChanged     = register(665, "subset_changed", LevelDebug, "this VM prefers other targets of a service than before: targets or VMs came or went, or its load changed", "none")
+	HomesChanged      = register(666, "homes_changed", LevelInfo, "this VM found that a prefix needs more or fewer homes for the load of all VMs", "none")
 	TargetTunneled    = register(632, "target_tunneled", LevelWarn, "this VM is cut off from a target's service and sends requests for the target through another VM, which reaches it", "check the network between this VM and the target")
 	CacheStoreUp      = register(613, "cache_store_up", LevelInfo, "a KV cache store accepts connections", "none")
 	CacheStoreDown    = register(614, "cache_store_down", LevelWarn, "a KV cache store closed its connection; targets do not fetch from it", "check the KV cache store")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -299,6 +299,7 @@
 		heartbeat.Spending = toSpendings(gateway.limits.Counts())
 		heartbeat.Backlogs, heartbeat.Demands = toBacklogs(gateway.roster.Backlogs()), gateway.relay.Admission.Demands(now)
 		heartbeat.HeardTargets = toHeard(gateway.roster.Heard(now), now)
+		heartbeat.HotPrefixes = toHotPrefixes(gateway.roster.PrefixLoads(now))
 	}
 	return heartbeat
 }
@@ -316,6 +317,7 @@
 		gateway.limits.UpdateCounts(source, fromSpendings(heartbeat.Spending), now, now)
 		gateway.roster.SetBacklogs(heartbeat.Name, fromBacklogs(heartbeat.Backlogs), now)
 		gateway.relay.Admission.Merge(heartbeat.Name, heartbeat.Demands, now)
+		gateway.roster.SetPrefixLoads(heartbeat.Name, fromHotPrefixes(heartbeat.HotPrefixes), now)
 	}
 	gateway.weights.recordContact(now)
 	for _, named := range heartbeat.NamedWeights {
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -88,7 +88,8 @@
 		Zone: gateway.members.Zone, Origin: gateway.Settings.Name + "/" + gateway.bootID, Number: gateway.zones.nextNumber(), VMs: vms,
 		Uptime:   now.Sub(gateway.started),
 		Spending: toSpendings(gateway.limits.Totals()), Backlogs: toBacklogs(gateway.roster.SummedBacklogs(zoneVMs, now)),
-		Demands: gateway.relay.Admission.SummedDemands(zoneVMs, now),
+		Demands:     gateway.relay.Admission.SummedDemands(zoneVMs, now),
+		HotPrefixes: toHotPrefixes(gateway.roster.SummedPrefixLoads(zoneVMs, now)),
 	}
 }
 
@@ -150,6 +151,7 @@
 	gateway.limits.UpdateCounts(source, fromSpendings(summary.Spending), createdAt, now)
 	gateway.roster.SetBacklogs(source.Name, fromBacklogs(summary.Backlogs), createdAt)
 	gateway.relay.Admission.Merge(source.Name, summary.Demands, createdAt)
+	gateway.roster.SetPrefixLoads(source.Name, fromHotPrefixes(summary.HotPrefixes), createdAt)
 	if firstSummary {
 		gateway.dropVMCounts(summary.Zone, now)
 	}
@@ -164,6 +166,7 @@
 			gateway.limits.RemoveSource(view.Name)
 			gateway.roster.SetBacklogs(view.Name, nil, now)
 			gateway.relay.Admission.Merge(view.Name, nil, now)
+			gateway.roster.RemovePrefixLoads(view.Name)
 		}
 	}
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,13 +49,16 @@
 	NotAdmitted   expvar.Int  // requests refused because brittle targets are nearly full
 	// Requests refused under overload: beyond the room for their account, too late to be
 	// answered in time, and given up by their callers before a target was chosen.
-	OverRoom     expvar.Int
-	TooLate      expvar.Int
-	Abandoned    expvar.Int
-	BlockedParts expvar.Int  // parts of prompts that are refused because they crash targets
-	Availability *expvar.Map // changes of targets' availability by service and new state
-	Connections  *expvar.Map // connections opened to targets, by cause
-	StoreCalls   *expvar.Map // calls to the store by verb and collection
+	OverRoom      expvar.Int
+	TooLate       expvar.Int
+	Abandoned     expvar.Int
+	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
+	Availability  *expvar.Map // changes of targets' availability by service and new state
+	Preferred     expvar.Int  // targets that this VM prefers
+	OutsideSubset expvar.Int  // requests for which it left them
+	HotPrefixes   expvar.Int  // prefixes with several homes
+	Connections   *expvar.Map // connections opened to targets, by cause
+	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	// Records of where streams began, sent to other VMs and received from them, and
 	// batches of them that a VM did not confirm.
 	OriginsSent     expvar.Int
@@ -144,6 +147,9 @@
 		{"parts_blocked", &set.BlockedParts},
 		{"connections_opened", set.Connections},
 		{"requests_over_room", &set.OverRoom}, {"requests_too_late", &set.TooLate}, {"requests_abandoned", &set.Abandoned},
+		{"targets_preferred", &set.Preferred},
+		{"requests_outside_subset", &set.OutsideSubset},
+		{"prefixes_hot", &set.HotPrefixes},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/relay/job.go
+++ b/relay/job.go
@@ -26,6 +26,10 @@
 	holdDivisor      = 8
 	maxHold          = 100 * time.Millisecond
 	holdPollInterval = 10 * time.Millisecond
+	// Preferred targets are used for waits up to the maximum wait divided by
+	// preferredWaitDivisor: estimates miss what other VMs have sent since their last
+	// heartbeats.
+	preferredWaitDivisor = 4
 )
 
 // job is the processing of one request, from admission to its end.
@@ -241,6 +245,9 @@
 			if job.late(&job.attempt.assignment, now) {
 				return false, job.leave(&job.attempt.assignment, now)
 			}
+			if assignment.OutsideSubset {
+				job.relay.Metrics.OutsideSubset.Add(1)
+			}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
 		if job.retryLeft() {
@@ -296,6 +303,11 @@
 	criteria.Prefix = prompt.sharedPrefix(job.cacheScope())
 	criteria.Tokens = prompt.unsharedTokens()
 	criteria.NewestWeights = job.relay.Weights.Named(prompt.Model, now.Add(-weightsGrace))
+	if maxWait := job.route.MaxWait.After(now).Sub(now); maxWait > 0 {
+		criteria.InTime = func(wait time.Duration) bool {
+			return job.relay.waitCorrector.correct(wait, now) <= maxWait/preferredWaitDivisor
+		}
+	}
 	criteria.RequiredWeights = func(wait time.Duration) uint64 { return job.requiredWeights(wait, now) }
 	return criteria
 }
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/bramleygw/bramleygw/prefix"
 )
 
 // Costs are in microseconds of waiting by the client.
@@ -54,6 +52,10 @@
 	// PreferLogged is set for streams that can be resumed: they prefer software versions
 	// that are in the log of the store, see SetLogged.
 	PreferLogged bool
+	// InTime reports whether a request that waits for the given time is reached in time.
+	// Otherwise other targets than the preferred ones are examined. If it is nil, any wait
+	// will do.
+	InTime func(wait time.Duration) bool
 	// Repeatable requests may be sent to an ejected target as trial requests.
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
@@ -75,7 +77,8 @@
 		reservation.release()
 	}
 	targets := roster.services[criteria.Service]
-	home := roster.home(targets, criteria, now)
+	homes := roster.homes(targets, criteria, now)
+	home := roster.ownHome(homes, criteria, now)
 	best := roster.best(targets, criteria, home, now)
 	if best == nil {
 		return Assignment{}, false
@@ -90,9 +93,14 @@
 	}
 	assignment.Wait = best.wait(now)
 	assignment.RequiredWeights = criteria.requiredWeights(assignment.Wait)
-	if home != nil && home != best {
+	switch {
+	case home != nil && home != best:
 		assignment.Home = home.entry.Address
+	case home != nil && home != homes[0]:
+		assignment.Home = homes[0].entry.Address // a further home fetches what it lacks from the first
 	}
+	roster.countPrefix(criteria, now)
+	assignment.OutsideSubset = best != home && roster.outsideSubset(best)
 	assignment.trial = best.rest.beginTrial(now)
 	best.limit.take()
 	best.begin(criteria.Tokens, now)
@@ -119,28 +127,8 @@
 	return target.failureShare > ejectionThreshold
 }
 
-// home returns the target that should hold the prefix: the first in rendezvous
-// order among the usable targets that are neither paused nor ejected nor limited, or
-// nil.
-func (roster *Roster) home(targets []*Target, criteria Criteria, now time.Time) *Target {
-	if criteria.Prefix == 0 {
-		return nil
-	}
-	var home *Target
-	var highest uint64
-	for _, target := range targets {
-		score := prefix.Mix(criteria.Prefix ^ target.seed)
-		if home != nil && score <= highest {
-			continue // the cheaper check first: it excludes most targets
-		}
-		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.value == 0 {
-			home, highest = target, score
-		}
-	}
-	return home
-}
-
-// best returns the eligible target with the least cost, or nil. With more than
+// best returns the eligible target with the least cost, or nil. The home and the targets
+// that this VM prefers come first. Otherwise, with more than
 // fullScanLimit targets it examines the home and a round-robin sample, and all
 // targets only when none of those is eligible. Ejected targets get only trial
 // requests unless no other target is eligible.
@@ -148,6 +136,12 @@
 	if len(targets) == 0 {
 		return nil
 	}
+	inLog := roster.prefersLogged(criteria)
+	if !inLog {
+		if found := roster.bestPreferred(criteria, home, now); found != nil {
+			return found
+		}
+	}
 	sampled := search{criteria: criteria, home: home, now: now, count: len(targets)}
 	roster.roundRobin++
 	if len(targets) > fullScanLimit {
@@ -160,10 +154,10 @@
 	ejected := all
 	ejected.includeEjected = true
 	searches := []search{sampled, all, ejected}
-	if roster.prefersLogged(criteria) {
-		inLog := all
-		inLog.logged = roster.logged[criteria.Service]
-		searches = []search{inLog, all, ejected}
+	if inLog {
+		logged := all
+		logged.logged = roster.logged[criteria.Service]
+		searches = []search{logged, all, ejected}
 	}
 	for _, search := range searches {
 		if found := roster.cheapest(targets, search); found != nil {
@@ -185,6 +179,8 @@
 	includeEjected bool
 	// logged, if set, are the eligible software versions.
 	logged []string
+	// inTime is set when only targets are eligible that take the request in time.
+	inTime bool
 }
 
 // cheapest returns the eligible target with the least cost among the home and
@@ -216,7 +212,8 @@
 
 // eligible reports whether the target may get the request.
 func (target *Target) eligible(search search) bool {
-	return (search.logged == nil || slices.Contains(search.logged, target.entry.Software)) && target.obstacle(search) == ""
+	return (search.logged == nil || slices.Contains(search.logged, target.entry.Software)) &&
+		target.obstacle(search) == "" && (!search.inTime || target.takesInTime(search.criteria, search.now))
 }
 
 // requiredWeights returns the oldest version that a target may have at which the
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -110,6 +110,14 @@
 	// reportWorkTime holds the services of which a target reported how long work takes.
 	memoryPressure bool
 	reportWorkTime map[string]bool
+	// preferred holds the services of which this VM prefers some targets.
+	preferred map[string]*preferred
+	// prefixLoads holds this VM's loads by prefix, peerLoads those of other VMs by VM.
+	prefixLoads map[uint64]*prefixLoad
+	peerLoads   map[string]peerLoads
+	// processSeed differs between VMs, which use different homes of a prefix.
+	processSeed uint64
+	homeBuffer  [maxHomes + 1]*Target // used by homes, so that it allocates nothing
 	// random spreads requests over brittle targets.
 	random *rand.Rand
 }
@@ -119,7 +127,8 @@
 	return &Roster{
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, logged: map[string][]string{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
-		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{},
+		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{}, preferred: map[string]*preferred{},
+		prefixLoads: map[uint64]*prefixLoad{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -269,6 +278,9 @@
 			roster.byHash[uint32(target.seed)] = target
 		}
 	}
+	for _, preferred := range roster.preferred {
+		preferred.resolve(roster.targets)
+	}
 }
 
 // Size returns the number of registered targets.
