Release software versions that operators order, by stages

Operators ask for releases of software versions, and nothing carried them out: a new version got requests as soon as its targets were registered.

Package release decides which versions a request may go to, judges a version by failures and latencies on each route, and takes the steps of an order. The gateway reads the orders, elects a leader with a lease, stores stages and writes the state; VMs exchange stages and counts in heartbeats, zone summaries and notices. The roster restricts targets by software version. Nothing of it runs unless the contract rollout is in force.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -107,6 +107,17 @@
 	LeaseLost    = register(624, "lease_lost", LevelWarn, "the lease could not be renewed; no order was sent", "none if another VM has acquired the lease")
 )
 
+// Events of releases of software versions.
+var (
+	ReleaseOrdered    = register(645, "release_ordered", LevelInfo, "an order to release a software version became known, or its state changed", "none")
+	ReleaseStage      = register(646, "release_stage", LevelInfo, "this VM leads a release and stored its next stage", "none")
+	ReleaseBad        = register(647, "release_bad", LevelWarn, "a software version answers worse than the others of its service on a route: failures, slow_first or slow_rest; it gets no more requests; the source is this VM's counts or another VM", "find out what is wrong with the version; release another one")
+	ReleaseEnded      = register(648, "release_ended", LevelInfo, "this VM leads a release and wrote its final state", "if it was rolled back without release_bad, check that targets of the version are registered and get requests")
+	ReleaseNotStored  = register(649, "release_not_stored", LevelWarn, "a stage or a state of a release could not be stored; the write is repeated", "check the platform")
+	ReleaseLed        = register(650, "release_led", LevelInfo, "this VM acquired the lease of releases and decides on them", "none")
+	ReleaseUnreadable = register(651, "release_unreadable", LevelWarn, "an order to release a software version could not be read; it is ignored", "correct the order: service, version and a positive duration")
+)
+
 // Plan events.
 var (
 	PlanStep   = register(701, "plan_step", LevelInfo, "a step of a confirmed plan was carried out", "none")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -255,7 +255,9 @@
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
 	calledAt, suspended := time.Now(), gateway.suspendedSinceStart()
-	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.newHeartbeat(other.Zone))
+	heartbeat := gateway.newHeartbeat(other.Zone)
+	gateway.releases.addTo(&heartbeat, other.Name, calledAt)
+	reply, err := gateway.dialer.Heartbeat(ctx, address, heartbeat)
 	if err == nil {
 		gateway.applySuspensions()
 		gateway.mergeHeartbeat(reply, calledAt.Add(suspended-gateway.suspendedSinceStart()))
@@ -328,6 +330,7 @@
 	gateway.mergeTargetLimits(heartbeat.TargetLimits, sentAt)
 	gateway.mergeBrittleTargets(heartbeat.BrittleTargets, sentAt, now)
 	gateway.mergeEmpty(heartbeat.Positions)
+	gateway.releases.mergeHeartbeat(heartbeat, sentAt, now)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
 		case gateway.fetchAddresses <- heartbeat.Address:
@@ -359,6 +362,7 @@
 	gateway.applySuspensions()
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
 	reply := gateway.newHeartbeat(heartbeat.Zone)
+	gateway.releases.addTo(&reply, heartbeat.Name, time.Now())
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
 		reply.BlockedParts = toBlockedParts(gateway.parts.AllBlocked(now), now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/release"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/rollout"
 	"github.com/bramleygw/bramleygw/roster"
@@ -55,6 +56,8 @@
 	List(ctx context.Context, collection objects.Collection) (objects.List, error)
 	Changes(ctx context.Context, watch objects.Watch) ([]objects.WatchEvent, objects.Version, error)
 	Delete(ctx context.Context, collection objects.Collection, name string, version objects.Version) error
+	// WriteState writes the state of an order for a release if its object is unchanged.
+	WriteState(ctx context.Context, object objects.Object, order release.Order, state release.State) (objects.Object, error)
 	Close()
 }
 
@@ -63,6 +66,7 @@
 	Config(object objects.Object) (routing.Config, error)
 	Target(object objects.Object) (roster.Entry, error)
 	Weights(object objects.Object) (model string, version uint64, err error)
+	Order(object objects.Object) (release.Order, error)
 }
 
 // Engines requests reports from targets and sends them orders.
@@ -91,6 +95,7 @@
 	roster      *roster.Roster
 	weights     *namedWeights
 	ordersLease *lease.Lease
+	releases    *releases // nil unless operators order releases
 	limits      *quota.Limiter
 	members     *membership.Table
 	sendTimes   *membership.SendTimes
@@ -189,6 +194,7 @@
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.callerServer.Relay = gateway.relay
+	gateway.buildReleases()
 }
 
 // openListeners opens the listeners. Port 0 selects a free port; the settings then
@@ -238,9 +244,9 @@
 }
 
 // Ready reports whether the VM can serve: it is not draining, knows the named weights and
-// has at least one configuration and one target.
+// the orders for releases, and has at least one configuration and one target.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.roster.Size() > 0
+	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.releases.known() && gateway.roster.Size() > 0
 }
 
 // Run serves until the context ends, then stops gracefully: readiness checks fail
@@ -288,6 +294,9 @@
 		gateway.cacheStores.run, gateway.runReloads, gateway.runProbes, gateway.origins.run,
 		gateway.partStore.run,
 	}
+	if gateway.releases != nil {
+		loops = append(loops, gateway.releases.runOrders, gateway.releases.runJudge, gateway.releases.runLead)
+	}
 	if gateway.metricsServer != nil {
 		loops = append(loops, gateway.metricsServer.run)
 	}
--- a/gateway/notify.go
+++ b/gateway/notify.go
@@ -82,6 +82,10 @@
 	for i := range notice.AnsweredParts {
 		notice.AnsweredParts[i].Age += time.Since(sentAt)
 	}
+	notice.Releases = slices.Clone(notice.Releases)
+	for i := range notice.Releases {
+		notice.Releases[i].IssueAge += time.Since(sentAt)
+	}
 	gateway.setSender(&notice)
 	var sameZone []netip.AddrPort
 	for _, other := range gateway.members.Peers(time.Now()) {
@@ -132,6 +136,7 @@
 		notice.AnsweredParts = nil
 	}
 	gateway.applyTargetUpdates(notice.Targets)
+	gateway.releases.merge(notice.Name, notice.Releases, sentAt, now)
 	if notice.Relay {
 		go gateway.runRelay(notice, sentAt)
 	}
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -14,6 +14,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/release"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/settings"
@@ -179,6 +180,14 @@
 	return roster.Entry{ID: object.Metadata.Name, Service: "ward", Address: address}, nil
 }
 
+// Order implements Decoder.
+func (fakeDecoder) Order(object objects.Object) (release.Order, error) {
+	var order release.Order
+	err := json.Unmarshal(object.Spec, &order)
+	order.Revision = uint64(object.Metadata.ResourceVersion)
+	return order, err
+}
+
 // Weights implements Decoder.
 func (fakeDecoder) Weights(object objects.Object) (string, uint64, error) {
 	return "m", uint64(specNumber(object)), nil
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -135,6 +135,8 @@
 	_, listedBefore := gateway.mirror.SyncedVersion(collection)
 	gateway.applyChanges(gateway.mirror.Replace(collection, list.Items, list.Metadata.ResourceVersion), sourceList, gateway.namedAt(collection))
 	switch collection {
+	case objects.Rollouts:
+		gateway.releases.recordRead(uint64(list.Metadata.ResourceVersion))
 	case objects.Weights:
 		gateway.weights.known.Store(true)
 	case objects.Targets:
@@ -184,6 +186,9 @@
 	}
 	gateway.recordStoreAnswer()
 	gateway.applyChanges(gateway.mirror.Apply(collection, events, version), sourceWatch, gateway.namedAt(collection))
+	if collection == objects.Rollouts {
+		gateway.releases.recordRead(uint64(version))
+	}
 	if len(events) > 0 {
 		retry.Wait(ctx, time.Now().Add(collectionSync.batchDelay()))
 	}
@@ -232,6 +237,8 @@
 			gateway.applyTarget(change, now)
 		case objects.Weights:
 			gateway.applyWeights(change, source, namedAt)
+		case objects.Rollouts:
+			gateway.releases.applyOrder(change, now)
 		}
 	}
 }
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -49,6 +49,7 @@
 	gateway.Log.Emit(event.MachineSuspended, event.F("for_ms", length.Milliseconds()))
 	gateway.weights.moveBack(length)
 	gateway.sendTimes.MoveBack(length)
+	gateway.releases.moveBack(length)
 }
 
 // suspendedSinceStart returns the length of the suspensions since this process started that
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -85,7 +85,8 @@
 		}
 	}
 	return peer.ZoneSummary{
-		Zone: gateway.members.Zone, Origin: gateway.Settings.Name + "/" + gateway.bootID, Number: gateway.zones.nextNumber(), VMs: vms,
+		Releases: gateway.releases.summary(now),
+		Zone:     gateway.members.Zone, Origin: gateway.Settings.Name + "/" + gateway.bootID, Number: gateway.zones.nextNumber(), VMs: vms,
 		Uptime:   now.Sub(gateway.started),
 		Spending: toSpendings(gateway.limits.Totals()), Backlogs: toBacklogs(gateway.roster.SummedBacklogs(zoneVMs, now)),
 	}
@@ -148,6 +149,7 @@
 	source := quota.Source{Name: zoneSource(summary.Zone), Boot: summary.Origin, VMs: summary.VMs, Began: createdAt.Add(-summary.Uptime), Summed: true}
 	gateway.limits.UpdateCounts(source, fromSpendings(summary.Spending), createdAt, now)
 	gateway.roster.SetBacklogs(source.Name, fromBacklogs(summary.Backlogs), createdAt)
+	gateway.releases.mergeCounts(source.Name, summary.Releases, createdAt, now)
 	if firstSummary {
 		gateway.dropVMCounts(summary.Zone, now)
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -47,6 +47,9 @@
 	Limited       expvar.Int  // targets that name a limit
 	Brittle       expvar.Int  // targets that say that they are brittle
 	NotAdmitted   expvar.Int  // requests refused because brittle targets are nearly full
+	Releases      expvar.Int  // orders to release software versions that have not ended
+	LeadsReleases expvar.Int  // 1 while this VM decides on them
+	ReleaseEnds   *expvar.Map // orders that ended, by state, as far as this VM led them
 	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
 	Availability  *expvar.Map // changes of targets' availability by service and new state
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
@@ -89,7 +92,7 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
+		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(), ReleaseEnds: new(expvar.Map).Init(),
 		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
@@ -130,6 +133,7 @@
 		{"targets_brittle", &set.Brittle},
 		{"requests_not_admitted", &set.NotAdmitted},
 		{"parts_blocked", &set.BlockedParts},
+		{"releases_running", &set.Releases}, {"leads_releases", &set.LeadsReleases}, {"releases_ended", set.ReleaseEnds},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -51,6 +51,10 @@
 	// versions that operators named, on platforms that store them.
 	Targets Collection = "targets"
 	Weights Collection = "weights"
+	// Rollouts contains operators' orders to release software versions, and Releases how
+	// far they have come, on platforms that store them.
+	Rollouts Collection = "rollouts"
+	Releases Collection = "releases"
 	// Quarantines contains the parts of prompts that crash targets.
 	Quarantines Collection = "quarantines"
 )
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -33,6 +33,8 @@
 	encoded.Limits = encodeLimits(heartbeat.TargetLimits)
 	encoded.OrdersLease = encodeLease(heartbeat.OrdersLease)
 	encoded.Brittle = encodeBrittle(heartbeat.BrittleTargets)
+	encoded.Releases, encoded.OrdersRead = encodeReleases(heartbeat.Releases), heartbeat.OrdersRead
+	encoded.ReleasesLease = encodeLease(heartbeat.ReleasesLease)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -70,6 +72,8 @@
 	heartbeat.TargetLimits = decodeLimits(encoded.GetLimits())
 	heartbeat.OrdersLease = decodeLease(encoded.GetOrdersLease())
 	heartbeat.BrittleTargets = decodeBrittle(encoded.GetBrittle())
+	heartbeat.Releases, heartbeat.OrdersRead = decodeReleases(encoded.GetReleases()), encoded.GetOrdersRead()
+	heartbeat.ReleasesLease = decodeLease(encoded.GetReleasesLease())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -119,7 +123,7 @@
 		encoded.Zones = append(encoded.Zones, &peerpb.ZoneSummary{
 			AvailabilityZone: zone.Zone, Teller: zone.Origin, Number: zone.Number,
 			AgeMs: milliseconds(zone.Age), UptimeMs: milliseconds(zone.Uptime), Vms: uint32(zone.VMs),
-			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
+			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs), Releases: encodeReleases(zone.Releases),
 		})
 	}
 }
@@ -160,7 +164,7 @@
 			Zone: zone.GetAvailabilityZone(), Origin: zone.GetTeller(), Number: zone.GetNumber(),
 			Age: time.Duration(zone.GetAgeMs()) * time.Millisecond, VMs: int(zone.GetVms()),
 			Uptime:   time.Duration(zone.GetUptimeMs()) * time.Millisecond,
-			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
+			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()), Releases: decodeReleases(zone.GetReleases()),
 		})
 	}
 }
--- a/peer/encode_notice.go
+++ b/peer/encode_notice.go
@@ -11,7 +11,7 @@
 		Name: notice.Name, Boot: notice.Boot, UptimeUs: encodeUptime(notice.Uptime),
 		Objects: encodeObjects(notice.Objects), Targets: encodeTargets(notice.Targets), Relay: notice.Relay,
 		BlockedParts: encodeBlocked(notice.BlockedParts), AnsweredParts: encodeAnswers(notice.AnsweredParts),
-		OrdersLease: encodeLease(notice.OrdersLease),
+		OrdersLease: encodeLease(notice.OrdersLease), Releases: encodeReleases(notice.Releases),
 	}
 	for _, charge := range notice.Charges {
 		encoded.Charges = append(encoded.Charges, &peerpb.Charge{Digest: charge.Digest, Death: charge.Death})
@@ -27,7 +27,7 @@
 		Name: encoded.GetName(), Boot: encoded.GetBoot(), Uptime: decodeUptime(encoded.GetUptimeUs()),
 		Objects: decodeObjects(encoded.GetObjects()), Targets: decodeTargets(encoded.GetTargets()), Relay: encoded.GetRelay(),
 		BlockedParts: decodeBlocked(encoded.GetBlockedParts()), AnsweredParts: decodeAnswers(encoded.GetAnsweredParts()),
-		OrdersLease: decodeLease(encoded.GetOrdersLease()),
+		OrdersLease: decodeLease(encoded.GetOrdersLease()), Releases: decodeReleases(encoded.GetReleases()),
 	}
 	for _, charge := range encoded.GetCharges() {
 		notice.Charges = append(notice.Charges, Charge{Digest: charge.GetDigest(), Death: charge.GetDeath()})
--- a/peer/server.go
+++ b/peer/server.go
@@ -35,6 +35,7 @@
 	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/release"
 )
 
 // keepaliveInterval must not be shorter than keepaliveMinimum, which the server enforces.
@@ -82,6 +83,11 @@
 	OrdersLease  LeaseWrite
 	// BrittleTargets are the targets that are brittle or were so lately.
 	BrittleTargets []BrittleTarget
+	Releases       []Release
+	ReleasesLease  LeaseWrite
+	// OrdersRead is the store's revision up to which the sender knows the orders for
+	// releases, if it knows their changes up to its position of that collection.
+	OrdersRead uint64
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -106,6 +112,26 @@
 	VMs      int
 	Spending []Spending
 	Backlogs []Backlog
+	// Releases holds the sums of the counts alone.
+	Releases []Release
+}
+
+// Release is what the sender knows of an order to release a software version.
+type Release struct {
+	Order release.Order
+	// OrderedAge is the time since a VM first knew the order.
+	OrderedAge time.Duration
+	// Stage, Share and Token are what a leader issued, IssueAge ago, if HasIssue is set.
+	HasIssue bool
+	Stage    release.Stage
+	Share    float64
+	Token    uint64
+	IssueAge time.Duration
+	Bad      string
+	// Counts and OthersInFlight are set if Counted is.
+	Counted        bool
+	Counts         release.Table
+	OthersInFlight int
 }
 
 // NamedWeights is a weights version that operators recently named for a model.
@@ -226,6 +252,7 @@
 	BlockedParts  []BlockedPart
 	AnsweredParts []PartAnswer
 	OrdersLease   LeaseWrite
+	Releases      []Release
 	// Relay is set when the receiver must forward the notice to the other VMs of its
 	// availability zone.
 	Relay bool
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -155,6 +155,7 @@
 	now := time.Now()
 	job.attempt.assignment.PromptProcessed(now)
 	job.recordEvent(now)
+	job.attempt.sample.First(now)
 	id := eventID(text)
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
--- a/relay/job.go
+++ b/relay/job.go
@@ -12,6 +12,7 @@
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
+	"github.com/bramleygw/bramleygw/release"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/routing"
@@ -115,6 +116,9 @@
 	// on; zero before the first event, and once they do.
 	runningAt time.Time
 	died      bool // the target accepted no connections after the attempt had broken
+	// reached is set if it did; it broke the attempt although it lives.
+	reached bool
+	sample  *release.Sample // nil unless an order for the service runs
 }
 
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
@@ -261,7 +265,7 @@
 // criteria returns what the request requires of a target.
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
-		Service: job.service.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Rejected: job.targetFull, Reservation: job.reservation,
+		Service: job.service.Name, Route: job.route.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Rejected: job.targetFull, Reservation: job.reservation,
 	}
 	if software := job.software.Load(); software != nil {
 		criteria.FixedSoftware, criteria.Software = true, *software
@@ -293,11 +297,13 @@
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
 	job.recordOrigin(assignment)
+	job.beginSample(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
 	job.tried = append(job.tried, assignment.ID)
 	now := time.Now()
 	outcome := outcomeOf(result)
+	defer func() { job.endSample(ctx, outcome, result) }()
 	job.recordSilence(assignment, result, outcome, now)
 	job.relay.Metrics.ByTarget.Count(assignment.ID, outcome.String())
 	switch outcome {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -57,6 +57,7 @@
 	}
 	now := time.Now()
 	if job.relay.client(assignment).Reach(ctx, now.Add(deathProbeTimeout)) == nil {
+		job.attempt.reached = true
 		return
 	}
 	if job.relay.Tunnels != nil && job.relay.Tunnels.Reached(ctx, assignment.ID) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,8 @@
 	Metrics       *metric.Set
 	Log           *event.Log
 
+	// Releases may be nil: then no software versions are compared.
+	Releases Releases
 	// Tunnels may be nil if the Roster is told of no tunnels.
 	Tunnels Tunnels
 	// Origins may be nil: then no VM knows the origins of streams.
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -34,6 +34,8 @@
 // eligible targets are compared.
 type Criteria struct {
 	Service string
+	// Route is the name of the request's route; releases are judged by route.
+	Route string
 	// Model is empty for plain services.
 	Model string
 	// NewestWeights is the weights version that is being rolled out; targets with
@@ -70,9 +72,7 @@
 	if reservation := criteria.Reservation; reservation != nil && !now.Before(reservation.Until) {
 		reservation.release()
 	}
-	targets := roster.services[criteria.Service]
-	home := roster.home(targets, criteria, now)
-	best := roster.best(targets, criteria, home, now)
+	best, home := roster.find(criteria, now)
 	if best == nil {
 		return Assignment{}, false
 	}
@@ -89,6 +89,7 @@
 	if home != nil && home != best {
 		assignment.Home = home.entry.Address
 	}
+	roster.recordSent(criteria, best, now)
 	assignment.trial = best.rest.beginTrial(now)
 	best.limit.take()
 	best.begin(criteria.Tokens, now)
@@ -118,7 +119,7 @@
 // home returns the target that should hold the prefix: the first in rendezvous
 // order among the usable targets that are neither paused nor ejected nor limited, or
 // nil.
-func (roster *Roster) home(targets []*Target, criteria Criteria, now time.Time) *Target {
+func (roster *Roster) home(targets []*Target, criteria Criteria, versions *versionFilter, now time.Time) *Target {
 	if criteria.Prefix == 0 {
 		return nil
 	}
@@ -129,7 +130,7 @@
 		if home != nil && score <= highest {
 			continue // the cheaper check first: it excludes most targets
 		}
-		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.value == 0 {
+		if target.usable(now) && !now.Before(target.pausedUntil) && !target.ejected() && target.limit.value == 0 && versions.allows(target) {
 			home, highest = target, score
 		}
 	}
@@ -140,11 +141,11 @@
 // fullScanLimit targets it examines the home and a round-robin sample, and all
 // targets only when none of those is eligible. Ejected targets get only trial
 // requests unless no other target is eligible.
-func (roster *Roster) best(targets []*Target, criteria Criteria, home *Target, now time.Time) *Target {
+func (roster *Roster) best(targets []*Target, criteria Criteria, versions *versionFilter, home *Target, now time.Time) *Target {
 	if len(targets) == 0 {
 		return nil
 	}
-	sampled := search{criteria: criteria, home: home, now: now, count: len(targets)}
+	sampled := search{criteria: criteria, versions: versions, home: home, now: now, count: len(targets)}
 	roster.roundRobin++
 	if len(targets) > fullScanLimit {
 		roster.roundRobin += sampleSize - 1
@@ -166,6 +167,7 @@
 // search defines which targets are examined.
 type search struct {
 	criteria Criteria
+	versions *versionFilter // nil if all versions are allowed
 	home     *Target
 	now      time.Time
 	// first is the index of the first target, count the number of targets examined.
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -17,6 +17,7 @@
 	ObstacleEjected      Obstacle = "ejected"
 	ObstacleOldWeights   Obstacle = "old_weights"
 	ObstacleAlreadyTried Obstacle = "tried"
+	ObstacleRelease      Obstacle = "not_released"
 )
 
 // Obstacles counts the targets of the service by why none of them may get the request;
@@ -25,8 +26,12 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	obstacles := map[Obstacle]int{}
+	versions := roster.filter(criteria, now)
+	if versions != nil {
+		versions.preferred = false
+	}
 	for _, target := range roster.services[criteria.Service] {
-		if obstacle := target.obstacle(search{criteria: criteria, now: now, includeEjected: true}); obstacle != "" {
+		if obstacle := target.obstacle(search{criteria: criteria, versions: versions, now: now, includeEjected: true}); obstacle != "" {
 			obstacles[obstacle]++
 		}
 	}
@@ -44,6 +49,8 @@
 		return ObstaclePaused
 	case !target.hasSoftware(criteria):
 		return ObstacleSoftware
+	case !target.released(search):
+		return ObstacleRelease
 	case !target.limit.allows(now):
 		return ObstacleLimit
 	case !target.hasRoom(criteria.Rejected, now):
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -61,6 +61,8 @@
 	Draining bool
 	// StartTime distinguishes processes that used the same ID.
 	StartTime int64
+	// Revision is the store's revision of the registration; 0 if unknown.
+	Revision uint64
 	// Running is the number of requests at the target. Unreachable is set for
 	// targets that accept no connections, Ejected for those that fail too many
 	// requests, Resting for those that rest or return from a rest, Limited for those
@@ -107,6 +109,10 @@
 	// reportWorkTime holds the services of which a target reported how long work takes.
 	memoryPressure bool
 	reportWorkTime map[string]bool
+	// releases restricts the software versions that requests go to; nil if nothing does.
+	// ordersRead is the store's revision up to which the orders for releases are known.
+	releases   Releases
+	ordersRead uint64
 	// random spreads requests over brittle targets.
 	random *rand.Rand
 }
--- a/roster/software.go
+++ b/roster/software.go
@@ -24,6 +24,9 @@
 	// until is when the last target of the version was removed, if listed is not set.
 	until  time.Time
 	listed bool
+	// revision is the earliest one of a registration of the version since it is listed:
+	// an order for its release was written before.
+	revision uint64
 }
 
 // hasSoftware reports whether the target has the software version that the criteria
@@ -105,20 +108,22 @@
 			roster.versions[service] = softwareVersions{}
 		}
 		for _, target := range targets {
-			roster.versions[service].open(target.entry.Software, now)
+			roster.versions[service].open(target.entry.Software, target.entry.Revision, now)
 		}
 	}
 }
 
-// open records that a version is listed.
-func (versions softwareVersions) open(version string, now time.Time) {
+// open records that a version is listed by a registration of the given revision.
+func (versions softwareVersions) open(version string, revision uint64, now time.Time) {
 	known, ok := versions[version]
 	switch {
 	case known.listed:
+		known.revision = min(known.revision, revision)
+		versions[version] = known
 	case ok:
-		versions[version] = listing{since: known.since, listed: true}
+		versions[version] = listing{since: known.since, listed: true, revision: revision}
 	default:
-		versions[version] = listing{since: now, listed: true}
+		versions[version] = listing{since: now, listed: true, revision: revision}
 	}
 }
 
