--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -255,9 +255,7 @@
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
 	calledAt, suspended := time.Now(), gateway.suspendedSinceStart()
-	heartbeat := gateway.newHeartbeat(other.Zone)
-	gateway.releases.addTo(&heartbeat, other.Name, calledAt)
-	reply, err := gateway.dialer.Heartbeat(ctx, address, heartbeat)
+	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.heartbeatFor(other.Name, other.Zone))
 	if err == nil {
 		gateway.applySuspensions()
 		gateway.mergeHeartbeat(reply, calledAt.Add(suspended-gateway.suspendedSinceStart()))
@@ -274,6 +272,14 @@
 	}
 }
 
+// heartbeatFor returns a heartbeat for the named VM in the given availability zone. Both are
+// empty if unknown.
+func (gateway *Gateway) heartbeatFor(name, zone string) peer.Heartbeat {
+	heartbeat := gateway.newHeartbeat(zone)
+	gateway.releases.addTo(&heartbeat, name, time.Now())
+	return heartbeat
+}
+
 // newHeartbeat returns a heartbeat for a VM in the given availability zone, which is
 // empty if unknown. In a large fleet, VMs of other zones receive only aggregates.
 func (gateway *Gateway) newHeartbeat(zone string) peer.Heartbeat {
@@ -361,8 +367,7 @@
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
 	gateway.applySuspensions()
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
-	reply := gateway.newHeartbeat(heartbeat.Zone)
-	gateway.releases.addTo(&reply, heartbeat.Name, time.Now())
+	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
 		reply.BlockedParts = toBlockedParts(gateway.parts.AllBlocked(now), now)
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -40,6 +40,8 @@
 	gateway *Gateway
 	tracker *release.Tracker
 	lease   *lease.Lease
+	// notify sends a notice to the other VMs.
+	notify func(ctx context.Context, notice peer.Notice)
 	// ordersRead is the store's revision up to which this VM knows the orders.
 	ordersRead atomic.Uint64
 
@@ -57,7 +59,7 @@
 	if !vm.Releases {
 		return
 	}
-	releases := &releases{gateway: gateway, tracker: release.NewTracker(vm.Bounds, rand.Float64), stages: map[string]release.Stage{}}
+	releases := &releases{gateway: gateway, tracker: release.NewTracker(vm.Bounds, rand.Float64), notify: gateway.notify, stages: map[string]release.Stage{}}
 	releases.lease = lease.New(gateway.Store, releasesLeaseName, vm.Name+holderSeparator+vm.Peer.Addr().String())
 	releases.lease.Boot = gateway.bootID
 	releases.lease.TakeoverDelay = vm.Bounds.TakeoverDelay + settings.Span(takeoverMargin)
@@ -217,7 +219,7 @@
 // runTell tells other VMs what this one knows of the orders, without waiting for the next
 // heartbeats.
 func (releases *releases) runTell(ctx context.Context) {
-	releases.gateway.notify(ctx, peer.Notice{Releases: toReleases(releases.tracker.Words(), time.Now())})
+	releases.notify(ctx, peer.Notice{Releases: toReleases(releases.tracker.Words(), time.Now())})
 }
 
 // moveBack makes all times earlier, after the clock stood still for the given length.
--- a/gateway/zones_test.go
+++ b/gateway/zones_test.go
@@ -96,7 +96,7 @@
 		if from.members.Zone != to.members.Zone {
 			fleet.crossZoneHeartbeats++
 		}
-		from.mergeHeartbeat(to.HandleHeartbeat(from.newHeartbeat(other.Zone)), time.Now())
+		from.mergeHeartbeat(to.HandleHeartbeat(from.heartbeatFor(other.Name, other.Zone)), time.Now())
 	}
 	from.updateVMCount(time.Now())
 }
