--- a/release/release_test.go
+++ b/release/release_test.go
@@ -367,6 +367,9 @@
 			rate float64
 		}{{6, 120}, {62, 506}, {295, 2700}} {
 			for seed := range uint64(2) {
+				if seed > 0 && fleet.vms > 62 {
+					continue // each takes seconds
+				}
 				play.vms, play.rate, play.seedVariant = fleet.vms, fleet.rate, seed
 				t.Run(fmt.Sprintf("%s/%d/%d", name, fleet.vms, seed), func(t *testing.T) {
 					t.Parallel()
