Forget deleted orders, and read the whole copy of the orders before targets are released

Cause: an order that was deleted could come back from a VM that had not heard of it, and a list could release targets before another goroutine had applied an order that it found. Summaries of zones made stages look younger than they are. Change: the tracker follows the VM's copy of the store whenever more of it is known; summaries carry counts alone; ended orders are told for 10 s; the stored stage holds the time since the order.

--- a/gateway/release_lead.go
+++ b/gateway/release_lead.go
@@ -18,11 +18,14 @@
 const releaseRenewInterval = 700 * time.Millisecond
 
 // storedRelease is the object in the collection Releases with which another leader goes
-// on. Times are not stored: clocks jump.
+// on. Clocks jump, so that no time of day is stored.
 type storedRelease struct {
 	Order string `json:"order"` // its ID
 	Stage string `json:"stage"`
-	Token uint64 `json:"token"` // of the lease of the VM that wrote it
+	// ElapsedMS is the time from the order to the write, in milliseconds: after a restart
+	// of all VMs none knows it.
+	ElapsedMS int64  `json:"elapsed_ms"`
+	Token     uint64 `json:"token"` // of the lease of the VM that wrote it
 }
 
 // releaseLead is the state of the loop that leads releases.
@@ -166,7 +169,7 @@
 	case step.State != "":
 		return lead.writeState(ctx, word.Order, step.State, step.Reason)
 	case step.Stage > led.plan.Stage():
-		return lead.storeStage(ctx, led, word.Order, step.Stage)
+		return lead.storeStage(ctx, led, word, step.Stage)
 	case word.Order.State == "":
 		return lead.writeState(ctx, word.Order, release.Running, "")
 	}
@@ -189,6 +192,9 @@
 	var stored storedRelease
 	if err == nil && json.Unmarshal(object.Spec, &stored) == nil && stored.Order == id {
 		stage = release.StageOf(stored.Stage)
+		now := time.Now()
+		word.Ordered = now.Add(-time.Duration(stored.ElapsedMS) * time.Millisecond)
+		lead.tracker.Merge(lead.gateway.Settings.Name, word, now)
 	}
 	led := &ledRelease{plan: release.NewPlan(word.Order, lead.gateway.Settings.Bounds, stage), version: object.Metadata.ResourceVersion}
 	lead.plans[id] = led
@@ -198,8 +204,9 @@
 
 // storeStage stores a higher stage and puts it into effect once the store has confirmed
 // it: the next leader must know it.
-func (lead *releaseLead) storeStage(ctx context.Context, led *ledRelease, order release.Order, stage release.Stage) error {
-	spec := storedRelease{Order: order.ID(), Stage: stage.String(), Token: lead.lease.Token()}
+func (lead *releaseLead) storeStage(ctx context.Context, led *ledRelease, word release.Word, stage release.Stage) error {
+	order := word.Order
+	spec := storedRelease{Order: order.ID(), Stage: stage.String(), ElapsedMS: time.Since(word.Ordered).Milliseconds(), Token: lead.lease.Token()}
 	var object objects.Object
 	var err error
 	if led.version == 0 {
--- a/gateway/release_words.go
+++ b/gateway/release_words.go
@@ -50,7 +50,7 @@
 	// The revision is read before the positions, so that these are no older.
 	heartbeat.OrdersRead = releases.ordersRead.Load()
 	heartbeat.Positions = releases.gateway.mirror.Positions()
-	words := releases.tracker.Words()
+	words := releases.tracker.Words(now)
 	if releases.countsFor(receiver, now) {
 		for i := range words {
 			releases.addCounts(&words[i], now)
@@ -87,6 +87,8 @@
 	for i := range words {
 		sum := releases.tracker.Total(words[i].Order.Service, isVM, now)
 		_, own := releases.gateway.roster.CountSoftware(words[i].Order.Service, words[i].Order.To, now)
+		// The age of a summary does not tell when a leader issued the stage.
+		words[i].Issue = release.Issue{}
 		words[i].Counted, words[i].Counts, words[i].OldInFlight = true, sum.Counts, own+sum.OldInFlight
 	}
 	return toReleases(words, now)
@@ -133,9 +135,3 @@
 		}
 	}
 }
-
-// mergeCounts merges the sums of another availability zone, made at createdAt. They tell
-// nothing else of the orders that was not told before.
-func (releases *releases) mergeCounts(source string, messages []peer.Release, createdAt, now time.Time) {
-	releases.merge(source, messages, createdAt, now)
-}
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -113,11 +113,12 @@
 	}
 }
 
-// recordRead records that this VM knows the orders up to a revision of the store.
+// recordRead records that this VM's copy of the store has the orders up to a revision.
 func (releases *releases) recordRead(revision uint64) {
-	if releases == nil {
+	if releases == nil || revision <= releases.ordersRead.Load() {
 		return
 	}
+	releases.applyCopy(revision, time.Now())
 	for known := releases.ordersRead.Load(); known < revision; known = releases.ordersRead.Load() {
 		if releases.ordersRead.CompareAndSwap(known, revision) {
 			break
@@ -126,6 +127,24 @@
 	releases.gateway.roster.RecordOrders(revision)
 }
 
+// applyCopy puts all orders of this VM's copy of the store into effect, which another
+// goroutine may only be about to do, and removes those that the copy, complete up to the
+// given revision, lacks: another VM may have told of an order that was deleted since.
+func (releases *releases) applyCopy(revision uint64, now time.Time) {
+	listed := map[string]bool{}
+	for _, object := range releases.gateway.mirror.Objects(objects.Rollouts) {
+		listed[object.Metadata.Name] = true
+		if order, err := releases.gateway.Decoder.Order(object); err == nil {
+			releases.tracker.Put(order, now)
+		}
+	}
+	for _, word := range releases.tracker.All() {
+		if !listed[word.Order.Name] && word.Order.Revision <= revision {
+			releases.tracker.Remove(word.Order.Name, now)
+		}
+	}
+}
+
 // known reports whether this VM has known the orders at least once. Before, no target gets
 // a request.
 func (releases *releases) known() bool {
@@ -219,7 +238,7 @@
 // runTell tells other VMs what this one knows of the orders, without waiting for the next
 // heartbeats.
 func (releases *releases) runTell(ctx context.Context) {
-	releases.notify(ctx, peer.Notice{Releases: toReleases(releases.tracker.Words(), time.Now())})
+	releases.notify(ctx, peer.Notice{Releases: toReleases(releases.tracker.Words(time.Now()), time.Now())})
 }
 
 // moveBack makes all times earlier, after the clock stood still for the given length.
--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -81,8 +81,9 @@
 	begun   time.Time
 	badPart float64 // of the new version's answers
 	pending []pendingRequest
-	// requests is the number of all requests, exposed that of those at the new version.
-	requests, exposed int
+	// requests is the number of all requests, exposed that of those at the new version and
+	// refused that of those for which no target was found.
+	requests, exposed, refused int
 }
 
 // pendingRequest is a request at a target.
@@ -102,8 +103,7 @@
 		random: rand.New(rand.NewPCG(11, 13)), begun: time.Now(),
 	}
 	order := release.Order{Name: "notes", Created: 8, Service: "notes", To: "v2", Duration: settings.Span(releaseDuration)}
-	_, _ = fleet.store.Create(context.Background(), objects.Rollouts, "notes", order) // the store is up
-	order.Revision = uint64(fleet.store.version)
+	item, _ := fleet.store.Create(context.Background(), objects.Rollouts, "notes", order) // the store is up
 	for i, address := range fleet.addresses {
 		gateway := fleet.vms[address]
 		gateway.Store, gateway.Settings.Releases, gateway.Decoder = fleet.store, true, fakeDecoder{}
@@ -116,7 +116,7 @@
 		}
 		fleet.leads = append(fleet.leads, &releaseLead{releases: gateway.releases, plans: map[string]*ledRelease{}})
 		if i < promptWatchers {
-			gateway.releases.tracker.Put(order, time.Now())
+			gateway.applyChanges(gateway.mirror.Replace(objects.Rollouts, []objects.Object{item}, 200), sourceList, time.Time{})
 			gateway.releases.recordRead(200)
 		}
 	}
@@ -138,6 +138,7 @@
 func (fleet *releaseFleet) step(ctx context.Context, number, requests int) {
 	if number%3 == 0 {
 		fleet.exchangeHeartbeats()
+		fleet.fetch()
 	}
 	now := time.Now()
 	for i, address := range fleet.addresses {
@@ -153,6 +154,18 @@
 	sleep(100 * time.Millisecond)
 }
 
+// fetch makes all VMs fetch changes of the store from other VMs that have newer ones.
+func (fleet *releaseFleet) fetch() {
+	for _, gateway := range fleet.vms {
+		select {
+		case address := <-gateway.fetchAddresses:
+			fetched, _ := fleet.vms[address].Objects(0, gateway.mirror.Positions())
+			gateway.applyFetched(fetched, gateway.mirror.Merge(fetched))
+		default:
+		}
+	}
+}
+
 func (fleet *releaseFleet) request(now time.Time) {
 	address := fleet.addresses[fleet.random.IntN(len(fleet.addresses))]
 	if fleet.down[address] {
@@ -162,6 +175,7 @@
 	fleet.requests++
 	assignment, ok := gateway.roster.Choose(roster.Criteria{Service: "notes", Route: "sum"}, now)
 	if !ok {
+		fleet.refused++
 		return
 	}
 	if assignment.Software == "v2" {
@@ -238,6 +252,10 @@
 					if states := fleet.store.states; len(states) != 1 || states[0] != test.want {
 						t.Errorf("got states %v, want %s once", states, test.want)
 					}
+					// A VM that learns from others what the orders are refuses requests until then.
+					if limit := size.requests * 2 * 10; fleet.refused > limit {
+						t.Errorf("got %d requests refused, want %d at most", fleet.refused, limit)
+					}
 					if limit := 0.1*float64(fleet.requests) + 50; test.badPart > 0 && float64(fleet.exposed) > limit {
 						t.Errorf("got %d of %d requests at a bad version, want %.0f at most", fleet.exposed, fleet.requests, limit)
 					}
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -149,7 +149,7 @@
 	source := quota.Source{Name: zoneSource(summary.Zone), Boot: summary.Origin, VMs: summary.VMs, Began: createdAt.Add(-summary.Uptime), Summed: true}
 	gateway.limits.UpdateCounts(source, fromSpendings(summary.Spending), createdAt, now)
 	gateway.roster.SetBacklogs(source.Name, fromBacklogs(summary.Backlogs), createdAt)
-	gateway.releases.mergeCounts(source.Name, summary.Releases, createdAt, now)
+	gateway.releases.merge(source.Name, summary.Releases, createdAt, now)
 	if firstSummary {
 		gateway.dropVMCounts(summary.Zone, now)
 	}
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -13,8 +13,21 @@
 	"github.com/bramleygw/bramleygw/objects"
 	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
+	"github.com/bramleygw/bramleygw/release"
+	"github.com/bramleygw/bramleygw/settings"
 )
 
+// testReleases returns what a VM tells of an order, with all fields set.
+func testReleases() []Release {
+	var histogram release.Histogram
+	histogram[3], histogram[6] = 1.5, 20
+	return []Release{{
+		Order:      release.Order{Name: "o1", Created: 3, Revision: 4, Service: "notes", To: "v2", Duration: settings.Span(12 * time.Second), State: release.Running},
+		OrderedAge: time.Second, HasIssue: true, Stage: release.Expanded, Share: 0.25, Token: 5, IssueAge: 2 * time.Millisecond, Bad: "failures sum",
+		Counted: true, Counts: release.Table{{Route: "sum", New: true}: {Answers: 21.5, Bad: 2, First: histogram, Rest: histogram}}, OthersInFlight: 7,
+	}}
+}
+
 // Each field of a heartbeat must survive encoding and decoding.
 func TestHeartbeatRoundTrip(t *testing.T) {
 	address := netip.MustParseAddrPort("127.0.0.8:1")
@@ -32,12 +45,13 @@
 		Zone:      "z1", IsRepresentative: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
 		ZoneSummaries: []ZoneSummary{{
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
-			Spending: spending, Backlogs: backlogs,
+			Spending: spending, Backlogs: backlogs, Releases: testReleases(),
 		}},
 		BlockedParts:   []BlockedPart{{Part: "p1", Left: time.Minute}},
 		TargetLimits:   []TargetLimit{{Target: "i-1", StartTime: 1_700_000_000_000, Rate: 2.3, Age: time.Second}},
 		BrittleTargets: []BrittleTarget{{Target: "i-1", StartTime: 7, Tolerance: 2.5, Age: 3 * time.Millisecond, Running: 4, Waiting: 5, Slots: 6, HasLoad: true, LoadAge: 8 * time.Millisecond, Room: 9.5, HasRejected: true, RejectedAge: 10 * time.Millisecond, Admitted: 0.5}},
 		OrdersLease:    LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
+		Releases:       testReleases(), ReleasesLease: LeaseWrite{Version: 8, Holder: "vm-3@127.0.0.9", Age: time.Second}, OrdersRead: 9,
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
@@ -93,7 +107,7 @@
 		Objects: []catalog.Object{{ID: "o1", Version: 3, Spec: []byte("{}")}}, Charges: []Charge{{"d1", "i-1/r1"}},
 		Targets: []TargetUpdate{{Target: "i-1", Model: "m", Weights: 3}}, PartDeaths: []PartDeath{{Death: "i-1/5", Request: "d1", Parts: []string{"p1", "p2"}}},
 		BlockedParts: []BlockedPart{{Part: "p1", Left: time.Minute}}, AnsweredParts: []PartAnswer{{Part: "p2", Age: time.Second}}, Relay: true,
-		OrdersLease: LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second},
+		OrdersLease: LeaseWrite{Version: 7, Holder: "vm-2@127.0.0.9", Age: time.Second}, Releases: testReleases(),
 	}
 	fields := reflect.ValueOf(want)
 	for i := range fields.NumField() {
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -237,7 +237,7 @@
 	if vm.gone || vm.paused {
 		return
 	}
-	word := vm.tracker.Words()[0]
+	word := vm.tracker.All()[0]
 	counted := word
 	counted.Counts, counted.Counted = vm.tracker.Own("notes", simulation.now)
 	for i := range min(representatives, len(simulation.vms)) {
--- a/release/tracker.go
+++ b/release/tracker.go
@@ -18,6 +18,8 @@
 	// completedTime is how long after an order completed requests avoid other versions,
 	// whose targets stop at once and may still be listed.
 	completedTime = 10 * time.Second
+	// endedWordTime is how long VMs tell each other that an order ended.
+	endedWordTime = 10 * time.Second
 )
 
 // Issue is what a leader says of an order.
@@ -48,6 +50,8 @@
 	OldInFlight int
 	// Counted is set if the word has counts.
 	Counted bool
+
+	ended time.Time // when this VM knew that the order had ended; zero before
 }
 
 // Tracker is what one VM knows of the orders. It is safe for concurrent use.
@@ -192,8 +196,15 @@
 	return words
 }
 
-// Words returns what to tell other VMs of all orders, without counts.
-func (tracker *Tracker) Words() []Word {
+// Words returns what to tell other VMs of the orders that run or ended lately, without
+// counts. VMs that start later read the others from the store.
+func (tracker *Tracker) Words(now time.Time) []Word {
+	return slices.DeleteFunc(tracker.All(), func(word Word) bool { return !word.ended.IsZero() && now.Sub(word.ended) > endedWordTime })
+}
+
+// All returns the words on all orders that were not deleted, ordered by service and
+// without counts.
+func (tracker *Tracker) All() []Word {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	var words []Word
@@ -206,7 +217,7 @@
 }
 
 func (log *serviceLog) word() Word {
-	return Word{Order: log.order, Ordered: log.ordered, Issue: log.issue, Bad: log.bad}
+	return Word{Order: log.order, Ordered: log.ordered, Issue: log.issue, Bad: log.bad, ended: log.endedAt}
 }
 
 // Issue records the stage that this VM, as the leader, holds in force.
