--- a/release/release_test.go
+++ b/release/release_test.go
@@ -380,6 +380,18 @@
 	}
 }
 
+// Guards against the exposure of callers to a version that turns bad once it gets all
+// requests. The bounds are those of the test above.
+func TestVersionThatTurnsBadInCutover(t *testing.T) {
+	for name, play := range map[string]play{
+		"failures": {badPart: 0.3, badFrom: 8 * time.Second, want: RolledBack},
+		"slow":     {badPart: 0.6, slow: 5, badFrom: 8 * time.Second, want: RolledBack},
+	} {
+		play.vms, play.rate = 62, 506
+		t.Run(name, func(t *testing.T) { checkPlay(t, play) })
+	}
+}
+
 func checkPlay(t *testing.T, play play) {
 	simulation := newSimulation(play)
 	simulation.run()
@@ -389,6 +401,7 @@
 	if limit := exposureShare*float64(simulation.requests) + exposureSlack; float64(simulation.toNew) > limit {
 		t.Errorf("got %d requests to a bad version, want %.0f of %d at most", simulation.toNew, limit, simulation.requests)
 	}
+	t.Logf("%d of %d requests, ended %v after the order", simulation.toNew, simulation.requests, simulation.stateAt.Sub(simulation.begin))
 	if simulation.violation > 0 {
 		t.Errorf("got a request %v too late after the 50th bad answer", simulation.violation)
 	}
