--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -256,7 +256,7 @@
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
 	calledAt, suspended := time.Now(), gateway.suspendedSinceStart()
-	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.newHeartbeat(other.Zone))
+	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.heartbeatFor(other.Name, other.Zone))
 	if err == nil {
 		gateway.applySuspensions()
 		gateway.mergeHeartbeat(reply, calledAt.Add(suspended-gateway.suspendedSinceStart()))
@@ -273,6 +273,14 @@
 	}
 }
 
+// heartbeatFor returns a heartbeat for the named VM in the given availability zone. Both are
+// empty if unknown.
+func (gateway *Gateway) heartbeatFor(name, zone string) peer.Heartbeat {
+	heartbeat := gateway.newHeartbeat(zone)
+	gateway.releases.addTo(&heartbeat, name, time.Now())
+	return heartbeat
+}
+
 // newHeartbeat returns a heartbeat for a VM in the given availability zone, which is
 // empty if unknown. In a large fleet, VMs of other zones receive only aggregates.
 func (gateway *Gateway) newHeartbeat(zone string) peer.Heartbeat {
@@ -334,6 +342,7 @@
 	gateway.mergeBrittleTargets(heartbeat.BrittleTargets, sentAt, now)
 	gateway.roster.MergeHeard(fromHeard(heartbeat.HeardTargets, sentAt))
 	gateway.mergeEmpty(heartbeat.Positions)
+	gateway.releases.mergeHeartbeat(heartbeat, sentAt, now)
 	if gateway.mirror.LacksChanges(heartbeat.Positions) {
 		select {
 		case gateway.fetchAddresses <- heartbeat.Address:
@@ -364,7 +373,7 @@
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
 	gateway.applySuspensions()
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
-	reply := gateway.newHeartbeat(heartbeat.Zone)
+	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
 		reply.BlockedParts = toBlockedParts(gateway.parts.AllBlocked(now), now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/bramleygw/bramleygw/quota"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/release"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/rollout"
 	"github.com/bramleygw/bramleygw/roster"
@@ -56,6 +57,8 @@
 	List(ctx context.Context, collection objects.Collection) (objects.List, error)
 	Changes(ctx context.Context, watch objects.Watch) ([]objects.WatchEvent, objects.Version, error)
 	Delete(ctx context.Context, collection objects.Collection, name string, version objects.Version) error
+	// WriteState writes the state of an order for a release if its object is unchanged.
+	WriteState(ctx context.Context, object objects.Object, order release.Order, state release.State) (objects.Object, error)
 	Close()
 }
 
@@ -64,6 +67,7 @@
 	Config(object objects.Object) (routing.Config, error)
 	Target(object objects.Object) (roster.Entry, error)
 	Weights(object objects.Object) (model string, version uint64, err error)
+	Order(object objects.Object) (release.Order, error)
 }
 
 // Engines requests reports from targets and sends them orders.
@@ -92,6 +96,7 @@
 	roster      *roster.Roster
 	weights     *namedWeights
 	ordersLease *lease.Lease
+	releases    *releases // nil unless operators order releases
 	limits      *quota.Limiter
 	members     *membership.Table
 	sendTimes   *membership.SendTimes
@@ -195,6 +200,7 @@
 	}
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
+	gateway.buildReleases()
 }
 
 // openListeners opens the listeners. Port 0 selects a free port; the settings then
@@ -244,9 +250,9 @@
 }
 
 // Ready reports whether the VM can serve: it is not draining, knows the named weights and
-// has at least one configuration and one target.
+// the orders for releases, and has at least one configuration and one target.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.roster.Size() > 0
+	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.releases.known() && gateway.roster.Size() > 0
 }
 
 // Run serves until the context ends, then stops gracefully: readiness checks fail
@@ -297,6 +303,9 @@
 	if durable := gateway.origins.durable; durable != nil {
 		loops = append(loops, durable.logs.run, durable.writer.run)
 	}
+	if gateway.releases != nil {
+		loops = append(loops, gateway.releases.runOrders, gateway.releases.runJudge, gateway.releases.runLead)
+	}
 	if gateway.metricsServer != nil {
 		loops = append(loops, gateway.metricsServer.run)
 	}
--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -85,7 +85,8 @@
 		}
 	}
 	return peer.ZoneSummary{
-		Zone: gateway.members.Zone, Origin: gateway.Settings.Name + "/" + gateway.bootID, Number: gateway.zones.nextNumber(), VMs: vms,
+		Releases: gateway.releases.summary(now),
+		Zone:     gateway.members.Zone, Origin: gateway.Settings.Name + "/" + gateway.bootID, Number: gateway.zones.nextNumber(), VMs: vms,
 		Uptime:   now.Sub(gateway.started),
 		Spending: toSpendings(gateway.limits.Totals()), Backlogs: toBacklogs(gateway.roster.SummedBacklogs(zoneVMs, now)),
 		Demands:     gateway.relay.Admission.SummedDemands(zoneVMs, now),
@@ -152,6 +153,7 @@
 	gateway.roster.SetBacklogs(source.Name, fromBacklogs(summary.Backlogs), createdAt)
 	gateway.relay.Admission.Merge(source.Name, summary.Demands, createdAt)
 	gateway.roster.SetPrefixLoads(source.Name, fromHotPrefixes(summary.HotPrefixes), createdAt)
+	gateway.releases.merge(source.Name, summary.Releases, createdAt, now)
 	if firstSummary {
 		gateway.dropVMCounts(summary.Zone, now)
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -52,6 +52,9 @@
 	OverRoom      expvar.Int
 	TooLate       expvar.Int
 	Abandoned     expvar.Int
+	Releases      expvar.Int  // orders to release software versions that have not ended
+	LeadsReleases expvar.Int  // 1 while this VM decides on them
+	ReleaseEnds   *expvar.Map // orders that ended, by state, as far as this VM led them
 	BlockedParts  expvar.Int  // parts of prompts that are refused because they crash targets
 	Availability  *expvar.Map // changes of targets' availability by service and new state
 	Preferred     expvar.Int  // targets that this VM prefers
@@ -103,7 +106,7 @@
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
 		Connections: new(expvar.Map).Init(),
-		StoreCalls:  new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(),
+		StoreCalls:  new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(), ReleaseEnds: new(expvar.Map).Init(),
 		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
@@ -150,6 +153,7 @@
 		{"targets_preferred", &set.Preferred},
 		{"requests_outside_subset", &set.OutsideSubset},
 		{"prefixes_hot", &set.HotPrefixes},
+		{"releases_running", &set.Releases}, {"leads_releases", &set.LeadsReleases}, {"releases_ended", set.ReleaseEnds},
 	}
 	for _, entry := range metrics {
 		vars.Set(entry.name, entry.value)
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -36,6 +36,8 @@
 	encodeHeard(encoded, heartbeat.HeardTargets)
 	encoded.HotPrefixes = encodeHotPrefixes(heartbeat.HotPrefixes)
 	encoded.Demands = encodeDemands(heartbeat.Demands)
+	encoded.Releases, encoded.OrdersRead = encodeReleases(heartbeat.Releases), heartbeat.OrdersRead
+	encoded.ReleasesLease = encodeLease(heartbeat.ReleasesLease)
 	encodeZones(encoded, heartbeat)
 	return encoded
 }
@@ -76,6 +78,8 @@
 	heartbeat.HeardTargets = decodeHeard(encoded)
 	heartbeat.HotPrefixes = decodeHotPrefixes(encoded.GetHotPrefixes())
 	heartbeat.Demands = decodeDemands(encoded.GetDemands())
+	heartbeat.Releases, heartbeat.OrdersRead = decodeReleases(encoded.GetReleases()), encoded.GetOrdersRead()
+	heartbeat.ReleasesLease = decodeLease(encoded.GetReleasesLease())
 	decodeZones(&heartbeat, encoded)
 	return heartbeat
 }
@@ -128,6 +132,7 @@
 			Spending: encodeSpendings(zone.Spending), Backlogs: encodeBacklogs(zone.Backlogs),
 			HotPrefixes: encodeHotPrefixes(zone.HotPrefixes),
 			Demands:     encodeDemands(zone.Demands),
+			Releases:    encodeReleases(zone.Releases),
 		})
 	}
 }
@@ -171,6 +176,7 @@
 			Spending: decodeSpendings(zone.GetSpending()), Backlogs: decodeBacklogs(zone.GetBacklogs()),
 			HotPrefixes: decodeHotPrefixes(zone.GetHotPrefixes()),
 			Demands:     decodeDemands(zone.GetDemands()),
+			Releases:    decodeReleases(zone.GetReleases()),
 		})
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,6 +36,7 @@
 	"github.com/bramleygw/bramleygw/origin"
 	"github.com/bramleygw/bramleygw/peer/peerpb"
 	"github.com/bramleygw/bramleygw/quota"
+	"github.com/bramleygw/bramleygw/release"
 )
 
 // keepaliveInterval must not be shorter than keepaliveMinimum, which the server enforces.
@@ -88,7 +89,12 @@
 	// HotPrefixes are the prefixes that may need several homes.
 	HotPrefixes []HotPrefix
 	// Demands are what the sender is asked for, of services whose targets take less.
-	Demands []admission.Demand
+	Demands       []admission.Demand
+	Releases      []Release
+	ReleasesLease LeaseWrite
+	// OrdersRead is the store's revision up to which the sender knows the orders for
+	// releases, if it knows their changes up to its position of that collection.
+	OrdersRead uint64
 }
 
 // LeaseWrite is the newest write of a lease that the sender knows. Its version is 0 if
@@ -116,6 +122,26 @@
 	// HotPrefixes are summed over the zone's VMs.
 	HotPrefixes []HotPrefix
 	Demands     []admission.Demand
+	// Releases holds the sums of the counts alone.
+	Releases []Release
+}
+
+// Release is what the sender knows of an order to release a software version.
+type Release struct {
+	Order release.Order
+	// OrderedAge is the time since a VM first knew the order.
+	OrderedAge time.Duration
+	// Stage, Share and Token are what a leader issued, IssueAge ago, if HasIssue is set.
+	HasIssue bool
+	Stage    release.Stage
+	Share    float64
+	Token    uint64
+	IssueAge time.Duration
+	Bad      string
+	// Counts and OthersInFlight are set if Counted is.
+	Counted        bool
+	Counts         release.Table
+	OthersInFlight int
 }
 
 // NamedWeights is a weights version that operators recently named for a model.
@@ -236,6 +262,7 @@
 	BlockedParts  []BlockedPart
 	AnsweredParts []PartAnswer
 	OrdersLease   LeaseWrite
+	Releases      []Release
 	// Relay is set when the receiver must forward the notice to the other VMs of its
 	// availability zone.
 	Relay bool
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,6 +177,7 @@
 	job.progress.recordComplete()
 	job.attempt.assignment.PromptProcessed(now)
 	job.recordEvent(now)
+	job.attempt.sample.First(now)
 	id := eventID(text)
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -33,6 +33,8 @@
 // eligible targets are compared.
 type Criteria struct {
 	Service string
+	// Route is the name of the request's route; releases are judged by route.
+	Route string
 	// Model is empty for plain services.
 	Model string
 	// NewestWeights is the weights version that is being rolled out; targets with
@@ -76,10 +78,7 @@
 	if reservation := criteria.Reservation; reservation != nil && !now.Before(reservation.Until) {
 		reservation.release()
 	}
-	targets := roster.services[criteria.Service]
-	homes := roster.homes(targets, criteria, now)
-	home := roster.ownHome(homes, criteria, now)
-	best := roster.best(targets, criteria, home, now)
+	best, home, firstHome := roster.find(criteria, now)
 	if best == nil {
 		return Assignment{}, false
 	}
@@ -96,11 +95,12 @@
 	switch {
 	case home != nil && home != best:
 		assignment.Home = home.entry.Address
-	case home != nil && home != homes[0]:
-		assignment.Home = homes[0].entry.Address // a further home fetches what it lacks from the first
+	case home != nil && home != firstHome:
+		assignment.Home = firstHome.entry.Address // a further home fetches what it lacks from the first
 	}
 	roster.countPrefix(criteria, now)
 	assignment.OutsideSubset = best != home && roster.outsideSubset(best)
+	roster.recordSent(criteria, best, now)
 	assignment.trial = best.rest.beginTrial(now)
 	best.limit.take()
 	best.begin(criteria.Tokens, now)
@@ -132,17 +132,17 @@
 // fullScanLimit targets it examines the home and a round-robin sample, and all
 // targets only when none of those is eligible. Ejected targets get only trial
 // requests unless no other target is eligible.
-func (roster *Roster) best(targets []*Target, criteria Criteria, home *Target, now time.Time) *Target {
+func (roster *Roster) best(targets []*Target, criteria Criteria, versions *versionFilter, home *Target, now time.Time) *Target {
 	if len(targets) == 0 {
 		return nil
 	}
 	inLog := roster.prefersLogged(criteria)
 	if !inLog {
-		if found := roster.bestPreferred(criteria, home, now); found != nil {
+		if found := roster.bestPreferred(criteria, versions, home, now); found != nil {
 			return found
 		}
 	}
-	sampled := search{criteria: criteria, home: home, now: now, count: len(targets)}
+	sampled := search{criteria: criteria, versions: versions, home: home, now: now, count: len(targets)}
 	roster.roundRobin++
 	if len(targets) > fullScanLimit {
 		roster.roundRobin += sampleSize - 1
@@ -170,6 +170,7 @@
 // search defines which targets are examined.
 type search struct {
 	criteria Criteria
+	versions *versionFilter // nil if all versions are allowed
 	home     *Target
 	now      time.Time
 	// first is the index of the first target, count the number of targets examined.
--- a/roster/homes.go
+++ b/roster/homes.go
@@ -242,7 +242,7 @@
 // homes returns the targets that should hold the prefix: the first in rendezvous order
 // among the usable targets that are neither paused nor ejected nor limited. The result is
 // valid until the next call.
-func (roster *Roster) homes(targets []*Target, criteria Criteria, now time.Time) []*Target {
+func (roster *Roster) homes(targets []*Target, criteria Criteria, versions *versionFilter, now time.Time) []*Target {
 	if criteria.Prefix == 0 {
 		return nil
 	}
@@ -253,7 +253,7 @@
 		if len(homes) == count && score <= prefix.Mix(criteria.Prefix^homes[count-1].seed) {
 			continue // the cheaper check first: it excludes most targets
 		}
-		if !target.usable(now) || now.Before(target.pausedUntil) || target.ejected() || target.limit.value != 0 {
+		if !target.usable(now) || now.Before(target.pausedUntil) || target.ejected() || target.limit.value != 0 || !versions.allows(target) {
 			continue
 		}
 		at := 0
--- a/roster/homes_test.go
+++ b/roster/homes_test.go
@@ -72,7 +72,7 @@
 func (fleet *homesFleet) homeIDs(vm int) []string {
 	roster := fleet.vms[vm]
 	var ids []string
-	for _, home := range roster.homes(roster.services["notes"], Criteria{Service: "notes", Model: "m", Prefix: 7}, fleet.now) {
+	for _, home := range roster.homes(roster.services["notes"], Criteria{Service: "notes", Model: "m", Prefix: 7}, nil, fleet.now) {
 		ids = append(ids, home.entry.ID)
 	}
 	return ids
--- a/roster/subset.go
+++ b/roster/subset.go
@@ -161,14 +161,14 @@
 // bestPreferred returns the target with the least cost among the home and the targets that
 // this VM prefers, or nil if none of them can take the request in time. The home takes
 // precedence if it costs less.
-func (roster *Roster) bestPreferred(criteria Criteria, home *Target, now time.Time) *Target {
+func (roster *Roster) bestPreferred(criteria Criteria, versions *versionFilter, home *Target, now time.Time) *Target {
 	known, ok := roster.preferred[criteria.Service]
 	if !ok || len(known.targets) == 0 || roster.recheckDue(criteria.Service, now) {
 		return nil
 	}
 	roster.roundRobin++
 	return roster.cheapest(known.targets, search{
-		criteria: criteria, home: home, now: now, first: int(roster.roundRobin % uint64(len(known.targets))), count: len(known.targets), inTime: true,
+		criteria: criteria, versions: versions, home: home, now: now, first: int(roster.roundRobin % uint64(len(known.targets))), count: len(known.targets), inTime: true,
 	})
 }
 
--- a/roster/subset_test.go
+++ b/roster/subset_test.go
@@ -149,7 +149,7 @@
 	var home *Target
 	for home == nil || members[home.entry.ID] {
 		criteria = Criteria{Service: "notes", Model: "m", Prefix: criteria.Prefix + 1}
-		home = roster.homes(roster.services["notes"], criteria, start)[0]
+		home = roster.homes(roster.services["notes"], criteria, nil, start)[0]
 	}
 	if got := choose(t, roster, criteria, start); got.ID != home.entry.ID {
 		t.Errorf("got %s, want the idle home %s", got.ID, home.entry.ID)
