--- a/gateway/origin_durable.go
+++ b/gateway/origin_durable.go
@@ -151,11 +151,12 @@
 	return origins.writer != "" && origins.durable.gateway.storeHealth.answerAge(time.Now()) == 0
 }
 
-// reload decides again with what the store has, if this VM has run for less time than
-// the record of a stream lasts. Until then, the VMs that knew the stream may all be gone.
+// reload decides again with what the store has. The VMs that knew the stream may all be
+// gone, whether this VM was lost with them or not. The log alone decides only at a VM that
+// has run for less time than the record of a stream lasts: others have watched the list.
 func (origins *origins) reload(ctx context.Context, query origin.Query, evidence origin.Evidence) origin.Evidence {
 	durable := origins.durable
-	if durable == nil || !durable.gateway.started.After(query.Since) || !durable.logs.has(query.Service) {
+	if durable == nil || !durable.logs.has(query.Service) {
 		return evidence
 	}
 	began, known := durable.loader.records.Get(query.RequestID, time.Now())
@@ -165,7 +166,9 @@
 			return evidence
 		}
 		began, known = durable.loader.records.Get(query.RequestID, time.Now())
-		evidence.Logged = durable.logs.single(query.Service, loaded.logs, time.Now())
+		if durable.gateway.started.After(query.Since) {
+			evidence.Logged = durable.logs.single(query.Service, loaded.logs, time.Now())
+		}
 	}
 	evidence.Own.Origin, evidence.Own.Known = began, known
 	return evidence
