--- a/gateway/origin_durable_test.go
+++ b/gateway/origin_durable_test.go
@@ -211,6 +211,15 @@
 		fleet.killAll(time.Second)
 		fleet.check("two", half)
 	}},
+	{"VMs that have long run do not know the streams", twoVersions, func(fleet *durableFleet) {
+		fleet.begin("survived", 60, "v1", "v2")
+		fleet.advance(600 * time.Millisecond)
+		fleet.killAll(time.Second)
+		for _, vm := range fleet.vms { // as if they alone had not been killed, and held no records
+			vm.started = vm.started.Add(-time.Hour)
+		}
+		fleet.check("survived", half)
+	}},
 	{"old one just gone", twoVersions, func(fleet *durableFleet) {
 		fleet.begin("old", 60, "v1")
 		fleet.register(onlyNew)
