Admit no more than targets are found to have places for

Cause: the room counts prompt tokens; when slots or memory are full, targets turn requests away first come, first served, urgent ones too.

Change: VMs tell each other which admitted tokens targets took and which none took. While more than 0.01 is turned away, hardly more is admitted than targets took.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -115,7 +115,11 @@
 	cells   map[key]*cell
 	reports map[string]report
 	// heardAt is when another VM last said what it is asked for.
-	heardAt    time.Time
+	heardAt time.Time
+	// placed and turnedAway are the admitted requests that a target took, and those that
+	// none took.
+	placed     rate
+	turnedAway rate
 	plan       plan
 	plannedAt  time.Time
 	overloaded bool
@@ -157,7 +161,7 @@
 	defer controller.mu.Unlock()
 	asked := request.key()
 	cell := controller.cell(asked)
-	cell.ask(request.Tokens, now)
+	cell.asked.count(request.Tokens, now)
 	decision := Decision{Admitted: true, Change: controller.refresh(now)}
 	if !controller.overloaded || now.Sub(controller.startedAt) < startupTime {
 		return decision
@@ -171,6 +175,21 @@
 	return decision
 }
 
+// Place records that a target took an admitted request.
+func (controller *Controller) Place(request Request, now time.Time) {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	controller.placed.count(request.Tokens, now)
+}
+
+// TurnAway records that a target rejected an admitted request for want of room, or that no
+// target was found for it.
+func (controller *Controller) TurnAway(request Request, now time.Time) {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	controller.turnedAway.count(request.Tokens, now)
+}
+
 // Refuse returns when the caller of an admitted request may retry that found no target at
 // which it would be answered in time.
 func (controller *Controller) Refuse(request Request, now time.Time) time.Time {
@@ -195,22 +214,26 @@
 	}
 	controller.plannedAt = now
 	controller.drop(now)
-	demands := controller.demands(now)
+	total := controller.total(now)
 	asked := 0.0
-	for _, demand := range demands {
-		asked += demand.Asked
+	for _, count := range total.Counts {
+		asked += count.Asked
 	}
 	room, before := controller.room(now), controller.overloaded
 	relative := room.Wait.Seconds() / room.AimedWait.Seconds()
-	// Long waits show that the targets take less than they are known to.
-	takes := min(room.TokensPerSecond, room.tokens())
+	// Long waits, and requests that no target took, show that the targets take less than
+	// they are known to. A part is always admitted: else it would not show when they take
+	// more again.
+	tokens := min(room.tokens(), max(minRoom*asked, total.placeable()))
+	takes := min(room.TokensPerSecond, tokens)
+	crowded := total.placeable() < asked
 	if controller.overloaded {
-		controller.overloaded = relative >= leaveWait && asked >= leaveDemand*takes
+		controller.overloaded = (relative >= leaveWait || crowded) && asked >= leaveDemand*takes
 	} else {
-		controller.overloaded = relative >= enterWait && asked >= enterDemand*takes
+		controller.overloaded = (relative >= enterWait || crowded) && asked >= enterDemand*takes
 	}
-	controller.reporting = controller.overloaded || relative >= reportWait
-	controller.plan = newPlan(demands, controller.weights, room.tokens())
+	controller.reporting = controller.overloaded || relative >= reportWait || controller.turnedAway.at(now) > 0
+	controller.plan = newPlan(total.Counts, controller.weights, tokens)
 	if controller.overloaded == before {
 		return nil
 	}
--- a/admission/demand.go
+++ b/admission/demand.go
@@ -45,101 +45,115 @@
 	return key{account: count.Account, level: count.Level}
 }
 
+// rate is a decaying rate in tokens a second, as of countedAt.
+type rate struct {
+	value     float64
+	countedAt time.Time
+}
+
+// count counts tokens.
+func (rate *rate) count(tokens float64, now time.Time) {
+	rate.value = rate.at(now) + tokens/demandTime.Seconds()
+	rate.countedAt = now
+}
+
+// at returns the tokens a second, whole ones: their sums are the same in any order.
+func (rate *rate) at(now time.Time) float64 {
+	return math.Round(rate.value * math.Exp(-max(0, now.Sub(rate.countedAt).Seconds())/demandTime.Seconds()))
+}
+
 // cell is what this VM knows of the requests with a key.
 type cell struct {
-	asked   float64 // tokens a second, as of askedAt
-	askedAt time.Time
+	asked rate
 	// credit is the part of a request that was not admitted yet.
 	credit float64
 	line   line
 }
 
-// ask counts tokens.
-func (cell *cell) ask(tokens float64, now time.Time) {
-	cell.asked = cell.rate(now) + tokens/demandTime.Seconds()
-	cell.askedAt = now
-}
-
-// rate returns the tokens asked a second.
-func (cell *cell) rate(now time.Time) float64 {
-	return cell.asked * math.Exp(-max(0, now.Sub(cell.askedAt).Seconds())/demandTime.Seconds())
-}
-
 // report is what another VM, or the VMs of an availability zone, said last.
 type report struct {
-	vms    int
-	counts []Count
+	demand Demand
 	madeAt time.Time
 }
 
 // Merge records what another VM, or several VMs together, are asked for. No counts mean
 // that the VM does not say: requests do not wait, or it is of an earlier version.
-func (controller *Controller) Merge(source string, vms int, counts []Count, madeAt time.Time) {
+func (controller *Controller) Merge(source string, demand Demand, madeAt time.Time) {
 	if source == controller.self {
 		return
 	}
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	if len(counts) == 0 {
+	if len(demand.Counts) == 0 {
 		delete(controller.reports, source)
 		return
 	}
 	if madeAt.Before(controller.reports[source].madeAt) {
 		return
 	}
-	controller.reports[source] = report{vms: max(1, vms), counts: counts, madeAt: madeAt}
+	demand.VMs = max(1, demand.VMs)
+	controller.reports[source] = report{demand: demand, madeAt: madeAt}
 	if madeAt.After(controller.heardAt) {
 		controller.heardAt = madeAt
 	}
 }
 
-// Sum returns what this VM and the named ones are asked for, to be sent to other VMs, and
-// how many of them said so lately. There are no counts unless requests begin to wait.
-func (controller *Controller) Sum(vms map[string]bool, now time.Time) ([]Count, int) {
+// Sum returns what this VM and the named ones that said so lately are asked for, to be
+// sent to other VMs. There are no counts unless requests begin to wait.
+func (controller *Controller) Sum(vms map[string]bool, now time.Time) Demand {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	if !controller.reporting || now.Sub(controller.plannedAt) > reportMaxAge {
-		return nil, 0
+		return Demand{}
 	}
-	sum, known := controller.own(now), 1
+	counts := controller.own(now)
+	sum := Demand{VMs: 1, Placed: controller.placed.at(now), TurnedAway: controller.turnedAway.at(now)}
 	for name, report := range controller.reports {
 		if vms[name] && now.Sub(report.madeAt) <= reportMaxAge {
-			known += report.vms
-			add(sum, report.counts)
+			sum.add(report.demand)
+			add(counts, report.demand.Counts)
 		}
 	}
-	return largest(sum), known
+	sum.Counts = largest(counts)
+	return sum
+}
+
+// add adds all but the counts.
+func (demand *Demand) add(other Demand) {
+	demand.VMs += other.VMs
+	demand.Placed += math.Round(other.Placed)
+	demand.TurnedAway += math.Round(other.TurnedAway)
 }
 
-// own returns what this VM is asked for, in whole tokens: their sums are the same in any
-// order.
+// own returns what this VM is asked for.
 func (controller *Controller) own(now time.Time) map[key]float64 {
 	own := make(map[key]float64, len(controller.cells))
 	for asked, cell := range controller.cells {
-		own[asked] = math.Round(cell.rate(now))
+		own[asked] = cell.asked.at(now)
 	}
 	return own
 }
 
-// demands returns what the VMs together are asked for, ordered by level. VMs that said
-// nothing lately are taken to be asked for as much as the others.
-func (controller *Controller) demands(now time.Time) []Count {
-	sum, known := controller.own(now), 1
+// total returns what the VMs together are asked for, with counts ordered by level. VMs
+// that said nothing lately are taken to be asked for as much as the others.
+func (controller *Controller) total(now time.Time) Demand {
+	counts := controller.own(now)
+	total := Demand{VMs: 1, Placed: controller.placed.at(now), TurnedAway: controller.turnedAway.at(now)}
 	if now.Sub(controller.heardAt) <= silenceTime {
 		for _, report := range controller.reports {
-			known += report.vms
-			add(sum, report.counts)
+			total.add(report.demand)
+			add(counts, report.demand.Counts)
 		}
 	}
-	scale := max(1, float64(controller.vms)/float64(known))
-	demands := make([]Count, 0, len(sum))
-	for asked, rate := range sum {
-		demands = append(demands, Count{Account: asked.account, Level: asked.level, Asked: rate * scale})
+	scale := max(1, float64(controller.vms)/float64(total.VMs))
+	total.Placed, total.TurnedAway = total.Placed*scale, total.TurnedAway*scale
+	for asked, rate := range counts {
+		total.Counts = append(total.Counts, Count{Account: asked.account, Level: asked.level, Asked: rate * scale})
 	}
-	slices.SortFunc(demands, func(first, second Count) int {
+	slices.SortFunc(total.Counts, func(first, second Count) int {
 		return cmp.Or(cmp.Compare(first.Level, second.Level), cmp.Compare(first.Account, second.Account))
 	})
-	return demands
+	return total
 }
 
 // drop forgets old reports and accounts that ask for nothing.
@@ -150,7 +164,7 @@
 		}
 	}
 	for asked, cell := range controller.cells {
-		if now.Sub(cell.askedAt) > cellMaxAge {
+		if now.Sub(cell.asked.countedAt) > cellMaxAge {
 			delete(controller.cells, asked)
 		}
 	}
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -221,18 +221,21 @@
 		late := sim.now.Add(assignment.Wait + prompt).After(request.arrived.Add(request.kind.firstEvent))
 		if assignment.Wait >= maxWait || sim.decide && late {
 			assignment.End()
+			vm.controller.TurnAway(request.ask(), sim.now)
 			sim.comeBack(request, sim.now.Add(assignment.Wait+sim.jitter()))
 			return
 		}
 		target := sim.target(assignment.ID)
 		if !target.dead && len(target.queue)+len(target.running) < 2*simSlots {
 			request.assignment = &assignment
+			vm.controller.Place(request.ask(), sim.now)
 			target.put(request)
 			return
 		}
 		if !target.dead {
 			window.rejected++
 			assignment.RecordRejection(sim.now)
+			vm.controller.TurnAway(request.ask(), sim.now)
 		}
 		assignment.End()
 		tried = append(tried, assignment.ID)
@@ -376,26 +379,26 @@
 		for j := i % simZones; j < simVMs; j += simZones {
 			zone[sim.vms[j].name] = j != i
 		}
-		counts, _ := vm.controller.Sum(nil, sim.now)
+		demand := vm.controller.Sum(nil, sim.now)
 		backlogs := vm.roster.Backlogs()
-		summedCounts, known := vm.controller.Sum(zone, sim.now)
+		summedDemand := vm.controller.Sum(zone, sim.now)
 		summed := vm.roster.SummedBacklogs(zone, sim.now)
 		for j, other := range sim.vms {
 			switch {
 			case j == i:
 			case j%simZones == i%simZones:
 				other.roster.SetBacklogs(vm.name, backlogs, sim.now)
-				other.controller.Merge(vm.name, 1, counts, sim.now)
+				other.controller.Merge(vm.name, demand, sim.now)
 			case i < simZones:
 				other.roster.SetBacklogs(fmt.Sprint("zone", i), summed, sim.now)
-				other.controller.Merge(fmt.Sprint("zone", i), known, summedCounts, sim.now)
+				other.controller.Merge(fmt.Sprint("zone", i), summedDemand, sim.now)
 			}
 		}
 	}
 }
 
-func (sim *sim) run() {
-	for ; sim.now.Sub(sim.start) < simEnd; sim.now = sim.now.Add(tick) {
+func (sim *sim) run(length time.Duration) {
+	for ; sim.now.Sub(sim.start) < length; sim.now = sim.now.Add(tick) {
 		sim.crash()
 		sim.exchange()
 		sim.arrive()
--- a/admission/line.go
+++ b/admission/line.go
@@ -34,6 +34,6 @@
 // retryAt returns when the caller of a refused request may retry: when there will be
 // room for it, spread so that callers do not come back together.
 func (controller *Controller) retryAt(cell *cell, part, tokens float64, now time.Time) time.Time {
-	delay := cell.line.join(tokens, part*cell.rate(now), now)
+	delay := cell.line.join(tokens, part*cell.asked.at(now), now)
 	return now.Add(delay/2 + time.Duration(controller.random.Int64N(int64(delay))))
 }
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -16,7 +16,7 @@
 	} {
 		t.Run(pattern.name, func(t *testing.T) {
 			sim := newSim(pattern, true, uint64(seed+1))
-			sim.run()
+			sim.run(simEnd)
 			sim.log(t)
 			sim.checkWork(t)
 			sim.checkRecovery(t)
@@ -24,7 +24,7 @@
 			checkShares(t, shares)
 			pattern.burst = pattern.short // the account sends no more than others
 			calm := newSim(pattern, true, uint64(seed+1))
-			calm.run()
+			calm.run(overloadEnd)
 			t.Logf("without the burst: %v", calm.shares())
 			if got, want := shares["others"], calm.shares()["others"]-tolerance; got < want {
 				t.Errorf("got %.2f of the short requests of other accounts, want %.2f as without the burst of one", got, want)
@@ -151,7 +151,7 @@
 		for i := range 600 { // 40,000 tokens a second
 			now := start.Add(test.age + time.Duration(i)*1500*time.Microsecond)
 			if test.report > 0 {
-				controller.Merge("vm-2", 1, []Count{{Account: 7, Asked: test.report}}, now.Add(-test.reportAge))
+				controller.Merge("vm-2", Demand{Counts: []Count{{Account: 7, Asked: test.report}}}, now.Add(-test.reportAge))
 			}
 			decision := controller.Decide(Request{Account: "a", Tokens: 60}, now)
 			if i >= 500 && decision.Admitted {
@@ -167,6 +167,42 @@
 	}
 }
 
+// Guards against urgent requests that are rejected because less urgent ones fill the slots
+// or the memory of targets, and against room that stays unused once targets take all again.
+func TestLessIsAdmittedThanTargetsTurnAway(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	room := Room{TokensPerSecond: 1e6, AimedWait: 100 * time.Millisecond}
+	controller := New("vm-1", func(time.Time) Room { return room }, start)
+	places := 0.0
+	play := func(from, length time.Duration, placesPerSecond float64) (admitted [2]float64) {
+		for at := from; at < from+length; at += 5 * time.Millisecond {
+			places = min(placesPerSecond/10, places+placesPerSecond*0.005)
+			for i, level := range []Level{0, 34} { // 40,000 tokens a second each
+				request := Request{Account: "a", Level: level, Tokens: 200}
+				now := start.Add(at)
+				if !controller.Decide(request, now).Admitted {
+					continue
+				}
+				if admitted[i] += 200 / length.Seconds(); places < 200 {
+					controller.TurnAway(request, now)
+					continue
+				}
+				places -= 200
+				controller.Place(request, now)
+			}
+		}
+		return admitted
+	}
+	play(2*time.Second, 3*time.Second, 60_000)
+	if got := play(5*time.Second, 3*time.Second, 60_000); got[0] < 39_000 || got[1] > 35_000 {
+		t.Errorf("got %.0f tokens a second admitted with room for 60,000, want all 40,000 urgent ones and about half of the others", got)
+	}
+	play(8*time.Second, 3*time.Second, 1e6)
+	if got := play(11*time.Second, time.Second, 1e6); got[0]+got[1] < 79_000 {
+		t.Errorf("got %.0f tokens a second 3 s after the end, want 80,000", got)
+	}
+}
+
 // Guards against messages that exceed what VMs may send each other: none while there is
 // room, and the largest accounts alone otherwise.
 func TestDemandsOnlyUnderOverload(t *testing.T) {
--- a/admission/plan.go
+++ b/admission/plan.go
@@ -16,6 +16,10 @@
 	// idleRoom is by how much more is admitted when nothing waits: targets then take
 	// more than they are known to.
 	idleRoom = 2
+	// toleratedPart is the part of the admitted tokens that targets may turn away before
+	// less is admitted: single targets are full now and then. In the balance about a tenth
+	// is turned away, which shows that no room is unused.
+	toleratedPart = 0.01
 	// fillSteps is the number of bisections with which a level is found.
 	fillSteps = 40
 )
@@ -29,6 +33,16 @@
 	return room.TokensPerSecond * max(minRoom, factor)
 }
 
+// placeable returns the tokens a second that targets are found to have places for, slots
+// or memory; infinite if they turn nearly nothing away.
+func (demand *Demand) placeable() float64 {
+	away := demand.TurnedAway / max(1, demand.Placed+demand.TurnedAway)
+	if away <= toleratedPart {
+		return math.Inf(1)
+	}
+	return demand.Placed * (1 + toleratedPart/away)
+}
+
 // plan is which part of the requests is admitted.
 type plan struct {
 	parts map[key]float64
--- a/admission/services.go
+++ b/admission/services.go
@@ -27,6 +27,10 @@
 	Service string
 	VMs     int // that are asked for it
 	Counts  []Count
+	// Placed are the admitted prompt tokens a second that targets took, TurnedAway those
+	// that they rejected or that found no target.
+	Placed     float64
+	TurnedAway float64
 }
 
 // Get returns the controller of a service.
@@ -80,8 +84,9 @@
 	defer services.mu.Unlock()
 	var demands []Demand
 	for service, controller := range services.controllers {
-		if counts, known := controller.Sum(vms, now); len(counts) > 0 {
-			demands = append(demands, Demand{Service: service, VMs: known, Counts: counts})
+		if demand := controller.Sum(vms, now); len(demand.Counts) > 0 {
+			demand.Service = service
+			demands = append(demands, demand)
 		}
 	}
 	slices.SortFunc(demands, func(first, second Demand) int { return strings.Compare(first.Service, second.Service) })
@@ -96,9 +101,9 @@
 	for service, controller := range services.controllers {
 		i := slices.IndexFunc(demands, func(demand Demand) bool { return demand.Service == service })
 		if i < 0 {
-			controller.Merge(source, 0, nil, madeAt)
+			controller.Merge(source, Demand{}, madeAt)
 			continue
 		}
-		controller.Merge(source, demands[i].VMs, demands[i].Counts, madeAt)
+		controller.Merge(source, demands[i], madeAt)
 	}
 }
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -21,7 +21,7 @@
 	address := netip.MustParseAddrPort("127.0.0.8:1")
 	spending := []Spending{{Account: "derby", Spent: 120, Wanted: 150}}
 	backlogs := []Backlog{{Target: "i-1", Tokens: 900}}
-	demands := []admission.Demand{{Service: "notes", VMs: 20, Counts: []admission.Count{{Account: 1 << 31, Level: 34, Asked: 9000}}}}
+	demands := []admission.Demand{{Service: "notes", VMs: 20, Counts: []admission.Count{{Account: 1 << 31, Level: 34, Asked: 9000}}, Placed: 7000, TurnedAway: 800}}
 	want := Heartbeat{
 		Name: "vm-1", Address: address, Version: 5, PlatformAge: time.Second,
 		PeerAges: []PeerAge{{"vm-2", 2 * time.Second}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -136,6 +136,9 @@
 func (job *job) Head(head target.Head) error {
 	now := time.Now()
 	job.attempt.head = head
+	if !head.NotRun {
+		job.recordPlace(now)
+	}
 	assignment := &job.attempt.assignment
 	load := roster.Load{Running: head.Load.Running, Waiting: head.Load.Waiting, Slots: head.Load.Slots, WorkTime: head.Load.WorkTime}
 	if assignment.Answered(load, head.HasLoad, now) {
--- a/relay/job.go
+++ b/relay/job.go
@@ -241,6 +241,9 @@
 		}
 		if !job.mayWait(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
 			job.obstacles = job.relay.Roster.Obstacles(job.criteria(now), now)
+			if !job.targetFull {
+				job.recordNoPlace(now)
+			}
 			return false, nil
 		}
 		if !job.targetFull {
@@ -265,6 +268,7 @@
 	}
 	assignment.End()
 	job.refusedWait = wait
+	job.recordNoPlace(now)
 	if job.controller != nil && job.controller.Overloaded(now) {
 		return overloaded(job.controller.Refuse(job.demand(), now))
 	}
@@ -367,6 +371,7 @@
 	}
 	if job.attempt.head.RestUntil.IsZero() {
 		job.targetFull = true
+		job.recordNoPlace(now)
 		assignment.RecordRejection(now)
 	}
 }
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -71,6 +71,22 @@
 	return demand
 }
 
+// recordPlace records that a target took the request.
+func (job *job) recordPlace(now time.Time) {
+	if job.controller != nil && job.delivery.Runs() == 0 {
+		job.controller.Place(job.demand(), now)
+	}
+}
+
+// recordNoPlace records that a target rejected the request for want of room, or that none
+// of the targets that serve could take it.
+func (job *job) recordNoPlace(now time.Time) {
+	if job.controller == nil || job.delivery.Runs() > 0 || job.relay.Roster.Capacity(job.service.Name, now).Targets == 0 {
+		return
+	}
+	job.controller.TurnAway(job.demand(), now)
+}
+
 // abandoned reports whether the caller has left, or its time is over, before a target was
 // chosen.
 func (job *job) abandoned(ctx context.Context) bool {
@@ -105,6 +121,7 @@
 		job.retryDenial = deniedByDeadline
 		return nil
 	}
+	job.recordNoPlace(now)
 	return overloaded(job.controller.Refuse(job.demand(), now))
 }
 
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -48,7 +48,7 @@
 			relay.Admission = &admission.Services{Self: "vm-1", Started: time.Now().Add(-time.Minute), Room: func(string, time.Time) admission.Room { return room }}
 			relay.Admission.SetFleetSize(2)
 			relay.table.Load().Match("a.example", "/x").LatencyTarget = settings.Span(test.target)
-			relay.Admission.Get("s1").Merge("vm-2", 1, []admission.Count{{Account: 1, Asked: test.demand}}, time.Now())
+			relay.Admission.Get("s1").Merge("vm-2", admission.Demand{Counts: []admission.Count{{Account: 1, Asked: test.demand}}}, time.Now())
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			if test.gone {
