--- a/admission/demand.go
+++ b/admission/demand.go
@@ -10,7 +10,7 @@
 const (
 	// demandTime is the time constant over which demand is averaged. A shorter one
 	// follows single large prompts, a longer one lets queues grow when demand rises.
-	demandTime = 300 * time.Millisecond
+	demandTime = 200 * time.Millisecond
 	// silenceTime is the time without a message from which a VM takes the others to be
 	// asked for as much as itself.
 	silenceTime = time.Second
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -66,13 +66,11 @@
 	nextSend   time.Time
 }
 
-// simWindow is what happened in a second.
+// simWindow is what happened in a second: requests by group, and the tokens of prompts
+// that were answered in time.
 type simWindow struct {
-	askedInTime, answered    map[string]int // by kind, of first tries
-	asked, rejected, refused int
-	tokens                   float64 // of prompts answered in time
-	large, largeAnswered     int
-	others, othersAnswered   int // short requests of other accounts
+	asked, answered map[string]int
+	tokens          float64
 }
 
 // simPattern is by how much the rates of long and short requests grow, and those of the
@@ -90,12 +88,11 @@
 	vms     []*simVM
 	windows []simWindow
 	later   map[int64][]*simRequest // callers that come back, by tick
-	decide  bool
 	start   time.Time
 }
 
-func newSim(pattern simPattern, decide bool, seed uint64) *sim {
-	sim := &sim{simPattern: pattern, random: rand.New(rand.NewPCG(seed, 1)), decide: decide, later: map[int64][]*simRequest{}, start: time.Unix(1_700_000_000, 0)}
+func newSim(pattern simPattern, seed uint64) *sim {
+	sim := &sim{simPattern: pattern, random: rand.New(rand.NewPCG(seed, 1)), later: map[int64][]*simRequest{}, start: time.Unix(1_700_000_000, 0)}
 	sim.now = sim.start
 	for i := range simTargets {
 		sim.targets = append(sim.targets, &simTarget{id: fmt.Sprint("t", i)})
@@ -104,7 +101,7 @@
 		vm := &simVM{name: fmt.Sprint("vm-", i), roster: roster.New("z"), nextSend: sim.now.Add(time.Duration(i) * messageInterval / simVMs)}
 		vm.roster.SetSeed(seed + uint64(i)<<32)
 		vm.roster.SetFleetSize(simVMs)
-		vm.roster.SetMemoryPressure(sim.decide)
+		vm.roster.SetMemoryPressure(true)
 		for _, target := range sim.targets {
 			vm.roster.Put(roster.Entry{ID: target.id, Service: "s", Zone: "z", Models: []roster.Model{{Name: "m", Weights: 1}}}, sim.now)
 		}
@@ -113,7 +110,7 @@
 		sim.vms = append(sim.vms, vm)
 	}
 	for range simEnd / time.Second {
-		sim.windows = append(sim.windows, simWindow{askedInTime: map[string]int{}, answered: map[string]int{}})
+		sim.windows = append(sim.windows, simWindow{asked: map[string]int{}, answered: map[string]int{}})
 	}
 	return sim
 }
@@ -177,26 +174,24 @@
 func (sim *sim) admit(request *simRequest) {
 	request.arrived, request.left, request.firstAt, request.late = sim.now, request.tokens, time.Time{}, false
 	request.vm = sim.vms[sim.random.IntN(simVMs)]
-	window := sim.window()
-	window.asked++
-	window.askedInTime[request.kind.name]++
-	if request.account > 0 && request.kind.priority == 0 {
-		window.others++
+	request.count(sim.window().asked)
+	decision := request.vm.controller.Decide(request.ask(), sim.now)
+	if !decision.Admitted {
+		sim.comeBack(request, decision.RetryAt)
+		return
 	}
-	if request.kind.priority == 2 {
-		if request.tokens > 13_800 { // the largest tenth
-			window.large++
-		}
+	sim.send(request)
+}
+
+// count counts a request in its groups.
+func (request *simRequest) count(counts map[string]int) {
+	counts[request.kind.name]++
+	if request.tokens > 13_800 { // the largest tenth of the long ones
+		counts["large"]++
 	}
-	vm := request.vm
-	if sim.decide {
-		decision := vm.controller.Decide(request.ask(), sim.now)
-		if !decision.Admitted {
-			sim.comeBack(request, decision.RetryAt)
-			return
-		}
+	if request.account > 0 && request.kind.priority == 0 {
+		counts["others"]++
 	}
-	sim.send(request)
 }
 
 func (vm *simVM) room(now time.Time) Room {
@@ -209,7 +204,7 @@
 
 // send sends a request to a target as relay does, to another one when it is rejected.
 func (sim *sim) send(request *simRequest) {
-	vm, window := request.vm, sim.window()
+	vm := request.vm
 	var tried []string
 	for range 3 {
 		assignment, ok := vm.roster.Choose(roster.Criteria{Service: "s", Model: "m", Tokens: request.tokens, Tried: tried}, sim.now)
@@ -219,7 +214,7 @@
 		}
 		prompt := time.Duration(request.tokens) * 18 * time.Microsecond
 		late := sim.now.Add(assignment.Wait + prompt).After(request.arrived.Add(request.kind.firstEvent))
-		if assignment.Wait >= maxWait || sim.decide && late {
+		if assignment.Wait >= maxWait || late {
 			assignment.End()
 			vm.controller.TurnAway(request.ask(), sim.now)
 			sim.comeBack(request, sim.now.Add(assignment.Wait+sim.jitter()))
@@ -233,7 +228,6 @@
 			return
 		}
 		if !target.dead {
-			window.rejected++
 			assignment.RecordRejection(sim.now)
 			vm.controller.TurnAway(request.ask(), sim.now)
 		}
@@ -249,7 +243,6 @@
 
 // comeBack lets the caller send the request again, twice at most.
 func (sim *sim) comeBack(request *simRequest, at time.Time) {
-	sim.window().refused++
 	if request.comeback++; request.comeback <= 2 {
 		number := max(int64(at.Sub(sim.start)/tick), int64(sim.now.Sub(sim.start)/tick)+1)
 		again := *request
@@ -293,25 +286,18 @@
 		target.queue = target.queue[1:]
 		sim.first(target, request)
 	}
-	if len(target.queue) == 0 {
-		return
-	}
 	waiting := target.queue[:0]
 	for _, request := range target.queue {
-		began := request.left < request.tokens
-		if gone := sim.now.After(request.arrived.Add(request.kind.patient)); !gone {
-			waiting = append(waiting, request)
-		} else if !request.late {
+		left := !request.late && sim.now.After(request.arrived.Add(request.kind.patient))
+		if left {
 			request.late = true
 			sim.comeBack(request, sim.now.Add(sim.jitter()))
-			if began { // the prompt is read to its end
-				waiting = append(waiting, request)
-			} else {
-				request.assignment.End()
-			}
-		} else {
-			waiting = append(waiting, request)
 		}
+		if left && request.left == request.tokens {
+			request.assignment.End()
+			continue
+		}
+		waiting = append(waiting, request) // a prompt that was begun is read to its end
 	}
 	target.queue = waiting
 }
@@ -327,13 +313,7 @@
 	}
 	window := sim.window()
 	window.tokens += float64(request.tokens)
-	window.answered[request.kind.name]++
-	if request.account > 0 && request.kind.priority == 0 {
-		window.othersAnswered++
-	}
-	if request.tokens > 13_800 {
-		window.largeAnswered++
-	}
+	request.count(window.answered)
 }
 
 // crash stops a third of the targets, and lets VMs find out later.
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -15,7 +15,7 @@
 		{"long requests", 3, 1, 7},
 	} {
 		t.Run(pattern.name, func(t *testing.T) {
-			sim := newSim(pattern, true, uint64(seed+1))
+			sim := newSim(pattern, uint64(seed+1))
 			sim.run(simEnd)
 			sim.log(t)
 			sim.checkWork(t)
@@ -23,7 +23,7 @@
 			shares := sim.shares()
 			checkShares(t, shares)
 			pattern.burst = pattern.short // the account sends no more than others
-			calm := newSim(pattern, true, uint64(seed+1))
+			calm := newSim(pattern, uint64(seed+1))
 			calm.run(overloadEnd)
 			t.Logf("without the burst: %v", calm.shares())
 			if got, want := shares["others"], calm.shares()["others"]-tolerance; got < want {
@@ -35,8 +35,7 @@
 
 func (sim *sim) log(t *testing.T) {
 	for second, window := range sim.windows {
-		t.Logf("second %d: %.2f of best, asked %v, answered %v, refused %d, rejected %d, large %d of %d, others %d of %d", second,
-			2*window.tokens/sim.best(), window.askedInTime, window.answered, window.refused, window.rejected, window.largeAnswered, window.large, window.othersAnswered, window.others)
+		t.Logf("second %d: %.2f of best, asked %v, answered %v", second, 2*window.tokens/sim.best(), window.asked, window.answered)
 	}
 }
 
@@ -60,12 +59,10 @@
 func (sim *sim) shares() map[string]float64 {
 	asked, answered := map[string]int{}, map[string]int{}
 	for _, window := range sim.windows[overloadBegin/time.Second : overloadEnd/time.Second] {
-		for kind, count := range window.askedInTime {
-			asked[kind] += count
-			answered[kind] += window.answered[kind]
+		for group, count := range window.asked {
+			asked[group] += count
+			answered[group] += window.answered[group]
 		}
-		asked["large"], answered["large"] = asked["large"]+window.large, answered["large"]+window.largeAnswered
-		asked["others"], answered["others"] = asked["others"]+window.others, answered["others"]+window.othersAnswered
 	}
 	shares := map[string]float64{}
 	for name, count := range asked {
@@ -89,7 +86,7 @@
 	for second := int((overloadEnd + 3*time.Second) / time.Second); second+1 < len(sim.windows); second++ {
 		for _, kind := range simKinds {
 			window := sim.windows[second]
-			if got := float64(window.answered[kind.name]) / float64(window.askedInTime[kind.name]); got < 0.9 {
+			if got := float64(window.answered[kind.name]) / float64(window.asked[kind.name]); got < 0.9 {
 				t.Errorf("got %.2f of %s requests in second %d, want all", got, kind.name, second)
 			}
 		}
