Prefer requests that continue an answer while an account exceeds its rate

Cause: after the loss of most VMs the callers of all streams come back together; take-ups were refused by the account's rate (429) or by the wait at targets as often as new requests, although their origins were known.

Change: while an account asks for more than its rate, requests that continue an answer are admitted up to five times as often, from the same bucket; streams taken up are exempt from the maximum wait of their route.

Test: TestRequestsThatContinueAreAdmittedMoreOften; limits stay within their bounds in the tests of quota.

--- a/quota/account_state.go
+++ b/quota/account_state.go
@@ -20,6 +20,8 @@
 	// credit accumulates the fractions in which requests are to be admitted. A
 	// request is admitted when credit reaches 1, which is then deducted.
 	credit float64
+	// continueCredit is the same for requests that continue an answer.
+	continueCredit float64
 	// total is what this VM and sources with SameZone set counted since this
 	// process started.
 	total Count
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -153,8 +153,15 @@
 	Tokens float64
 	// Kind names the kind of request. Kinds differ in the size of their requests.
 	Kind string
+	// Continues is set if the caller already has a part of the answer.
+	Continues bool
 }
 
+// continuesFactor is by how much requests that continue an answer are admitted more often
+// than others while an account asks for more than its rate. After the loss of many VMs
+// they come together with the retries of all others.
+const continuesFactor = 5
+
 // Admit debits the tokens of a request from the account, or returns the time at which
 // to retry.
 func (limiter *Limiter) Admit(limit Account, request Request, now time.Time) (retryAt time.Time, ok bool) {
@@ -172,8 +179,12 @@
 	own.addDemand(tokens)
 	account.total.Wanted += tokens
 	factor := limiter.requestSizes.admissionFactor(request)
+	credit := &account.credit
+	if request.Continues {
+		factor, credit = factor*continuesFactor, &account.continueCredit
+	}
 	if limiter.fleetReachable(now) {
-		return account.admitPaced(limiter.self, tokens, factor, now)
+		return account.admitPaced(limiter.self, tokens, factor, credit, now)
 	}
 	return account.admitShare(own, share, tokens, now)
 }
--- a/quota/paced_admission.go
+++ b/quota/paced_admission.go
@@ -39,8 +39,9 @@
 
 // admitPaced admits a fraction of the requests, so that the fleet spends as fast
 // as its bucket allows. factor corrects this fraction for the size of the request:
-// it is higher for small ones.
-func (account *accountState) admitPaced(self string, tokens, factor float64, now time.Time) (time.Time, bool) {
+// it is higher for small ones. credit is the part of a request
+// that was not admitted yet.
+func (account *accountState) admitPaced(self string, tokens, factor float64, credit *float64, now time.Time) (time.Time, bool) {
 	limit := account.limit
 	estimate := account.estimate(self, now)
 	spare, countsAge := estimate.Spare, estimate.CountsAge
@@ -50,14 +51,14 @@
 	}
 	if countsAge > 0 && spare > 0 { // otherwise the bucket certainly holds too little
 		pace := limit.Rate * (1 + paceGain*(spare/limit.Burst-targetLevel))
-		account.credit += min(1, pace/estimate.Demand*factor)
+		*credit += min(1, pace/estimate.Demand*factor)
 	}
-	if account.credit < 1 {
+	if *credit < 1 {
 		// By then the bucket holds enough for this request.
 		missing := min(tokens, limit.Burst) - spare
 		return now.Add(max(minRetryAfter, accrualTime(missing, max(1, limit.Rate)))), false
 	}
-	account.credit--
+	*credit--
 	account.spend(account.source(self, now), tokens)
 	return now, true
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -274,9 +274,11 @@
 // maximum wait of its route, and releases the assignment. Without this limit all
 // later requests would be late too, and targets would process late requests instead
 // of requests that can still be answered in time.
+// Streams that are taken up are exempt, because their callers already have a part of the
+// answer.
 func (job *job) checkWait(assignment *roster.Assignment) error {
 	maxWait := job.route.MaxWait
-	if job.request.Prompt == nil || maxWait <= 0 || job.delivery.Runs() > 0 {
+	if job.request.Prompt == nil || maxWait <= 0 || job.delivery.Runs() > 0 || job.takesUp() {
 		return nil
 	}
 	now := time.Now()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -259,7 +259,7 @@
 	}
 	tokens := job.charge()
 	limit := quota.Account{Name: account.Name, Rate: account.Rate, Burst: account.Burst}
-	retryAt, ok := relay.Limits.Admit(limit, quota.Request{Tokens: tokens, Kind: job.route.Name}, time.Now())
+	retryAt, ok := relay.Limits.Admit(limit, quota.Request{Tokens: tokens, Kind: job.route.Name, Continues: job.takesUp()}, time.Now())
 	if !ok {
 		estimate := relay.Limits.Estimate(account.Name, time.Now())
 		job.limitEstimate = &estimate
