--- a/roster/choose.go
+++ b/roster/choose.go
@@ -189,7 +189,10 @@
 func (roster *Roster) cheapest(targets []*Target, search search) *Target {
 	var best *Target
 	least := 0
-	if search.home != nil && search.home.eligible(search) {
+	// A home that is not reached in time may still cost less than reading the prefix again.
+	homeSearch := search
+	homeSearch.inTime = false
+	if search.home != nil && search.home.eligible(homeSearch) {
 		best, least = search.home, roster.cost(search.home, search.criteria, search.home, search.now)
 	}
 	for i := range search.count {
