--- a/review/standin/case_blocked.go
+++ b/review/standin/case_blocked.go
@@ -34,7 +34,7 @@
 	var mu sync.Mutex
 	sent, served, refused := map[string]int{}, map[string]int{}, map[string]int{}
 	var wait sync.WaitGroup
-	end := time.Now().Add(105 * time.Second)
+	end := time.Now().Add(92 * time.Second)
 	client := func(kind string, pause time.Duration, make func() request) {
 		wait.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
@@ -48,7 +48,7 @@
 					if got.status == 200 && got.stamp == stamp(q.id) && got.complete {
 						served[kind]++
 					}
-					if got.status == 503 && time.Until(end) < 70*time.Second {
+					if got.status == 503 && time.Until(end) < 65*time.Second {
 						refused[kind]++
 					}
 				})
@@ -83,6 +83,6 @@
 		return float64(good) / float64(max(1, all))
 	}
 	lookups, all := share("rota-lookup"), share("rota-lookup", "task-signoff")
-	text := fmt.Sprintf("served: %.3f of the rota-lookups, %.3f of all requests; in the last 70 s, with all engines sound, %d rota-lookups and %d sign-offs got 503", lookups, all, refused["rota-lookup"], refused["task-signoff"])
+	text := fmt.Sprintf("served: %.3f of the rota-lookups, %.3f of all requests; in the last 65 s, with all engines sound, %d rota-lookups and %d sign-offs got 503", lookups, all, refused["rota-lookup"], refused["task-signoff"])
 	return result{broken: lookups < all/4, text: text}, nil
 }
