--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 runs it without the disruption. The record is record.txt in this folder.
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
 root="$(cd "$here/../.." && pwd)" || exit 2
-[ -x "$root/target/bramleygw" ] && [ -x "$root/review/standin/bin/standin" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec "$root/review/standin/bin/standin" -case removal -root "$root" -record "$here/record.txt"
+[ -x "$root/target/bramleygw" ] && [ -x "$root/review/platform/bin/standin" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
+exec "$root/review/platform/bin/standin" -case removal -root "$root" -record "$here/record.txt"
