Keep connections of reports and orders apart from those of requests

Cause: reports and orders used the idle connections of requests. They have no ID and their answers have none, so a late second copy of one was taken for the answer to the request that the connection carried next.

Calls now use only connections of their own kind, and a connection is closed when the answer to a request with an ID has none, also before the target has sent any ID. Any copy on a request's connection then carries the ID of another request and is discarded. The head of a discarded answer is no longer observed either.

--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
@@ -25,16 +26,13 @@
 	return &contact{Contact: rosterContact, id: id, gateway: gateway, client: gateway.clients.Get(id, rosterContact.Address)}, true
 }
 
-// observeAny records what the head of any answer says about further requests.
-func (contact *contact) observeAny(head target.Head) {
+// observe records what the head of an answer says about further requests.
+func (contact *contact) observe(head target.Head) {
 	contact.gateway.relay.ObserveHead(contact.Contact, contact.id, head, time.Now())
 }
 
-// observe records what the head of an answer says about further requests. An answer
-// with the ID of a request is a late one to that request.
-func (contact *contact) observe(head target.Head) {
-	if head.RequestID != "" {
-		return
-	}
-	contact.observeAny(head)
+// recordMismatch records that a target's answer to another request was discarded.
+func (gateway *Gateway) recordMismatch(id string, mismatch target.Mismatch) {
+	gateway.metrics.AnswerMismatches.Add(1)
+	gateway.Log.Emit(event.CrossedAnswer, event.F("target", id), event.F("request", mismatch.RequestID), event.F("answer_to", mismatch.AnswerID))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,7 @@
 	gateway.dialer = peer.NewDialer(nil)
 	gateway.metrics = metric.New(vm.Name)
 	gateway.clients.OnOpen = func(cause target.Cause) { gateway.metrics.Connections.Add(string(cause), 1) }
+	gateway.clients.OnMismatch = gateway.recordMismatch
 	gateway.origins = newOrigins(vm.Name, gateway.members, gateway.dialer, gateway.metrics, gateway.Log)
 	gateway.origins.versions = gateway.roster
 	if gateway.Store != nil {
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -203,7 +203,7 @@
 	}
 	var response fasthttp.Response
 	if response.Header.Read(bufio.NewReaderSize(bytes.NewReader(carriedConn.head), maxSniffedHead)) == nil {
-		carriedConn.contact.observeAny(carriedConn.tunnels.gateway.TargetDialect.Head(&response))
+		carriedConn.contact.observe(carriedConn.tunnels.gateway.TargetDialect.Head(&response))
 	}
 	carriedConn.sniffed, carriedConn.head = true, nil
 }
--- a/relay/clients.go
+++ b/relay/clients.go
@@ -13,6 +13,9 @@
 	// OnOpen, if set, is called after each connection that was opened. It is set before
 	// the first call of Get.
 	OnOpen func(target.Cause)
+	// OnMismatch, if set, is called for each answer of a target that was discarded because
+	// it carries the ID of another request. It is set before the first call of Get.
+	OnMismatch func(id string, mismatch target.Mismatch)
 
 	dialect target.Dialect
 
@@ -39,6 +42,9 @@
 	}
 	created := target.NewWithDialect(address, clients.dialect)
 	created.OnOpen = clients.OnOpen
+	if clients.OnMismatch != nil {
+		created.OnMismatch = func(mismatch target.Mismatch) { clients.OnMismatch(id, mismatch) }
+	}
 	clients.clients[id] = created
 	return created
 }
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -88,7 +88,8 @@
 	// before the request is sent and before each read of a streamed body. The
 	// earlier of it and Deadline applies.
 	SilenceDeadline func(now time.Time) time.Time
-	// OnHead, if set, is called with the answer's head before the body is read.
+	// OnHead, if set, is called with the head of an answer to this call before the body is
+	// read.
 	OnHead func(Head)
 	// OnData, if set, is called after each read that returned data of the answer.
 	OnData func()
--- a/target/idle.go
+++ b/target/idle.go
@@ -21,6 +21,9 @@
 	CauseClosed Cause = "closed_by_target"
 	// CauseSameRequest: the idle connection had carried an answer to the same request.
 	CauseSameRequest Cause = "same_request"
+	// CauseUnidentified: the idle connection had carried an answer without ID, such as a
+	// report, and the call has an ID.
+	CauseUnidentified Cause = "unidentified"
 	// CauseRequired: the call is an order, or a retry that requires a new connection.
 	CauseRequired Cause = "required"
 	// CauseTunnel: the connection goes through another VM.
@@ -65,12 +68,22 @@
 
 // take removes and returns the most recently used idle connection that may fit the
 // call. It returns the obstacle of those that it left.
+//
+// A second copy of an answer may arrive late, as the answer to the next call on its
+// connection. A copy with an ID is recognized. Connections that carried answers without ID
+// are therefore kept apart, for calls without ID: reports and orders.
 func (client *Client) take(call Call) (idleConnection, bool, Cause) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	var obstacle Cause
 	for i := len(client.idle) - 1; i >= 0; i-- {
 		idle := client.idle[i]
+		if idle.unidentified != (call.RequestID == "") {
+			if idle.unidentified {
+				obstacle = CauseUnidentified
+			}
+			continue
+		}
 		if call.LeaveOlder && idle.since.Before(call.UsedSince) {
 			return idleConnection{}, false, CauseIdleTooLong // the others were used before
 		}
@@ -103,16 +116,19 @@
 	return !idle.until.IsZero() && !now.Before(idle.until)
 }
 
-// release makes the connection available for reuse after the answer to the request with
-// the ID. It closes it instead when the client is closed or holds maxIdleConnections.
-func (client *Client) release(conn *connection.Client, until time.Time, requestID string) {
+// release makes the connection available for reuse after a complete answer to the request
+// with the ID. It closes it instead when the client is closed or holds maxIdleConnections,
+// or when the answer to a request with an ID has none.
+func (client *Client) release(conn *connection.Client, head Head, requestID string) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if client.closed || len(client.idle) >= maxIdleConnections {
+	if client.closed || len(client.idle) >= maxIdleConnections || head.RequestID != requestID {
 		conn.Close()
 		return
 	}
-	client.idle = append(client.idle, idleConnection{conn: conn, since: time.Now(), until: until, answered: requestID})
+	client.idle = append(client.idle, idleConnection{
+		conn: conn, since: time.Now(), until: head.KeepAliveUntil, answered: requestID, unidentified: requestID == "",
+	})
 }
 
 // CloseExpired closes the idle connections that are older than the target's Keep-Alive
--- a/target/idle_test.go
+++ b/target/idle_test.go
@@ -142,6 +142,8 @@
 		{name: "with the answer, large", echo: true, ids: []string{"r0", "r1"}, early: true, padding: large},
 		{name: "rejection of a request that is sent again", echo: true, status: http.StatusTooManyRequests, ids: []string{"r0", "r0"}},
 		{name: "without the ID that others have", ids: []string{"r-1", "r0", "r1"}},
+		{name: "without an ID, the first of its target", ids: []string{"r0", "r1"}},
+		{name: "of a report or an order, which have no ID", ids: []string{"", "r0"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -160,8 +162,13 @@
 				return answerText(id, true, http.StatusOK, "", 0)
 			})
 			for i, id := range test.ids {
-				head, body, err := client.call(id, unchanged)
-				if i < len(test.ids)-1 || errors.Is(err, ErrAnswerMismatch) {
+				observed := false
+				head, body, err := client.call(id, func(call *Call) { call.OnHead = func(Head) { observed = true } })
+				mismatch := errors.Is(err, ErrAnswerMismatch)
+				if observed == mismatch {
+					t.Errorf("got head observed %t and error %v, want the heads of answers to the call alone", observed, err)
+				}
+				if i < len(test.ids)-1 || mismatch {
 					continue
 				}
 				if want := "answer to " + id; err != nil || string(body) != want || head.Status != http.StatusOK {
--- a/target/target.go
+++ b/target/target.go
@@ -3,8 +3,9 @@
 //
 // A request is sent once on one connection, without the HTTP library's own
 // retries. A connection is closed and not reused when its answer timed out, was
-// incomplete or belonged to another request. Callers' credentials are not
-// forwarded.
+// incomplete, belonged to another request or could not be matched to its own. Calls
+// without an ID use other connections than those with one. Callers' credentials are
+// not forwarded.
 //
 // # Usage
 //
@@ -23,7 +24,6 @@
 	"net/netip"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,17 +65,24 @@
 	Data string
 }
 
+// Mismatch is an answer that carries the ID of another request than the call.
+type Mismatch struct {
+	RequestID string // of the call, empty for reports and orders
+	AnswerID  string
+}
+
 // Client sends requests to one target. It is safe for concurrent use.
 type Client struct {
 	// OnOpen, if set, is called after each connection that was opened. It is set before
 	// the first call.
 	OnOpen func(Cause)
+	// OnMismatch, if set, is called for each answer that was discarded because it carries
+	// the ID of another request. It is set before the first call.
+	OnMismatch func(Mismatch)
 
 	address netip.AddrPort
 	tls     *tls.Config
 	dialect Dialect
-	// echoes is set once an answer of the target carried the ID of its request.
-	echoes atomic.Bool
 
 	mu     sync.Mutex       // guards idle and closed
 	idle   []idleConnection // the most recently used one last
@@ -91,6 +98,8 @@
 	until time.Time
 	// answered is the ID of the request that was answered on it last.
 	answered string
+	// unidentified is set if the answers on it had no ID, as the calls had none.
+	unidentified bool
 }
 
 // New returns a client that uses the native dialect; a nil tlsConfig means plain
@@ -218,9 +227,6 @@
 		return Head{}, classify(ctx, err, reused, true)
 	}
 	head := client.dialect.Head(response)
-	if call.OnHead != nil {
-		call.OnHead(head)
-	}
 	err = client.consume(head, response, call, body, read)
 	if err != nil || !stop() {
 		conn.Close()
@@ -230,13 +236,7 @@
 		conn.Close() // the next call may not need the way that Open took
 		return head, nil
 	}
-	if head.RequestID != "" {
-		client.echoes.Store(true)
-	} else if call.RequestID != "" && client.echoes.Load() {
-		conn.Close() // a second copy of this answer could not be told from the next one
-		return head, nil
-	}
-	client.release(conn, head.KeepAliveUntil, call.RequestID)
+	client.release(conn, head, call.RequestID)
 	return head, nil
 }
 
@@ -244,8 +244,14 @@
 // The reader is nil when the body is not streamed.
 func (client *Client) consume(head Head, response *fasthttp.Response, call Call, body *deadlineBody, read func(Head, *fasthttp.Response, io.Reader) error) error {
 	if head.RequestID != "" && head.RequestID != call.RequestID {
+		if client.OnMismatch != nil {
+			client.OnMismatch(Mismatch{RequestID: call.RequestID, AnswerID: head.RequestID})
+		}
 		return ErrAnswerMismatch
 	}
+	if call.OnHead != nil {
+		call.OnHead(head)
+	}
 	if !response.IsBodyStream() {
 		return read(head, response, nil)
 	}
