Show removals of objects to VMs that have newer changes

Cause: the store's event of a removal carries the version of the object's last change, and mirror.Apply gave the removal that version plus one. Any other registration that had changed since was newer, so the position in heartbeats did not rise, and ChangesSince left the removal out.

The events of a watch are complete up to the version of the answer, so an object whose last event is a removal does not exist at that version. The removal now gets it; an object that is created again later has a newer one. This holds for each collection that is watched.

For the log: target_gone and target_listed name their source, a watch without answer has event 304, and a failed copy from another VM, which was dropped silently, event 205.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -26,6 +26,7 @@
 	ConfigApplied  = register(201, "config_applied", LevelInfo, "a configuration version is in force", "none")
 	ConfigRejected = register(202, "config_rejected", LevelError, "a configuration object could not be read; its last valid version stays in force", "correct the object named in the fields")
 	ConfigFromPeer = register(203, "config_from_peer", LevelInfo, "the configuration was copied from another VM", "none")
+	FetchFailed    = register(205, "fetch_failed", LevelInfo, "changes could not be copied from another VM that has newer ones", "none if that VM has stopped; the copy is repeated with the next heartbeat that shows newer ones")
 	KeyWithdrawn   = register(204, "key_withdrawn", LevelInfo, "a key was withdrawn; its requests are ended", "none")
 )
 
@@ -33,6 +34,7 @@
 var (
 	PlatformDown = register(301, "platform_down", LevelWarn, "the platform is unreachable; the VM keeps serving with its last known configuration", "check the platform; until it is reachable again, rights are not handed over, and keys can be withdrawn through this VM but not issued")
 	PlatformUp   = register(302, "platform_up", LevelInfo, "the platform is reachable again", "none")
+	WatchSilent  = register(304, "watch_silent", LevelWarn, "a watch of the platform got no answer until its deadline; it is started again on another connection", "if it repeats, check the network between the VM and the platform")
 	WatchGone    = register(303, "watch_gone", LevelInfo, "the watch fell too far behind, so the platform no longer has the missing changes; the collection is listed again", "none")
 )
 
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -182,6 +182,9 @@
 	case err != nil && canceled:
 		return nil // the caller starts the next watch
 	case err != nil:
+		if !time.Now().Before(watch.Until) {
+			gateway.Log.Emit(event.WatchSilent, event.F("collection", string(collection)), event.F("after_ms", time.Since(now).Milliseconds()), event.Err(err))
+		}
 		return err
 	}
 	gateway.recordStoreAnswer()
@@ -234,7 +237,7 @@
 		case objects.Configs:
 			gateway.applyConfig(change)
 		case objects.Targets:
-			gateway.applyTarget(change, now)
+			gateway.applyTarget(change, source, now)
 		case objects.Weights:
 			gateway.applyWeights(change, source, namedAt)
 		case objects.Rollouts:
@@ -286,10 +289,10 @@
 	return addresses
 }
 
-func (gateway *Gateway) applyTarget(change mirror.Change, now time.Time) {
+func (gateway *Gateway) applyTarget(change mirror.Change, source string, now time.Time) {
 	id := change.Object.Metadata.Name
 	if change.Removed {
-		gateway.Log.Emit(event.TargetGone, event.F("target", id))
+		gateway.Log.Emit(event.TargetGone, event.F("target", id), event.F("source", source))
 		gateway.roster.Remove(id, now)
 		return
 	}
@@ -298,7 +301,7 @@
 		gateway.Log.Emit(event.TargetUnreadable, event.F("target", id), event.Err(err))
 		return
 	}
-	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("software", entry.Software), event.F("draining", entry.Draining))
+	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("software", entry.Software), event.F("draining", entry.Draining), event.F("source", source))
 	if change, changed := gateway.roster.Put(entry, now); changed {
 		gateway.relay.RecordAvailability(change, now)
 	}
@@ -365,7 +368,11 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	fetched, version, err := gateway.dialer.Snapshot(ctx, address, 0, gateway.mirror.Positions())
-	if err != nil || len(fetched) == 0 {
+	if err != nil {
+		gateway.Log.Emit(event.FetchFailed, event.F("from", address.String()), event.Err(err))
+		return
+	}
+	if len(fetched) == 0 {
 		return
 	}
 	changes := gateway.mirror.Merge(fetched)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -119,17 +119,31 @@
 	return changes
 }
 
-// Apply applies the events of a watch up to a version and returns the changes.
+// Apply applies the events of a watch, which are complete up to a version, and returns the
+// changes.
+//
+// The event of a removal may carry the version of the object's last change, which says
+// nothing about when it was removed. An object whose last event is a removal does not exist
+// at the version up to which the events are complete, so its removal gets this version.
+// Positions then show it to VMs that have newer changes of other objects.
 func (mirror *Mirror) Apply(name objects.Collection, events []objects.WatchEvent, upTo objects.Version) []Change {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	collection := mirror.collection(name)
+	last := make(map[string]int, len(events)) // index of each object's last event
+	for i, event := range events {
+		last[event.Object.Metadata.Name] = i
+	}
 	var changes []Change
-	for _, event := range events {
+	for i, event := range events {
 		removed := event.Type == objects.Deleted
-		version := event.Object.Metadata.ResourceVersion
-		if entry, ok := collection.entries[event.Object.Metadata.Name]; removed && ok && entry.version == version && !entry.removed {
-			version++ // the event carries the version of the object's last change, not of the removal
+		key, version := event.Object.Metadata.Name, event.Object.Metadata.ResourceVersion
+		entry, ok := collection.entries[key]
+		switch {
+		case removed && last[key] == i:
+			version = max(version, upTo)
+		case removed && ok && entry.version == version && !entry.removed:
+			version++ // older than the object that was created again
 		}
 		changes = mirror.put(changes, name, event.Object, version, removed)
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -114,6 +116,60 @@
 	}
 }
 
+// Guards against requests to a removed target: a VM whose watch is silent learns of the
+// removal from others only if their positions show it. The event carries the version of the
+// object's last change, which may be older than the newest change of the collection.
+func TestRemovalReachesVMWithoutIt(t *testing.T) {
+	for _, lastChange := range []objects.Version{5, 8} { // of a; b has 6
+		t.Run(fmt.Sprint("last change ", lastChange), func(t *testing.T) {
+			watching, silent := New(), New()
+			for _, mirror := range []*Mirror{watching, silent} {
+				mirror.Replace(objects.Targets, []objects.Object{object("a", 5), object("b", 6)}, 7)
+			}
+			watching.Apply(objects.Targets, []objects.WatchEvent{removalEvent("a", lastChange)}, 12)
+			if !silent.LacksChanges(watching.Positions()) {
+				t.Fatal("got the same positions with and without the removal, want newer ones with it")
+			}
+			changed, _ := watching.ChangesSince(silent.Positions())
+			if got := describe(silent.Merge(changed)); got != "-a " {
+				t.Errorf("got %q from the VM that saw the removal, want the removal of a", got)
+			}
+			if silent.LacksChanges(watching.Positions()) {
+				t.Error("got LacksChanges true after merging all changes, want false")
+			}
+		})
+	}
+}
+
+// Guards against a live object that counts as removed: it was created again before or after
+// the version up to which the watch is complete.
+func TestObjectCreatedAgainIsNotRemoved(t *testing.T) {
+	again := func(version objects.Version) objects.WatchEvent {
+		return objects.WatchEvent{Type: objects.Modified, Object: object("a", version)}
+	}
+	for _, test := range []struct {
+		name   string
+		events []objects.WatchEvent
+		later  []catalog.Object // received from another VM
+	}{
+		{name: "in the same answer", events: []objects.WatchEvent{removalEvent("a", 5), again(9)}},
+		{name: "twice in the same answer", events: []objects.WatchEvent{removalEvent("a", 5), again(9), removalEvent("a", 9), again(11)}},
+		{name: "after it", events: []objects.WatchEvent{removalEvent("a", 5)}, later: catalogObjects("targets/a", 13)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mirror := New()
+			mirror.Replace(objects.Targets, []objects.Object{object("a", 5)}, 7)
+			changes := mirror.Apply(objects.Targets, test.events, 12)
+			if got := describe(append(changes, mirror.Merge(test.later)...)); !strings.HasPrefix(got, "-a ") || !strings.HasSuffix(got, " a ") {
+				t.Errorf("got changes %q, want the removal and then the object", got)
+			}
+			if got := len(mirror.Objects(objects.Targets)); got != 1 {
+				t.Errorf("got %d objects, want the one that was created again", got)
+			}
+		})
+	}
+}
+
 // Guards against missing a change: a VM receives a change of one collection early, from
 // the store or from another VM, while an earlier change of another collection is delayed.
 func TestChangeOfOneCollectionDoesNotHideAnother(t *testing.T) {
