Compare which software versions VMs saw before a stream goes on

From a report of operators (ORDER): a VM that was out of step while targets of a new version joined took up streams of these and let them go on at another version.

Here a stream that nobody knows goes on if one version alone can have begun it. Each VM answered whether it had seen several. A VM with an old list has seen only the old version, and the others, once the release is over for as long as a stream lasts, only the new one. Nobody saw several, so the stream went on at the version in the old list.

VMs now also answer which versions they saw, and a stream goes on only if they agree. VMs of older builds send none, as before. The log line origin_lookup has them.

--- a/gateway/origin_lookup.go
+++ b/gateway/origin_lookup.go
@@ -33,13 +33,15 @@
 	origins.log.Emit(event.OriginLookup,
 		event.F("resumes", query.RequestID), event.F("service", service), event.F("result", knowledge.String()),
 		event.F("origin_service", began.Service), event.F("software", began.Software), event.F("asked", asked),
-		event.F("answers", len(evidence.Answers)), event.F("own_several", evidence.Own.Several), event.F("logged", evidence.Logged), event.F("ms", time.Since(now).Milliseconds()))
+		event.F("answers", len(evidence.Answers)), event.F("own_several", evidence.Own.Several), event.F("versions", origin.Combine(append(evidence.Answers, evidence.Own)...).Versions), event.F("logged", evidence.Logged), event.F("ms", time.Since(now).Milliseconds()))
 	return began, knowledge
 }
 
 // localAnswer returns what this VM knows itself.
 func (origins *origins) localAnswer(query origin.Query, now time.Time) origin.Answer {
 	answer := origin.Answer{Several: origins.versions.Several(query.Service, query.Since, now)}
+	_, seen := origins.versions.Software(query.Service, query.Since)
+	answer.SetVersions(seen)
 	if since, ok := origins.versions.WatchedSince(); ok {
 		answer.WatchedSince = since
 	}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -37,6 +37,9 @@
 	// Several reports whether targets of more than one software version served the
 	// service between the two times.
 	Several(service string, since, now time.Time) bool
+	// Software returns the software versions of the targets registered now, and those of
+	// targets that were registered at the given time or later.
+	Software(service string, since time.Time) (listed, recent []string)
 	// WatchedSince returns since when the list of targets has been watched; false if
 	// there is none.
 	WatchedSince() (time.Time, bool)
@@ -48,6 +51,9 @@
 // Several implements versions.
 func (noVersions) Several(string, time.Time, time.Time) bool { return false }
 
+// Software implements versions.
+func (noVersions) Software(string, time.Time) (listed, recent []string) { return nil, nil }
+
 // WatchedSince implements versions.
 func (noVersions) WatchedSince() (time.Time, bool) { return time.Time{}, false }
 
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -19,6 +19,7 @@
 type fakeVersions struct {
 	several atomic.Bool
 	watched time.Time
+	only    string // the version of the targets, if there is one
 }
 
 // Several implements versions.
@@ -26,6 +27,14 @@
 	return fakeVersions.several.Load()
 }
 
+// Software implements versions.
+func (fakeVersions *fakeVersions) Software(string, time.Time) (listed, recent []string) {
+	if fakeVersions.only == "" {
+		return nil, nil
+	}
+	return []string{fakeVersions.only}, []string{fakeVersions.only}
+}
+
 // WatchedSince implements versions.
 func (fakeVersions *fakeVersions) WatchedSince() (time.Time, bool) {
 	return fakeVersions.watched, !fakeVersions.watched.IsZero()
@@ -292,6 +301,12 @@
 		{"started lately, others answer", 6, func(fleet *originFleet) {
 			fleet.versions[fleet.addresses[0]].watched = time.Now()
 		}, origin.Single},
+		{"old list of targets, others have seen another version since", 6, func(fleet *originFleet) {
+			for _, versions := range fleet.versions {
+				versions.only = "v2"
+			}
+			fleet.versions[fleet.addresses[0]].only = "v1"
+		}, origin.Unknown},
 		{"all started lately", 6, func(fleet *originFleet) {
 			for _, versions := range fleet.versions {
 				versions.watched = time.Now()
--- a/origin/decision.go
+++ b/origin/decision.go
@@ -1,6 +1,9 @@
 package origin
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Knowledge is what is known of where a stream began.
 type Knowledge int
@@ -36,6 +39,9 @@
 	// Several is set when the VM saw more than one software version of the service since
 	// the stream can have begun.
 	Several bool
+	// Versions are software versions that the VM saw since then, maxVersions at most: VMs
+	// that saw one each may have seen different ones. VMs of older builds send none.
+	Versions []string
 	// WatchedSince is since when the VM has watched the list of targets; zero if it has
 	// none.
 	WatchedSince time.Time
@@ -46,15 +52,32 @@
 	return !answer.WatchedSince.IsZero() && !answer.WatchedSince.After(since)
 }
 
+// maxVersions is the number of software versions that show that there are several.
+const maxVersions = 2
+
+// SetVersions sets the software versions that the VM saw. Those that are too long to be
+// sent, or that the wire cannot carry, are replaced by their digests.
+func (answer *Answer) SetVersions(versions []string) {
+	answer.Versions = nil
+	for _, version := range versions[:min(len(versions), maxVersions)] {
+		answer.Versions = append(answer.Versions, ID(version))
+	}
+}
+
 // Combine returns the answer of several VMs as one: the first origin that is known,
-// whether any saw several versions, and the longest watch.
+// whether they saw several versions, and the longest watch.
 func Combine(answers ...Answer) Answer {
 	var combined Answer
 	for _, answer := range answers {
 		if answer.Known && !combined.Known {
 			combined.Known, combined.Origin = true, answer.Origin
 		}
-		combined.Several = combined.Several || answer.Several
+		for _, version := range answer.Versions {
+			if !slices.Contains(combined.Versions, version) && len(combined.Versions) < maxVersions {
+				combined.Versions = append(combined.Versions, version)
+			}
+		}
+		combined.Several = combined.Several || answer.Several || len(combined.Versions) == maxVersions
 		if !answer.WatchedSince.IsZero() && (combined.WatchedSince.IsZero() || answer.WatchedSince.Before(combined.WatchedSince)) {
 			combined.WatchedSince = answer.WatchedSince
 		}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -136,6 +136,8 @@
 	known := Answer{Known: true, Origin: first}
 	vouches, late, none := Answer{WatchedSince: at(10)}, Answer{WatchedSince: at(11)}, Answer{}
 	several := Answer{Several: true, WatchedSince: at(5)}
+	oldList := Answer{WatchedSince: at(5), Versions: []string{"v1"}}
+	newList := Answer{WatchedSince: at(5), Versions: []string{"v1.1"}}
 	single := Origin{Service: "ledger"}
 	for _, test := range []struct {
 		name     string
@@ -150,6 +152,11 @@
 		{"nobody watched for long enough", Evidence{Own: late, OtherVMs: true, Answers: []Answer{none, late}}, Origin{}, Unknown},
 		{"this VM saw several versions", Evidence{Own: several, OtherVMs: true, Answers: []Answer{vouches}}, Origin{}, Unknown},
 		{"a holder saw several versions", Evidence{Own: vouches, OtherVMs: true, Answers: []Answer{vouches, several}}, Origin{}, Unknown},
+		// Guards against a stream that goes on at another version: a VM that was out of step
+		// has an old list of targets, and the others saw the versions after that alone.
+		{"this VM and a holder saw different versions", Evidence{Own: oldList, OtherVMs: true, Answers: []Answer{newList}}, Origin{}, Unknown},
+		{"two holders saw different versions", Evidence{Own: vouches, OtherVMs: true, Answers: []Answer{oldList, newList}}, Origin{}, Unknown},
+		{"all saw the same version", Evidence{Own: oldList, OtherVMs: true, Answers: []Answer{oldList, none}}, single, Single},
 		{"no other VM answered", Evidence{Own: vouches, OtherVMs: true}, Origin{}, Unknown},
 		{"no other VM exists", Evidence{Own: vouches}, single, Single},
 		{"no other VM exists, started lately", Evidence{Own: late}, Origin{}, Unknown},
--- a/peer/encode_origin.go
+++ b/peer/encode_origin.go
@@ -51,6 +51,7 @@
 func encodeOriginAnswer(answer origin.Answer, now time.Time) *peerpb.FindOriginReply {
 	encoded := &peerpb.FindOriginReply{
 		Known: answer.Known, Service: answer.Origin.Service, Software: answer.Origin.Software, Several: answer.Several,
+		Versions: answer.Versions,
 	}
 	if !answer.WatchedSince.IsZero() {
 		encoded.WatchedMs = milliseconds(now.Sub(answer.WatchedSince))
@@ -63,7 +64,7 @@
 func decodeOriginAnswer(encoded *peerpb.FindOriginReply, now time.Time) origin.Answer {
 	answer := origin.Answer{
 		Known: encoded.GetKnown(), Origin: origin.Origin{Service: encoded.GetService(), Software: encoded.GetSoftware()},
-		Several: encoded.GetSeveral(),
+		Several: encoded.GetSeveral(), Versions: encoded.GetVersions(),
 	}
 	if watched := encoded.GetWatchedMs(); watched > 0 {
 		answer.WatchedSince = now.Add(-time.Duration(watched) * time.Millisecond)
