Move a stream to another version only once all holders know

A request whose attempt at one version failed before its first event may go to another. VMs hold a record of where each stream begins; the later attempt counts. A holder that was cut off or stood still kept the record of the earlier attempt, and a lookup there, or one that it answered, found the stream at the former version. For the store this was closed, by waiting for the new record to be stored, but not for the VMs.

The attempt at the other version is now sent only after each VM that was told of an earlier one has confirmed the new record. If one is known not to be alive, the request stays at its version, as it does while the store is away.

--- a/gateway/origin_durable.go
+++ b/gateway/origin_durable.go
@@ -95,6 +95,7 @@
 		origins.durable.writer.put(record, now)
 		return false
 	}
+	origins.recordTold(origins.writer, record)
 	return origins.outbox.Add(origins.writer, record, now.Add(originBatchTime))
 }
 
@@ -115,13 +116,16 @@
 }
 
 // Await waits until the version of a recorded stream is in the log and, if the stream
-// moved from another version, until the store has the new record.
+// moved from another version, until all that may name the former one have the new record:
+// the VMs that were told of it, and the store.
 func (origins *origins) Await(ctx context.Context, record origin.Record, moved bool) bool {
 	durable := origins.durable
-	if durable == nil {
-		return true
+	if durable != nil {
+		durable.logs.await(ctx, record.Origin.Service, record.Origin.Software)
+	}
+	if moved && !origins.confirmMove(ctx, record) {
+		return false
 	}
-	durable.logs.await(ctx, record.Origin.Service, record.Origin.Software)
 	if !moved || !durable.several(record.Origin.Service) {
 		return true
 	}
@@ -140,9 +144,12 @@
 	return stored && err == nil
 }
 
-// MayMove reports whether a VM that stores records is known, if the service's streams have
-// to be stored.
-func (origins *origins) MayMove(service string) bool {
+// MayMove reports whether the VMs that were told of the stream are alive and, if the
+// service's streams have to be stored, whether a VM that stores records is known.
+func (origins *origins) MayMove(requestID, service string) bool {
+	if !origins.reachesTold(origin.ID(requestID), time.Now()) {
+		return false
+	}
 	if !origins.durable.several(service) {
 		return true
 	}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -101,13 +101,21 @@
 	unstored     []string
 	destinations map[string]destination
 	notStored    int
+	// told are the VMs that may hold the record of a stream's earlier attempt, by request.
+	told map[string]*toldVMs
+}
+
+// toldVMs are the VMs to which records of one stream were sent.
+type toldVMs struct {
+	names []string
+	until time.Time // when the last record expires
 }
 
 func newOrigins(self string, members *membership.Table, peers originPeers, metrics *metric.Set, log *event.Log) *origins {
 	return &origins{
 		self: self, members: members, peers: peers, metrics: metrics, log: log, versions: noVersions{},
 		own: origin.NewTable(maxOwnOrigins), held: origin.NewTable(maxHeldOrigins), wake: make(chan struct{}, 1),
-		outbox: origin.NewOutbox(maxOriginBatch), several: map[string]bool{}, destinations: map[string]destination{},
+		outbox: origin.NewOutbox(maxOriginBatch), several: map[string]bool{}, destinations: map[string]destination{}, told: map[string]*toldVMs{},
 	}
 }
 
@@ -150,6 +158,7 @@
 		sooner = origins.enqueueStored(record, now)
 	}
 	for _, holder := range holders {
+		origins.recordTold(holder, record)
 		sooner = origins.outbox.Add(holder, record, now.Add(originBatchTime)) || sooner
 	}
 	origins.mu.Unlock()
@@ -208,6 +217,11 @@
 			origins.unsent = append(origins.unsent, service)
 		}
 	}
+	for requestID, told := range origins.told {
+		if !told.until.After(now) {
+			delete(origins.told, requestID)
+		}
+	}
 	origins.lastSweep = now
 	if origins.durable != nil {
 		origins.sweepDestinations(writer)
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -192,7 +192,7 @@
 }
 
 // MayMove implements Origins.
-func (fakeOrigins *fakeOrigins) MayMove(string) bool { return !fakeOrigins.down }
+func (fakeOrigins *fakeOrigins) MayMove(string, string) bool { return !fakeOrigins.down }
 
 func (fakeOrigins *fakeOrigins) Find(_ context.Context, requestID, _ string, since time.Time) (origin.Origin, origin.Knowledge) {
 	fakeOrigins.mu.Lock()
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -25,9 +25,10 @@
 	// false if that one may still be found after the loss of all VMs: then the stream
 	// must not begin there.
 	Await(ctx context.Context, record origin.Record, moved bool) bool
-	// MayMove reports whether Await can succeed now for a stream of the service that
-	// moved. The store may be unavailable.
-	MayMove(service string) bool
+	// MayMove reports whether Await can succeed now for a request's stream that moved to a
+	// target of the service. A VM that holds a record of it may be unreachable, or the
+	// store unavailable.
+	MayMove(requestID, service string) bool
 	// Find returns the origin of the stream that a request began, at the given time or
 	// later, on any VM. If it is not known, Find reports whether a single software
 	// version of the service can have begun it.
@@ -124,7 +125,7 @@
 		return true
 	}
 	moved := job.attempts > 0 && (job.unsettled || assignment.Software != job.recordedSoftware)
-	if moved && !job.relay.Origins.MayMove(assignment.Service) {
+	if moved && !job.relay.Origins.MayMove(job.originKey(), assignment.Service) {
 		return false
 	}
 	job.attempts++
