Do not use stored origins loaded before a stream was taken up

A VM that no other VM answers looks for a stream in the store. It kept the records of its last load and used them for later lookups, although the stream may have moved to another version since: it went on at the version of an earlier attempt.

Each such lookup now uses a load that began after it.

TestRecordsLoadedBeforeAMoveAreNotUsed failed before: v1 for a stream that began at v2.

--- a/gateway/origin_durable.go
+++ b/gateway/origin_durable.go
@@ -166,18 +166,15 @@
 	if durable == nil || !durable.logs.has(query.Service) {
 		return evidence
 	}
-	began, known := durable.loader.records.Get(query.RequestID, time.Now())
-	if !known {
-		loaded := durable.loader.load(ctx, time.Now())
-		if loaded == nil {
-			return evidence
-		}
-		began, known = durable.loader.records.Get(query.RequestID, time.Now())
-		if durable.gateway.started.After(query.Since) {
-			evidence.Logged = durable.logs.single(query.Service, loaded.logs, time.Now())
-		}
+	// Records of an earlier load may be of attempts before the one that began the stream.
+	loaded := durable.loader.load(ctx, time.Now())
+	if loaded == nil {
+		return evidence
+	}
+	evidence.Own.Origin, evidence.Own.Known = durable.loader.records.Get(query.RequestID, time.Now())
+	if !evidence.Own.Known && durable.gateway.started.After(query.Since) {
+		evidence.Logged = durable.logs.single(query.Service, loaded.logs, time.Now())
 	}
-	evidence.Own.Origin, evidence.Own.Known = began, known
 	return evidence
 }
 
