Decode the objects of a list or a watch one by one

A deeply nested entry, or one whose finalizers have another type, made the decoding of the whole list fail, and of each watch that had it: the VM repeated the call without end and took the store for unavailable. Numbers that are too large and ports out of range were rejected alone, as they should be. No process ended.

If an answer cannot be decoded as a whole, its objects now are, one by one. The same for the client of the product's own platform API.

--- a/objects/client.go
+++ b/objects/client.go
@@ -143,7 +143,7 @@
 	if result == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(text, result), "decode platform answer")
+	return decodeAnswer(text, result)
 }
 
 // status is the part of the API's Status object that distinguishes the causes of
@@ -201,7 +201,7 @@
 		return nil
 	}
 	var event WatchEvent
-	if err := json.Unmarshal(line, &event); err != nil {
+	if err := decodeAnswer(line, &event); err != nil {
 		return errors.Wrap(err, "decode watch event")
 	}
 	if event.Type == Error {
--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -183,3 +186,39 @@
 		t.Errorf("got %v, want a connection error", err)
 	}
 }
+
+// Guards against VMs that stop following a collection because one of its objects cannot be
+// decoded.
+func TestOddObjectLeavesTheOthers(t *testing.T) {
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	const sound = `{"metadata":{"name":"b","resourceVersion":"3"},"spec":{"value":1}}`
+	for name, odd := range map[string]string{
+		"deeply nested":        `{"metadata":{"name":"a","resourceVersion":"2"},"spec":` + deep + `}`,
+		"time of another type": `{"metadata":{"name":"a","resourceVersion":"2","creationTimestamp":7},"spec":{"value":1}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				text := `{"metadata":{"resourceVersion":"3"},"items":[` + odd + `,` + sound + `]}`
+				if request.URL.Query().Has("watch") {
+					text = `{"type":"MODIFIED","object":` + odd + "}\n" + `{"type":"MODIFIED","object":` + sound + "}\n"
+				}
+				_, _ = writer.Write([]byte(text)) // fails if the client has disconnected
+			}))
+			defer server.Close()
+			client := objects.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+			defer client.Close()
+			list, err := client.List(t.Context(), objects.Configs)
+			if err != nil || len(list.Items) != 2 || list.Items[1].Metadata.Name != "b" || list.Metadata.ResourceVersion != 3 {
+				t.Errorf("got %d objects at version %v and %v, want 2 at version 3", len(list.Items), list.Metadata.ResourceVersion, err)
+			}
+			got := ""
+			_ = client.Watch(t.Context(), objects.Configs, 1, func(event objects.WatchEvent) error { // ends with the answer
+				got += event.Object.Metadata.Name + "@" + event.Object.Metadata.ResourceVersion.String() + " "
+				return nil
+			})
+			if want := "a@2 b@3 "; got != want {
+				t.Errorf("got the events %q, want %q", got, want)
+			}
+		})
+	}
+}
