Replace a silent watch of registrations within 4.5 s

A removal that comes 3 s after the connection went silent, when the VM counts as in touch again, must take effect within 2 s.

Watches of registrations, weights and release orders now wait 3.5 s in place of 6 s, so a silent one is replaced within 4.5 s.

TestSilentWatchIsReplacedInTime failed before.

--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -32,7 +32,11 @@
 	mu      sync.Mutex // guards the fields below
 	version objects.Version
 	items   map[objects.Collection]objects.Object // one object per collection
-	changed chan struct{}
+	removed map[objects.Collection]bool           // whether that object was removed
+	// silent is a collection whose watches that began before silentUntil get no answer.
+	silent      objects.Collection
+	silentUntil time.Time
+	changed     chan struct{}
 	// Calls fail until downUntil; other calls take latency.
 	downUntil time.Time
 	latency   time.Duration
@@ -48,7 +52,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{items: map[objects.Collection]objects.Object{}, changed: make(chan struct{})}
+	return &fakeStore{items: map[objects.Collection]objects.Object{}, removed: map[objects.Collection]bool{}, changed: make(chan struct{})}
 }
 
 // put writes the collection's object.
@@ -62,6 +66,17 @@
 	fakeStore.changed = make(chan struct{})
 }
 
+// remove removes the collection's object. The watch's event carries the version of its last
+// change.
+func (fakeStore *fakeStore) remove(collection objects.Collection) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.version++
+	fakeStore.removed[collection] = true
+	close(fakeStore.changed)
+	fakeStore.changed = make(chan struct{})
+}
+
 // startCall waits for the latency of a call and returns the error of a store that is
 // down.
 func (fakeStore *fakeStore) startCall(ctx context.Context) error {
@@ -97,7 +112,7 @@
 		return objects.List{}, objects.ErrThrottled
 	}
 	list := objects.List{Metadata: objects.ListMetadata{ResourceVersion: fakeStore.version}}
-	if item, ok := fakeStore.items[collection]; ok {
+	if item, ok := fakeStore.items[collection]; ok && !fakeStore.removed[collection] {
 		list.Items = append(list.Items, item)
 	}
 	return list, nil
@@ -117,8 +132,13 @@
 		}
 		fakeStore.mu.Lock()
 		item, version, changed, historyLost := fakeStore.items[watch.Collection], fakeStore.version, fakeStore.changed, fakeStore.historyLost
+		removed, silent := fakeStore.removed[watch.Collection], fakeStore.silent == watch.Collection && startedAt.Before(fakeStore.silentUntil)
 		fakeStore.mu.Unlock()
 		switch {
+		case silent: // the connection carries no data any more
+			return nil, 0, hang(ctx, watch.Until.Add(time.Second))
+		case removed && watch.From < version:
+			return []objects.WatchEvent{{Type: objects.Deleted, Object: item}}, version, nil
 		case historyLost && watch.From < version:
 			return nil, 0, objects.ErrGone
 		case item.Metadata.ResourceVersion > watch.From:
@@ -144,6 +164,16 @@
 	fakeStore.hungFrom, fakeStore.hungUntil = time.Now(), time.Now().Add(length)
 }
 
+// silence makes the watches of a collection that are in progress, or start within a moment,
+// get no answer.
+func (fakeStore *fakeStore) silence(collection objects.Collection) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.silent, fakeStore.silentUntil = collection, time.Now().Add(time.Millisecond)
+	close(fakeStore.changed)
+	fakeStore.changed = make(chan struct{})
+}
+
 // hangs reports whether a call that started at the given time has been affected by a
 // hang of the store by now.
 func (fakeStore *fakeStore) hangs(startedAt, now time.Time) bool {
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -29,8 +29,11 @@
 	// answers again.
 	unhealthyWatchTimeout = time.Second
 	// defaultWatchTimeout is the length of the other watches. It is longer because
-	// each call to the store has a cost.
-	defaultWatchTimeout = 6 * time.Second
+	// each call to the store has a cost. With the store's margin for the answer, a watch
+	// on a connection that carries no data is given up within the 3 s after which a VM
+	// counts as in touch again and the 2 s for which a removed target may still receive
+	// requests.
+	defaultWatchTimeout = 3500 * time.Millisecond
 	// minTargetBatchDelay is how long a VM waits after registrations changed before it
 	// requests more changes, so that a weight roll, which changes every registration,
 	// does not cause one call per registration. The delay grows by
--- a/gateway/store_sync_test.go
+++ b/gateway/store_sync_test.go
@@ -72,6 +72,37 @@
 	}
 }
 
+// Guards against requests to a removed target: the watch of a VM that hears from no other VM
+// becomes silent while all its other connections work.
+func TestSilentWatchIsReplacedInTime(t *testing.T) {
+	const (
+		contactBound = 3 * time.Second // after which a VM counts as in touch again
+		drainBound   = 2 * time.Second // in which a removed target may receive requests
+	)
+	for silentAt := 10 * time.Second; silentAt <= 20*time.Second; silentAt += 250 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			store := newFakeStore()
+			store.put(objects.Configs, 1)
+			store.put(objects.Targets, 9000)
+			gateway := startVM(ctx, "vm-0", store)
+			sleep(silentAt)
+			store.silence(objects.Targets)
+			sleep(contactBound)
+			if got := len(gateway.roster.Entries()); got != 1 {
+				t.Fatalf("silent after %v: got %d targets, want 1", silentAt, got)
+			}
+			store.remove(objects.Targets)
+			sleep(drainBound)
+			synctest.Wait()
+			if got := len(gateway.roster.Entries()); got != 0 {
+				t.Errorf("silent after %v: got %d targets %v after the removal, want none", silentAt, got, drainBound)
+			}
+		})
+	}
+}
+
 // Guards against a VM that does not know since when it has known all registrations: it
 // could then not tell whether a stream may have begun at an unknown software version.
 func TestListOfTargetsIsRecordedInRoster(t *testing.T) {
