Stop using a target whose registration can no longer be read

The target is now removed as if its entry was; an engine that lives writes its entry again. TestUnreadableRegistrationNamesNoTarget failed before.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -79,7 +79,7 @@
 var (
 	TargetListed      = register(610, "target_listed", LevelInfo, "a target's registration is new or changed", "none")
 	TargetGone        = register(611, "target_gone", LevelInfo, "a target's registration was removed", "none")
-	TargetUnreadable  = register(612, "target_unreadable", LevelWarn, "a registration could not be read; no target was added for it", "find out which system wrote the object")
+	TargetUnreadable  = register(612, "target_unreadable", LevelWarn, "a registration could not be read; it names no target to use", "find out which system wrote the object")
 	TargetLost        = register(615, "target_lost", LevelWarn, "a target accepts no connections; it receives no new requests; the source is a failed attempt or a probe", "check the target; it is probed until it answers")
 	TargetReached     = register(616, "target_reached", LevelInfo, "a target accepts connections again; the source is a probe or an answer", "none")
 	ServiceLost       = register(630, "service_lost", LevelWarn, "this VM reaches no target of a service directly; it sends requests through other VMs (632) or refuses them", "if other VMs log this too, check the targets, else the network of this VM")
--- a/gateway/recovery_test.go
+++ b/gateway/recovery_test.go
@@ -190,6 +190,9 @@
 	return objects.ErrUnknown
 }
 
+// unreadable is the number of a registration that cannot be decoded.
+const unreadable = -1
+
 // fakeDecoder decodes objects whose spec is a number.
 type fakeDecoder struct{}
 
@@ -206,7 +209,11 @@
 
 // Target implements Decoder.
 func (fakeDecoder) Target(object objects.Object) (roster.Entry, error) {
-	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(specNumber(object)))
+	number := specNumber(object)
+	if number == unreadable {
+		return roster.Entry{}, io.ErrUnexpectedEOF
+	}
+	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(number))
 	return roster.Entry{ID: object.Metadata.Name, Service: "ward", Address: address}, nil
 }
 
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -301,7 +301,8 @@
 	}
 	entry, err := gateway.Decoder.Target(change.Object)
 	if err != nil {
-		gateway.Log.Emit(event.TargetUnreadable, event.F("target", id), event.Err(err))
+		gateway.Log.Emit(event.TargetUnreadable, event.F("target", id), event.F("source", source), event.Err(err))
+		gateway.roster.Remove(id, now) // another one by this name may have been readable
 		return
 	}
 	gateway.Log.Emit(event.TargetListed, event.F("target", id), event.F("service", entry.Service), event.F("software", entry.Software), event.F("draining", entry.Draining), event.F("source", source))
--- a/gateway/store_sync_test.go
+++ b/gateway/store_sync_test.go
@@ -103,6 +103,29 @@
 	}
 }
 
+// Guards against requests to a target whose registration another writer has replaced by
+// something that cannot be read: VMs that read it for the first time do not use it either.
+func TestUnreadableRegistrationNamesNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := newFakeStore()
+		store.put(objects.Configs, 1)
+		gateway := startVM(ctx, "vm-0", store)
+		for _, test := range []struct {
+			number  int64
+			targets int
+		}{{9000, 1}, {unreadable, 0}, {9001, 1}} {
+			store.put(objects.Targets, test.number)
+			sleep(2 * time.Second)
+			synctest.Wait()
+			if got := len(gateway.roster.Entries()); got != test.targets {
+				t.Errorf("registration %d: got %d targets, want %d", test.number, got, test.targets)
+			}
+		}
+	})
+}
+
 // Guards against a VM that does not know since when it has known all registrations: it
 // could then not tell whether a stream may have begun at an unknown software version.
 func TestListOfTargetsIsRecordedInRoster(t *testing.T) {
