--- a/completion/completion.go
+++ b/completion/completion.go
@@ -67,7 +67,7 @@
 // to buffer. The request retains the body. The errors state what the caller has to
 // correct.
 func Parse(body []byte, form Form, buffer []byte) (Request, error) {
-	if !gjson.ValidBytes(body) {
+	if !json.Valid(body) { // unlike gjson, it bounds the nesting
 		return Request{}, errors.New("the body is not valid JSON; send one JSON object")
 	}
 	root := gjson.ParseBytes(body)
--- a/completion/completion_test.go
+++ b/completion/completion_test.go
@@ -27,6 +27,8 @@
 		form             Form
 	}{
 		{"not JSON", `{"model"`, "not valid JSON", Chat},
+		// Guards against bodies whose check takes memory for each level.
+		{"deeply nested", strings.Repeat(`{"model":`, 20_000) + "1" + strings.Repeat("}", 20_000), "not valid JSON", Chat},
 		{"array", `[]`, "JSON object", Chat},
 		{"no model", `{"messages":[{"role":"user","content":"x"}]}`, "model", Chat},
 		{"model is a number", `{"model":1,"messages":[]}`, "model", Chat},
