Remember rejections of requests on the connections that carried them

A request that the engine had run or was running was refused as not run, or ran at a second engine.

A copy has the ID of the request that was rejected, so it is taken for an answer only if that request is sent again on the same connection. The pool avoided that for the last answer of a connection, but not for those before it.

A connection now remembers a digest of each request that it answered without success, and is not used for it again. After 64 of them it is closed.

--- a/target/idle.go
+++ b/target/idle.go
@@ -1,8 +1,12 @@
 package target
 
 import (
+	"hash/maphash"
+	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/bramleygw/bramleygw/connection"
 )
 
@@ -41,13 +45,36 @@
 	}
 }
 
+// maxRejections is the number of unsuccessful answers after which a connection is closed,
+// because it keeps a digest of each.
+const maxRejections = 64
+
+// idSeed is that of the digests of request IDs.
+var idSeed = maphash.MakeSeed()
+
+// carried reports whether the connection carried an answer to the request with the digest
+// after which it may be sent again, or its last answer was to the request.
+func (idle *idleConnection) carried(digest uint64) bool {
+	return idle.answered == digest || slices.Contains(idle.rejected, digest)
+}
+
+// record records the answer to a request. It returns false if there are too many to be
+// remembered.
+func (idle *idleConnection) record(requestID string, status int) bool {
+	idle.answered = maphash.String(idSeed, requestID)
+	if status >= fasthttp.StatusMultipleChoices {
+		idle.rejected = append(idle.rejected, idle.answered)
+	}
+	return len(idle.rejected) < maxRejections
+}
+
 // acquire returns a reusable idle connection, or a new one and why it is opened.
-func (client *Client) acquire(call Call) (*connection.Client, Cause) {
+func (client *Client) acquire(call Call) (idleConnection, Cause) {
 	switch {
 	case call.Open != nil:
-		return connection.NewOver(client.address, call.Open), CauseTunnel
+		return idleConnection{conn: connection.NewOver(client.address, call.Open)}, CauseTunnel
 	case call.NewConnection:
-		return connection.New(client.address, client.tls), CauseRequired
+		return idleConnection{conn: connection.New(client.address, client.tls)}, CauseRequired
 	}
 	cause := CauseNoIdle
 	for {
@@ -56,11 +83,11 @@
 			cause = obstacle
 		}
 		if !ok {
-			return connection.New(client.address, client.tls), cause
+			return idleConnection{conn: connection.New(client.address, client.tls)}, cause
 		}
 		cause = idle.obstacle(call, time.Now())
 		if cause == "" {
-			return idle.conn, ""
+			return idle, ""
 		}
 		idle.conn.Close()
 	}
@@ -76,6 +103,7 @@
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	var obstacle Cause
+	digest := maphash.String(idSeed, call.RequestID)
 	for i := len(client.idle) - 1; i >= 0; i-- {
 		idle := client.idle[i]
 		if idle.unidentified != (call.RequestID == "") {
@@ -87,7 +115,7 @@
 		if call.LeaveOlder && idle.since.Before(call.UsedSince) {
 			return idleConnection{}, false, CauseIdleTooLong // the others were used before
 		}
-		if call.RequestID != "" && idle.answered == call.RequestID {
+		if !idle.unidentified && idle.carried(digest) {
 			// A second copy of that answer would be taken for the answer to this call.
 			obstacle = CauseSameRequest
 			continue
@@ -118,17 +146,17 @@
 
 // release makes the connection available for reuse after a complete answer to the request
 // with the ID. It closes it instead when the client is closed or holds maxIdleConnections,
-// or when the answer to a request with an ID has none.
-func (client *Client) release(conn *connection.Client, head Head, requestID string) {
+// when the answer to a request with an ID has none, or when it cannot remember the answer.
+func (client *Client) release(idle idleConnection, head Head, requestID string) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if client.closed || len(client.idle) >= maxIdleConnections || head.RequestID != requestID {
-		conn.Close()
+	idle.since, idle.until, idle.unidentified = time.Now(), head.KeepAliveUntil, requestID == ""
+	remembers := idle.unidentified || idle.record(requestID, head.Status)
+	if client.closed || len(client.idle) >= maxIdleConnections || head.RequestID != requestID || !remembers {
+		idle.conn.Close()
 		return
 	}
-	client.idle = append(client.idle, idleConnection{
-		conn: conn, since: time.Now(), until: head.KeepAliveUntil, answered: requestID, unidentified: requestID == "",
-	})
+	client.idle = append(client.idle, idle)
 }
 
 // CloseExpired closes the idle connections that are older than the target's Keep-Alive
--- a/target/idle_test.go
+++ b/target/idle_test.go
@@ -178,3 +178,44 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice, or whose caller is told that it has not run: a
+// faulty target writes an earlier rejection of it once more when it is sent again on the
+// same connection, after answers to other requests.
+func TestEarlierRejectionAnswersNoLaterTry(t *testing.T) {
+	for _, between := range []int{0, 1, 5, 200} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusInternalServerError} {
+			t.Run(fmt.Sprint("status ", status, ", answers between ", between), func(t *testing.T) {
+				rejection := answerText("r", true, status, "", 0)
+				sent, first := 0, true // whether the answers are on the connection of the rejection
+				client := newScripted(t, func(number int, id string) string {
+					sent++
+					first = first && (number > 0 || sent == 1)
+					switch last := between + 2; {
+					case sent == 1:
+						return rejection
+					case sent == last && first:
+						return rejection + answerText(id, true, http.StatusOK, "", 0)
+					case sent%2 == 0 && sent < last:
+						return answerText(id, true, status, "", 0) // others are rejected too
+					}
+					return answerText(id, true, http.StatusOK, "", 0)
+				})
+				if head, _, err := client.call("r", unchanged); err != nil || head.Status != status {
+					t.Fatalf("got status %d and %v, want %d", head.Status, err, status)
+				}
+				for i := range between {
+					if _, _, err := client.call(fmt.Sprint("other-", i), unchanged); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if head, _, err := client.call("r", unchanged); err != nil || head.Status != http.StatusOK {
+					t.Errorf("got status %d and %v for the request sent again, want its own answer", head.Status, err)
+				}
+				if opened := client.causes[CauseNoIdle] + client.causes[CauseSameRequest]; opened > 2+between/maxRejections {
+					t.Errorf("got %d connections opened, want 2 and one for every %d rejections", opened, maxRejections)
+				}
+			})
+		}
+	}
+}
--- a/target/target.go
+++ b/target/target.go
@@ -89,15 +89,17 @@
 	closed bool
 }
 
-// idleConnection is an open connection without a request in flight.
+// idleConnection is a connection without a request in flight.
 type idleConnection struct {
 	conn  *connection.Client
 	since time.Time // its last use
 	// until is the time until which it may be reused; zero when the target did
 	// not report it.
 	until time.Time
-	// answered is the ID of the request that was answered on it last.
-	answered string
+	// answered is the request that was answered on it last, and rejected are those that it
+	// answered without success: they may be sent again. Both are digests of request IDs.
+	answered uint64
+	rejected []uint64
 	// unidentified is set if the answers on it had no ID, as the calls had none.
 	unidentified bool
 }
@@ -206,7 +208,8 @@
 
 // exchangeWithHead is like exchange and passes the decoded head to read too.
 func (client *Client) exchangeWithHead(ctx context.Context, call Call, read func(Head, *fasthttp.Response, io.Reader) error) (Head, error) {
-	conn, cause := client.acquire(call)
+	idle, cause := client.acquire(call)
+	conn := idle.conn
 	reused := conn.Used()
 	conn.OnData = call.OnData
 	stop := context.AfterFunc(ctx, conn.Abort)
@@ -236,7 +239,7 @@
 		conn.Close() // the next call may not need the way that Open took
 		return head, nil
 	}
-	client.release(conn, head, call.RequestID)
+	client.release(idle, head, call.RequestID)
 	return head, nil
 }
 
