Shorten watches only at VMs that hear from no other

A VM that hears from others is told of removals by them within a heartbeat, so its watches wait 6 s again. TestSilentWatchIsReplacedInTime plays a VM alone and passes as it stands.

--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -29,11 +29,14 @@
 	// answers again.
 	unhealthyWatchTimeout = time.Second
 	// defaultWatchTimeout is the length of the other watches. It is longer because
-	// each call to the store has a cost. With the store's margin for the answer, a watch
+	// each call to the store has a cost.
+	defaultWatchTimeout = 6 * time.Second
+	// aloneWatchTimeout is the maximum length of any watch of a VM that hears from no other
+	// VM, which would tell it of changes. With the store's margin for the answer, a watch
 	// on a connection that carries no data is given up within the 3 s after which a VM
 	// counts as in touch again and the 2 s for which a removed target may still receive
 	// requests.
-	defaultWatchTimeout = 3500 * time.Millisecond
+	aloneWatchTimeout = 3500 * time.Millisecond
 	// minTargetBatchDelay is how long a VM waits after registrations changed before it
 	// requests more changes, so that a weight roll, which changes every registration,
 	// does not cause one call per registration. The delay grows by
@@ -173,8 +176,11 @@
 	from, _ := gateway.mirror.SyncedVersion(collection)
 	now := time.Now()
 	watch := objects.Watch{Collection: collection, From: from, Until: now.Add(collectionSync.watchTimeout), AcceptsLate: gateway.acceptsLateChanges(now)}
-	if gateway.storeHealth.lastCallFailed() {
+	switch {
+	case gateway.storeHealth.lastCallFailed():
 		watch.Until = now.Add(min(collectionSync.watchTimeout, unhealthyWatchTimeout))
+	case len(gateway.members.LivePeers(now)) == 0:
+		watch.Until = now.Add(min(collectionSync.watchTimeout, aloneWatchTimeout))
 	}
 	gateway.countStoreCall("watch", collection)
 	watchCtx, removeWatch := gateway.storeHealth.addWatch(ctx)
--- a/target/target.go
+++ b/target/target.go
@@ -89,7 +89,8 @@
 	closed bool
 }
 
-// idleConnection is a connection without a request in flight.
+// idleConnection is a connection and what is known of the answers that it carried. In the
+// pool it has no request in flight.
 type idleConnection struct {
 	conn  *connection.Client
 	since time.Time // its last use
