Log where a request was when its caller left, and the source of configurations

request_refused says caller_left (waiting, before_send, at_target) for callers that are gone, and overrun_ms for requests refused after their deadline. config_applied has its source, and config_older shows a configuration that was dropped because a newer one is in force.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -27,6 +27,7 @@
 	ConfigRejected = register(202, "config_rejected", LevelError, "a configuration object could not be read; its last valid version stays in force", "correct the object named in the fields")
 	ConfigFromPeer = register(203, "config_from_peer", LevelInfo, "the configuration was copied from another VM", "none")
 	FetchFailed    = register(205, "fetch_failed", LevelInfo, "changes could not be copied from another VM that has newer ones", "none if that VM has stopped; the copy is repeated with the next heartbeat that shows newer ones")
+	ConfigOlder    = register(206, "config_older", LevelInfo, "a configuration arrived that is older than the one in force, which stays", "none")
 	KeyWithdrawn   = register(204, "key_withdrawn", LevelInfo, "a key was withdrawn; its requests are ended", "none")
 )
 
--- a/front/front.go
+++ b/front/front.go
@@ -30,6 +30,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
@@ -100,6 +101,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0), // drops messages on callers' broken connections
 		BaseContext:       func(net.Listener) context.Context { return abort },
+		ConnContext:       withConn,
 	}
 	// Requests that abort cancels still get their refusals.
 	closing, closeNow := context.WithCancel(context.Background())
@@ -118,6 +120,13 @@
 	return nil
 }
 
+// connKey is the key under which the context of a request holds the caller's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	defer server.logPanic(httpRequest)
@@ -131,6 +140,7 @@
 	}
 	if err == nil {
 		answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
+		answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 		err = server.Relay.Serve(httpRequest.Context(), request, answer)
 	}
 	if err == nil {
@@ -176,6 +186,7 @@
 type answer struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	conn       net.Conn // nil if unknown
 	draining   *atomic.Bool
 	status     int
 	stream     bool
@@ -200,6 +211,11 @@
 	return nil
 }
 
+// CallerLeft implements relay.Answer.
+func (answer *answer) CallerLeft() bool {
+	return answer.conn != nil && connection.Closed(answer.conn)
+}
+
 // Write sends the next part of a stream, or the complete body of another answer.
 func (answer *answer) Write(text []byte) error {
 	if !answer.stream {
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -244,7 +244,7 @@
 	for _, change := range changes {
 		switch change.Collection {
 		case objects.Configs:
-			gateway.applyConfig(change)
+			gateway.applyConfig(change, source)
 		case objects.Targets:
 			gateway.applyTarget(change, source, now)
 		case objects.Weights:
@@ -255,7 +255,7 @@
 	}
 }
 
-func (gateway *Gateway) applyConfig(change mirror.Change) {
+func (gateway *Gateway) applyConfig(change mirror.Change, source string) {
 	if change.Removed {
 		return // the last configuration stays in effect
 	}
@@ -265,6 +265,7 @@
 		return
 	}
 	if table := gateway.relay.Table(); table != nil && table.Version > config.Version {
+		gateway.Log.Emit(event.ConfigOlder, event.F("version", config.Version), event.F("in_force", table.Version), event.F("source", source))
 		return
 	}
 	table := routing.NewTable(config)
@@ -276,7 +277,7 @@
 	gateway.cacheStores.setAddresses(cacheStoreAddresses(table))
 	gateway.metrics.ConfigVersion.Set(config.Version)
 	gateway.metrics.ConfigApplied.Set(time.Now().UnixMilli())
-	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)))
+	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)), event.F("source", source))
 }
 
 // accountLimits returns the limits of the accounts that have one.
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/roster"
 )
 
@@ -51,6 +52,23 @@
 	return fields
 }
 
+// endFields returns the log fields that tell where a request was when its caller left, and
+// how late it is refused after its deadline.
+func (job *job) endFields(refused *refusal.Refusal) []event.Field {
+	var fields []event.Field
+	if refused.Code == refusal.CallerGone {
+		where := job.callerLeft
+		if where == "" {
+			where = leftWaiting
+		}
+		fields = append(fields, event.F("caller_left", where))
+	}
+	if overrun := time.Since(job.deadline); overrun > 0 {
+		fields = append(fields, event.F("overrun_ms", overrun.Milliseconds()))
+	}
+	return fields
+}
+
 // rateFields returns the log fields of a request that was refused because of its
 // account's rate limit.
 func (job *job) rateFields() []event.Field {
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,8 +159,12 @@
 // recordedAnswer implements Answer.
 type recordedAnswer struct {
 	text []byte
+	left atomic.Bool // whether the caller has closed its connection
 }
 
+// CallerLeft implements Answer.
+func (recordedAnswer *recordedAnswer) CallerLeft() bool { return recordedAnswer.left.Load() }
+
 func (recordedAnswer *recordedAnswer) Start(target.Head) error { return nil }
 
 func (recordedAnswer *recordedAnswer) Write(text []byte) error {
--- a/relay/job.go
+++ b/relay/job.go
@@ -65,6 +65,9 @@
 	// firstSentAt.
 	started     bool
 	firstSentAt time.Time
+	// callerLeft is where the request was when its caller left, for the log; empty while
+	// that is not known.
+	callerLeft string
 	// progress is that of the current attempt.
 	progress *eventProgress
 	// writing is set while a part of the answer is written to the caller.
@@ -336,12 +339,16 @@
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
+	job.recordDeparture(ctx, leftBeforeSend)
 	job.beginSample(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
 	job.tried = append(job.tried, assignment.ID)
 	now := time.Now()
 	outcome := outcomeOf(result)
+	if outcome != delivery.Answered {
+		job.recordDeparture(ctx, leftAtTarget)
+	}
 	defer func() { job.endSample(ctx, outcome, result) }()
 	job.recordSilence(assignment, result, outcome, now)
 	job.relay.Metrics.ByTarget.Count(assignment.ID, outcome.String())
@@ -372,6 +379,20 @@
 	return outcome, nil
 }
 
+// Where a request was when its caller left, as named in the log.
+const (
+	leftBeforeSend = "before_send" // about to be sent to a target
+	leftAtTarget   = "at_target"
+	leftWaiting    = "waiting" // not at a target
+)
+
+// recordDeparture records where the request was when its caller left, if it has.
+func (job *job) recordDeparture(ctx context.Context, where string) {
+	if job.callerLeft == "" && (errors.Is(ctx.Err(), context.Canceled) || job.answer.CallerLeft()) {
+		job.callerLeft = where
+	}
+}
+
 // outcomeOf maps the result of an attempt to an outcome.
 func outcomeOf(result error) delivery.Outcome {
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -299,6 +299,7 @@
 	}
 	if job != nil {
 		fields = append(fields, job.fields()...)
+		fields = append(fields, job.endFields(refused)...)
 	}
 	relay.Log.Emit(event.RequestRefused, fields...)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -116,6 +116,9 @@
 // Answer receives the answer to a request. Errors mean that the caller
 // disconnected.
 type Answer interface {
+	// CallerLeft reports whether the caller has closed its connection. The context of
+	// the request may end only later.
+	CallerLeft() bool
 	// Start sends the head. It is called once, before Write.
 	Start(head target.Head) error
 	// Write sends a complete body, or one event of a stream.
