Send nothing to targets for callers that have left (GONE)

Seen by callers' targets: a request whose caller had left before the VM read it, or while it waited, still ran.

Cause: the only sign of a departure that was looked at is the request's context, which net/http ends from the goroutine of its background read. If a VM reads late, the request and the end of its connection are there together, and the handler sends the request before that goroutine has run. Beside it, nothing looked at the context between the choice of a target and the write; context.AfterFunc races with the write.

relay now looks at the caller's connection and the context before a request is admitted and last before each attempt, and target sends nothing once its context has ended, which covers calls that do not come from relay.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -166,7 +166,7 @@
 	case outcome == Answered:
 		return true, nil
 	case outcome == CallerGone:
-		return true, delivery.refuse(callerGoneRefusal())
+		return true, delivery.refuse(CallerGoneRefusal())
 	case ctx.Err() != nil:
 		return true, delivery.refuse(ContextRefusal(ctx))
 	case delivery.mayRetry(outcome):
@@ -245,10 +245,11 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal.New(refusal.DeadlineExceeded, "the request took longer than it may; allow more time or shorten it")
 	}
-	return callerGoneRefusal()
+	return CallerGoneRefusal()
 }
 
-func callerGoneRefusal() *refusal.Refusal {
+// CallerGoneRefusal returns the refusal of a request whose caller has left.
+func CallerGoneRefusal() *refusal.Refusal {
 	return refusal.New(refusal.CallerGone, "the caller went away")
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +49,60 @@
 		t.Errorf("got log %q, want the panic", got)
 	}
 }
+
+// countingRelay counts the requests that it is to forward to targets.
+type countingRelay struct{ served atomic.Int32 }
+
+func (countingRelay *countingRelay) Serve(_ context.Context, _ *relay.Request, answer relay.Answer) error {
+	if !answer.CallerLeft() {
+		countingRelay.served.Add(1)
+	}
+	return refusal.New(refusal.CallerGone, "the caller went away")
+}
+
+// Guards against GONE: a VM that reads late finds a request and the end of its connection
+// together, and nothing but the answer tells that the caller has left.
+func TestAnswerTellsThatTheCallerHasLeft(t *testing.T) {
+	const callers = 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte("GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+	decoded := make(chan struct{}, callers)
+	served := &countingRelay{}
+	server := &Server{Listener: listener, Dialect: reportingDialect{decoded: decoded}, Relay: served, Log: event.New(io.Discard, "vm", event.LevelInfo)}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx, t.Context()) }()
+	for range callers {
+		<-decoded
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if got := served.served.Load(); got != 0 {
+		t.Errorf("got %d of %d requests whose callers seemed present, want none", got, callers)
+	}
+}
+
+// reportingDialect reports each request that it decodes.
+type reportingDialect struct {
+	plainDialect
+	decoded chan<- struct{}
+}
+
+func (reportingDialect reportingDialect) Decode(*http.Request, time.Time) (*relay.Request, error) {
+	reportingDialect.decoded <- struct{}{}
+	return &relay.Request{}, nil
+}
--- a/relay/availability_test.go
+++ b/relay/availability_test.go
@@ -42,7 +42,8 @@
 
 func waitingJob(relay *Relay, deadline int, maxWait time.Duration) *job {
 	return &job{
-		relay: relay, request: &Request{Arrived: start}, deadline: afterMs(deadline),
+		answer: &recordedAnswer{},
+		relay:  relay, request: &Request{Arrived: start}, deadline: afterMs(deadline),
 		route: &routing.Route{MaxWait: settings.Span(maxWait)}, service: &routing.Service{Name: "app"},
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -182,7 +182,10 @@
 	defer job.releaseNext()
 	defer job.releaseReservation()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
-	err := job.checkAdmission(time.Now())
+	err := job.checkCaller(ctx)
+	if err == nil {
+		err = job.checkAdmission(time.Now())
+	}
 	if err == nil {
 		err = job.checkRoom(time.Now())
 	}
@@ -214,7 +217,7 @@
 }
 
 // ChooseTarget implements delivery.Sender. Whatever the request waited for, it is not
-// sent if a part of its prompt was blocked in the meantime.
+// sent if a part of its prompt was blocked or its caller left in the meantime.
 func (job *job) ChooseTarget(ctx context.Context) (bool, error) {
 	ok, err := job.chooseOrigin(ctx)
 	if !ok || err != nil {
@@ -222,7 +225,8 @@
 	}
 	blocked := job.checkParts(time.Now())
 	if blocked == nil {
-		return true, nil
+		// Last, since the caller may have left while the request waited.
+		return job.checkCallerBeforeSend(ctx)
 	}
 	job.attempt.assignment.Withdraw()
 	if job.delivery.Runs() > 0 {
@@ -237,7 +241,7 @@
 // weights, to report its weights or to become reachable again. A stream that has begun
 // is held for longer, because only targets of its software version may take it.
 func (job *job) chooseTarget(ctx context.Context) (bool, error) {
-	if job.service == nil || job.abandoned(ctx) {
+	if job.service == nil {
 		return false, nil
 	}
 	if job.takeNext(time.Now()) {
@@ -339,7 +343,6 @@
 // Send implements delivery.Sender.
 func (job *job) Send(ctx context.Context) (delivery.Outcome, error) {
 	assignment := &job.attempt.assignment
-	job.recordDeparture(ctx, leftBeforeSend)
 	job.beginSample(assignment)
 	result := job.send(ctx, assignment)
 	assignment.End()
@@ -379,20 +382,6 @@
 	return outcome, nil
 }
 
-// Where a request was when its caller left, as named in the log.
-const (
-	leftBeforeSend = "before_send" // about to be sent to a target
-	leftAtTarget   = "at_target"
-	leftWaiting    = "waiting" // not at a target
-)
-
-// recordDeparture records where the request was when its caller left, if it has.
-func (job *job) recordDeparture(ctx context.Context, where string) {
-	if job.callerLeft == "" && (errors.Is(ctx.Err(), context.Canceled) || job.answer.CallerLeft()) {
-		job.callerLeft = where
-	}
-}
-
 // outcomeOf maps the result of an attempt to an outcome.
 func outcomeOf(result error) delivery.Outcome {
 	switch {
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/bramleygw/bramleygw/admission"
@@ -87,16 +86,6 @@
 	job.controller.TurnAway(job.demand(), now)
 }
 
-// abandoned reports whether the caller has left, or its time is over, before a target was
-// chosen.
-func (job *job) abandoned(ctx context.Context) bool {
-	if job.controller == nil || ctx.Err() == nil {
-		return false
-	}
-	job.relay.Metrics.Abandoned.Add(1)
-	return true
-}
-
 // late reports whether, under overload, the assigned target would answer the request too
 // late: its work is left to requests that can be answered in time.
 func (job *job) late(assignment *roster.Assignment, now time.Time) bool {
--- a/relay/replaced_test.go
+++ b/relay/replaced_test.go
@@ -38,7 +38,8 @@
 // promptJob returns a job whose prompt has the number of tokens, none of them shared.
 func promptJob(relay *Relay, tokens int) *job {
 	return &job{
-		relay: relay, route: &routing.Route{Name: "sum"}, service: &routing.Service{Name: "notes", Models: []string{"m"}},
+		answer: &recordedAnswer{},
+		relay:  relay, route: &routing.Route{Name: "sum"}, service: &routing.Service{Name: "notes", Models: []string{"m"}},
 		request: &Request{Prompt: &Prompt{Model: "m", Input: tokens, Parts: []Part{{ID: "p", Tokens: tokens}}}},
 	}
 }
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -40,6 +40,7 @@
 		relay.Roster.Put(entry(id, uint16(i+1)), time.Now())
 	}
 	job := &job{
+		answer:   &recordedAnswer{},
 		progress: &eventProgress{}, relay: relay, request: &Request{ID: "r"}, service: &routing.Service{Name: "notes"}, digest: "d",
 		route: &routing.Route{Kind: routing.ResumableStream, Attempts: 3},
 	}
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -22,7 +22,8 @@
 	targets := roster.New("a")
 	targets.Put(roster.Entry{ID: "new", Service: "notes", Software: "v1.1"}, now)
 	job := &job{
-		relay: &Relay{Roster: targets}, request: &Request{}, route: &routing.Route{}, service: &routing.Service{Name: "notes"},
+		answer: &recordedAnswer{},
+		relay:  &Relay{Roster: targets}, request: &Request{}, route: &routing.Route{}, service: &routing.Service{Name: "notes"},
 	}
 	next, ok := targets.Choose(job.criteria(now), now)
 	if !ok {
--- a/target/target.go
+++ b/target/target.go
@@ -209,6 +209,9 @@
 
 // exchangeWithHead is like exchange and passes the decoded head to read too.
 func (client *Client) exchangeWithHead(ctx context.Context, call Call, read func(Head, *fasthttp.Response, io.Reader) error) (Head, error) {
+	if ctx.Err() != nil { // AfterFunc would abort only after the request was sent
+		return Head{}, classify(ctx, nil, false, true)
+	}
 	idle, cause := client.acquire(call)
 	conn := idle.conn
 	reused := conn.Used()
