--- a/front/front.go
+++ b/front/front.go
@@ -30,7 +30,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleygw/bramleygw/buffer"
 	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
@@ -76,6 +78,8 @@
 	Dialect  Dialect
 	Relay    Relay
 	Log      *event.Log
+	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
+	Buffers *buffer.Budget
 
 	draining atomic.Bool
 }
@@ -135,8 +139,10 @@
 	}
 	now := time.Now()
 	request, err := server.Dialect.Decode(httpRequest, now)
+	share := server.Buffers.Share()
+	defer share.Close()
 	if err == nil {
-		request.Body, err = readBody(writer, httpRequest)
+		request.Body, err = readBody(httpRequest, share)
 	}
 	if err == nil {
 		answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
@@ -167,21 +173,26 @@
 }
 
 // readBody reads the complete body. The error is a refusal.
-func readBody(writer http.ResponseWriter, httpRequest *http.Request) ([]byte, error) {
+func readBody(httpRequest *http.Request, share *buffer.Share) ([]byte, error) {
 	if httpRequest.ContentLength > maxBodyBytes {
-		return nil, refusal.New(refusal.TooLarge, "the body is too large; shorten it")
+		return nil, tooLarge()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, httpRequest.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := share.ReadAll(httpRequest.Body, maxBodyBytes)
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, refusal.New(refusal.TooLarge, "the body is too large; shorten it")
+	case errors.Is(err, buffer.ErrTooLong):
+		return nil, tooLarge()
+	case errors.Is(err, buffer.ErrFull):
+		return nil, refusal.New(refusal.Overloaded, "this VM has no memory left for the body; retry after the time in Retry-After").WithRetryAt(time.Now().Add(delivery.RetryAfter))
 	case err != nil:
 		return nil, refusal.New(refusal.CallerGone, "the body broke off")
 	}
 	return body, nil
 }
 
+func tooLarge() error {
+	return refusal.New(refusal.TooLarge, "the body is too large; shorten it")
+}
+
 // answer writes the answer to one request. It implements relay.Answer.
 type answer struct {
 	writer     http.ResponseWriter
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bramleygw/bramleygw/admission"
+	"github.com/bramleygw/bramleygw/buffer"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/lease"
@@ -137,6 +138,12 @@
 	// memoryLimitShare is the share of the VM's memory that the Go runtime may use.
 	// The rest covers memory that the system counts in addition to the runtime's.
 	memoryLimitShare = 0.6
+	// bufferShare is the share of the VM's memory for answers and bodies that are held
+	// until they are passed on. Buffers that grow hold up to twice as much for a moment,
+	// and as much is garbage before it is collected. defaultBuffers is the size without a
+	// limit on memory.
+	bufferShare    = 0.1
+	defaultBuffers = 64 << 20 // bytes
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection. It
 	// is low because memory is scarcer than processor time.
 	gcPercent = 60
@@ -203,11 +210,21 @@
 		Stores: gateway.cacheStores, Quarantine: gateway.suspects, Parts: gateway.parts, DeathReporter: gateway, Clients: gateway.clients,
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
+	gateway.relay.Buffers = gateway.newBuffers()
+	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
 	gateway.buildReleases()
 }
 
+// newBuffers returns the budget of the memory for answers and bodies.
+func (gateway *Gateway) newBuffers() *buffer.Budget {
+	if gateway.Settings.MemoryBytes <= 0 {
+		return buffer.NewBudget(defaultBuffers)
+	}
+	return buffer.NewBudget(int64(float64(gateway.Settings.MemoryBytes) * bufferShare))
+}
+
 // openListeners opens the listeners. Port 0 selects a free port; the settings then
 // hold the addresses in use.
 func (gateway *Gateway) openListeners() error {
@@ -388,8 +405,8 @@
 	return nil
 }
 
-// updateTargetMetrics sets the numbers of targets by state and returns the IDs of all
-// listed targets.
+// updateTargetMetrics sets the numbers of targets by state and the use of the buffers, and
+// returns the IDs of all listed targets.
 func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) map[string]bool {
 	listed := map[string]bool{}
 	for _, entry := range entries {
@@ -404,6 +421,9 @@
 		}
 		gauge.Set(number)
 	}
+	buffers := gateway.relay.Buffers.Usage()
+	gateway.metrics.BufferedBytes.Set(buffers.Bytes)
+	gateway.metrics.BuffersDenied.Set(buffers.Denied)
 	count(&gateway.metrics.Unreachable, func(entry roster.Entry) bool { return entry.Unreachable })
 	count(&gateway.metrics.Ejected, func(entry roster.Entry) bool { return entry.Ejected })
 	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -71,6 +71,8 @@
 	OriginsStored    expvar.Int
 	OriginsNotStored expvar.Int
 	OriginsReloaded  expvar.Int
+	BufferedBytes    expvar.Int // bytes of answers and bodies that are held, beyond the first of each
+	BuffersDenied    expvar.Int // answers and bodies given up because memory for them ran out
 	Tunneled         expvar.Int // targets that are reached through other VMs
 	TunnelsOpened    expvar.Int
 	TunnelsCarried   expvar.Int
@@ -150,6 +152,7 @@
 		{"parts_blocked", &set.BlockedParts},
 		{"connections_opened", set.Connections},
 		{"requests_over_room", &set.OverRoom}, {"requests_too_late", &set.TooLate}, {"requests_abandoned", &set.Abandoned},
+		{"buffered_bytes", &set.BufferedBytes}, {"buffers_denied", &set.BuffersDenied},
 		{"targets_preferred", &set.Preferred},
 		{"requests_outside_subset", &set.OutsideSubset},
 		{"prefixes_hot", &set.HotPrefixes},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -42,7 +42,11 @@
 	defer cancel(nil)
 	job.progress = &eventProgress{}
 	silenceMonitor := job.monitorSilence(assignment, cancel)
-	head, body, err := job.relay.client(assignment).Forward(ctx, job.call(assignment), job)
+	share := job.relay.Buffers.Share()
+	defer func() { share.Close() }()
+	call := job.call(assignment)
+	call.Share = share
+	head, body, err := job.relay.client(assignment).Forward(ctx, call, job)
 	job.next = silenceMonitor.stop()
 	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errTimeout) {
 		return cause
@@ -61,6 +65,7 @@
 	}
 	if head.Status >= minServerErrorStatus && job.route.Kind.Repeatable() {
 		job.failedHead, job.failedBody = &head, body
+		share, job.failedShare = job.failedShare, share // that of an earlier one is closed
 		return errFailedAnswer
 	}
 	return job.deliver(head, body)
--- a/relay/job.go
+++ b/relay/job.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/admission"
+	"github.com/bramleygw/bramleygw/buffer"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
@@ -90,9 +91,10 @@
 	// unsettled is set while the store may have any of several versions for the stream.
 	unsettled bool
 	// failedHead and failedBody are the last complete answer that reported a
-	// failure.
-	failedHead *target.Head
-	failedBody []byte
+	// failure, failedShare the memory that it holds.
+	failedHead  *target.Head
+	failedBody  []byte
+	failedShare *buffer.Share
 	// next is the target that is reserved for the next attempt; nil if there is none.
 	next *nextTarget
 	// left holds the targets that were left because they were silent. They may be
@@ -181,6 +183,7 @@
 	defer cancel()
 	defer job.releaseNext()
 	defer job.releaseReservation()
+	defer func() { job.failedShare.Close() }()
 	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
 	err := job.checkCaller(ctx)
 	if err == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/admission"
+	"github.com/bramleygw/bramleygw/buffer"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/metric"
@@ -102,6 +103,8 @@
 	Metrics       *metric.Set
 	Log           *event.Log
 
+	// Buffers is the memory in which answers are held; it may be nil, and is unbounded then.
+	Buffers *buffer.Budget
 	// Releases may be nil: then no software versions are compared.
 	Releases Releases
 	// Tunnels may be nil if the Roster is told of no tunnels.
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bramleygw/bramleygw/buffer"
 )
 
 // Field is one HTTP header field.
@@ -94,6 +96,13 @@
 	// OnData, if set, is called after each read that returned data of the answer.
 	OnData func()
 
+	// Share is the part of the VM's memory for texts that the answer takes. If it is nil,
+	// the answer is bounded by its length alone.
+	Share *buffer.Share
+	// MaxAnswer is the longest answer, in bytes, that is not streamed; 0 for the default
+	// of 8 MB.
+	MaxAnswer int
+
 	// Host is the caller's Host header, and Fields its other header fields.
 	Host   string
 	Fields []Field
--- a/target/flood_test.go
+++ b/target/flood_test.go
@@ -159,7 +159,7 @@
 func TestEventEndsThatArriveInParts(t *testing.T) {
 	want := []string{"data: a\n\n", "data: b\r\n\r\n", "data: c\r\r", "\n\n", "data: d\r\n\r\n"}
 	collector := &eventCollector{}
-	if err := forwardEvents(&partsReader{strings.Join(want, "")}, collector); err != nil {
+	if err := forwardEvents(&partsReader{strings.Join(want, "")}, collector, nil); err != nil {
 		t.Fatal(err)
 	}
 	if got := collector.events; !slices.Equal(got, want) {
--- a/target/forward.go
+++ b/target/forward.go
@@ -9,11 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-)
 
-// ErrTooLong marks an answer or an event that exceeds the size that this VM
-// buffers.
-var ErrTooLong = errors.New("the target's answer is too long")
+	"github.com/bramleygw/bramleygw/buffer"
+)
 
 // Receiver receives the head of an answer and the events of a streamed one.
 type Receiver interface {
@@ -45,9 +43,9 @@
 			body = bytes.NewReader(response.Body()) // a short stream with a Content-Length
 		}
 		if head.Stream {
-			return endedBy(response, forwardEvents(body, receiver))
+			return endedBy(response, forwardEvents(body, receiver, call.Share))
 		}
-		text, err := readBuffered(response, body)
+		text, err := readBuffered(response, body, call)
 		answer = text
 		return err
 	})
@@ -67,25 +65,27 @@
 	return err
 }
 
-func readBuffered(response *fasthttp.Response, body io.Reader) ([]byte, error) {
+// readBuffered reads the body of an answer that is not streamed.
+func readBuffered(response *fasthttp.Response, body io.Reader, call Call) ([]byte, error) {
 	if body == nil {
 		return append([]byte(nil), response.Body()...), nil
 	}
-	text, err := io.ReadAll(io.LimitReader(body, maxBufferedAnswer+1))
-	if err == nil && len(text) > maxBufferedAnswer {
-		err = ErrTooLong
+	longest := maxBufferedAnswer
+	if call.MaxAnswer > 0 {
+		longest = call.MaxAnswer
 	}
-	return text, err
+	return call.Share.ReadAll(body, longest)
 }
 
-// forwardEvents splits a stream into events and passes each to the receiver.
-func forwardEvents(body io.Reader, receiver Receiver) error {
+// forwardEvents splits a stream into events and passes each to the receiver. The share is
+// that of the incomplete event.
+func forwardEvents(body io.Reader, receiver Receiver, share *buffer.Share) error {
 	var pending []byte
 	searched := 0 // number of pending bytes that hold no end of an event
-	buffer := make([]byte, readSize)
+	part := make([]byte, readSize)
 	for {
-		count, err := body.Read(buffer)
-		pending = append(pending, buffer[:count]...)
+		count, err := body.Read(part)
+		pending = append(pending, part[:count]...)
 		for end := eventEnd(pending, searched); end > 0; end = eventEnd(pending, searched) {
 			if handleErr := receiver.Event(pending[:end]); handleErr != nil {
 				return handleErr
@@ -101,7 +101,9 @@
 		case err != nil:
 			return err
 		case len(pending) > maxEvent:
-			return ErrTooLong
+			return buffer.ErrTooLong
+		case !share.Resize(cap(pending)):
+			return buffer.ErrFull
 		}
 	}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -151,7 +151,7 @@
 func (client *Client) Do(ctx context.Context, call Call, buffer []byte) (Head, []byte, error) {
 	var body []byte
 	head, err := client.exchange(ctx, call, func(response *fasthttp.Response, reader io.Reader) error {
-		text, err := readBuffered(response, reader)
+		text, err := readBuffered(response, reader, call)
 		if err == nil {
 			body = append(buffer[:0], text...)
 		}
