--- a/front/front.go
+++ b/front/front.go
@@ -144,16 +144,16 @@
 	if err == nil {
 		request.Body, err = readBody(httpRequest, share)
 	}
+	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
+	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 	if err == nil {
-		answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
-		answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 		err = server.Relay.Serve(httpRequest.Context(), request, answer)
 	}
 	if err == nil {
 		return
 	}
 	refused := refusal.From(err)
-	if refused.Code == refusal.StreamInterrupted || refused.Code == refusal.CallerGone {
+	if answer.headSent || refused.Code == refusal.StreamInterrupted || refused.Code == refusal.CallerGone {
 		panic(http.ErrAbortHandler) // closes the connection
 	}
 	server.Dialect.Refuse(writer, httpRequest, refused, time.Now())
@@ -201,6 +201,7 @@
 	draining   *atomic.Bool
 	status     int
 	stream     bool
+	headSent   bool // nothing but the rest of the answer may follow
 }
 
 // Start sets the head, and sends it at once if the answer is a stream.
@@ -217,6 +218,7 @@
 	}
 	answer.status, answer.stream = head.Status, head.Stream
 	if answer.stream {
+		answer.headSent = true
 		answer.writer.WriteHeader(answer.status)
 	}
 	return nil
@@ -230,6 +232,7 @@
 // Write sends the next part of a stream, or the complete body of another answer.
 func (answer *answer) Write(text []byte) error {
 	if !answer.stream {
+		answer.headSent = true
 		answer.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		answer.writer.WriteHeader(answer.status)
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -15,6 +15,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/target"
 )
 
 // panickingRelay is a relay with a programming error.
@@ -106,3 +107,40 @@
 	reportingDialect.decoded <- struct{}{}
 	return &relay.Request{}, nil
 }
+
+// breakingRelay begins a stream and then refuses the request.
+type breakingRelay struct{ code refusal.Code }
+
+func (breakingRelay breakingRelay) Serve(_ context.Context, _ *relay.Request, answer relay.Answer) error {
+	if err := answer.Start(target.Head{Status: http.StatusOK, Stream: true}); err != nil {
+		return err
+	}
+	if err := answer.Write([]byte("data: a\n\n")); err != nil {
+		return err
+	}
+	return refusal.New(breakingRelay.code, "refused")
+}
+
+// refusingDialect writes refusals as its answers.
+type refusingDialect struct{ plainDialect }
+
+func (refusingDialect) Refuse(writer http.ResponseWriter, _ *http.Request, refused *refusal.Refusal, _ time.Time) {
+	_, _ = writer.Write(refused.JSON()) // the caller reads it
+}
+
+// Guards against MIXED: a refusal is written into a stream that has begun.
+func TestRefusalDoesNotFollowAStream(t *testing.T) {
+	for _, code := range []refusal.Code{refusal.StreamInterrupted, refusal.Quarantined, refusal.KeyWithdrawn, refusal.NotReady, refusal.DeadlineExceeded, refusal.TargetFailed} {
+		site := httptest.NewServer(&Server{Dialect: refusingDialect{}, Relay: breakingRelay{code}, Log: event.New(io.Discard, "vm", event.LevelInfo)})
+		response, err := http.Get(site.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close() // it was read
+		if want := "data: a\n\n"; string(body) != want || err == nil {
+			t.Errorf("%s: got %q, complete %t, want %q broken off", code, body, err == nil, want)
+		}
+		site.Close()
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,6 +41,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	job.progress = &eventProgress{}
+	job.attempt.mustContinue = job.lastEventID != ""
 	silenceMonitor := job.monitorSilence(assignment, cancel)
 	share := job.relay.Buffers.Share()
 	defer func() { share.Close() }()
@@ -161,6 +162,9 @@
 func (job *job) Head(head target.Head) error {
 	now := time.Now()
 	job.attempt.head = head
+	if head.NotRun && head.Stream {
+		return errNotRun // whatever its events are
+	}
 	job.progress.recordComplete()
 	if !head.NotRun {
 		job.recordPlace(now)
@@ -187,6 +191,10 @@
 	job.recordEvent(now)
 	job.attempt.sample.First(now)
 	id := eventID(text)
+	if job.attempt.mustContinue && id == "" && !isComment(text) {
+		return errNotAStream // such as an error in the form of an event
+	}
+	job.attempt.mustContinue = job.attempt.mustContinue && id == ""
 	if id != "" && job.lastEventID != "" && !isAfter(id, job.lastEventID) {
 		return errOutOfOrder
 	}
@@ -210,6 +218,7 @@
 	if id != "" {
 		job.lastEventID = id
 	}
+	job.unnumbered.Store(job.lastEventID == "")
 	job.softwareDeadline = time.Time{}
 	return nil
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -21,6 +21,16 @@
 	return ""
 }
 
+// isComment reports whether an event consists of comments alone.
+func isComment(text []byte) bool {
+	for line := range bytes.FieldsFuncSeq(text, func(char rune) bool { return char == '\r' || char == '\n' }) {
+		if !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+	}
+	return true
+}
+
 // isAfter reports whether an event's ID is greater than the previous one. IDs that
 // are not numbers are not compared and count as in order.
 func isAfter(id, previous string) bool {
--- a/relay/job.go
+++ b/relay/job.go
@@ -75,6 +75,9 @@
 	writing atomic.Bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
+	// unnumbered is set while the caller has a part of a stream whose events have no IDs:
+	// no target can tell where it broke off. The silence monitor reads it too.
+	unnumbered atomic.Bool
 	// software is the version that began the stream, nil until it is known: the stream
 	// goes on only there. The silence monitor reads it too. softwareDeadline is the time
 	// until which the stream waits for a target of that version, zero until it waits.
@@ -134,6 +137,9 @@
 	assignment roster.Assignment
 	head       target.Head
 	events     bool // at least one event was received
+	// mustContinue is set until the target has sent an event with an ID, if it was asked
+	// to continue a stream: what comes before is not part of the stream.
+	mustContinue bool
 	// runningAt is when the parts of the prompt count as answered while the stream goes
 	// on; zero before the first event, and once they do.
 	runningAt time.Time
@@ -244,7 +250,7 @@
 // weights, to report its weights or to become reachable again. A stream that has begun
 // is held for longer, because only targets of its software version may take it.
 func (job *job) chooseTarget(ctx context.Context) (bool, error) {
-	if job.service == nil {
+	if job.service == nil || job.unnumbered.Load() {
 		return false, nil
 	}
 	if job.takeNext(time.Now()) {
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -15,6 +15,8 @@
 const (
 	deniedByQuarantine = "quarantine"
 	deniedByBudget     = "budget"
+	// deniedByStream denies an attempt that could not continue the stream.
+	deniedByStream = "stream_without_ids"
 	// deniedByDeadline denies an attempt that would not be answered in time.
 	deniedByDeadline = "deadline"
 )
@@ -68,6 +70,9 @@
 // to the current one. If that is not possible it returns nil and the reason. It is
 // called while the attempt at the current target runs.
 func (job *job) reserveNext(current *roster.Assignment, now time.Time) (*nextTarget, string) {
+	if job.unnumbered.Load() {
+		return nil, deniedByStream
+	}
 	criteria := job.criteria(now)
 	criteria.Tried = append(append([]string(nil), job.tried...), current.ID)
 	next, ok := job.relay.Roster.Choose(criteria, now)
