Refuse requests that arrive late in the grace of a planned stop (LOST)

Reported by another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end.

It can happen here for a request whose head arrived before the listener closed, 2.6 s after the signal, and whose body arrived later: it was passed on, ran and was cut. Other late requests, on connections that were opened before, were not passed on, but their connections were closed without an answer, so that callers could not know that they had not run.

Once the listener is closed, requests are refused as not run, with a Retry-After of now and as the last answer on their connection. Connections on which nothing was sent yet stay open for a second for that; net/http's Shutdown, which drops requests silently, begins after it.

--- a/front/front.go
+++ b/front/front.go
@@ -36,6 +36,7 @@
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/target"
 )
 
@@ -55,6 +56,11 @@
 	// refusalTime is the time for writing refusals to requests that are cancelled when
 	// the process ends.
 	refusalTime = 150 * time.Millisecond
+	// lateRequestTime is how long after the listener was closed callers that have opened a
+	// connection but sent nothing may still send a request, and get a refusal. Callers
+	// send at once when they have connected.
+	lateRequestTime  = time.Second
+	stopPollInterval = 20 * time.Millisecond
 )
 
 // Dialect decodes the heads of requests and writes refusals.
@@ -81,7 +87,9 @@
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
 	Buffers *buffer.Budget
 
-	draining atomic.Bool
+	draining    atomic.Bool
+	closed      atomic.Bool // whether new requests are refused
+	connections atomic.Int64
 }
 
 // Drain makes the server close each connection after its current or next answer.
@@ -94,9 +102,10 @@
 	return server.draining.Load()
 }
 
-// Run serves until ctx ends, then waits for the requests in flight to complete.
-// If abort ends, these are cancelled too, and refused with its cause if that is a
-// refusal.
+// Run serves until ctx ends, then waits for the requests in flight to complete. Requests
+// that arrive later, on connections that were opened before, are refused: nobody knows
+// whether they would be answered in time. If abort ends, the requests in flight are
+// cancelled too, and refused with its cause if that is a refusal.
 func (server *Server) Run(ctx, abort context.Context) error {
 	http := &http.Server{
 		Handler:           server,
@@ -106,6 +115,7 @@
 		ErrorLog:          log.New(io.Discard, "", 0), // drops messages on callers' broken connections
 		BaseContext:       func(net.Listener) context.Context { return abort },
 		ConnContext:       withConn,
+		ConnState:         server.countConnections,
 	}
 	// Requests that abort cancels still get their refusals.
 	closing, closeNow := context.WithCancel(context.Background())
@@ -113,7 +123,7 @@
 	stopAbort := context.AfterFunc(abort, func() { time.AfterFunc(refusalTime, closeNow) })
 	defer stopAbort()
 	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { stopped <- http.Shutdown(closing) })
+	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http) })
 	err := http.Serve(server.Listener)
 	if stop() {
 		return errors.Wrap(err, "serve callers")
@@ -124,6 +134,33 @@
 	return nil
 }
 
+// stop closes the listener and the idle connections, and waits until no connection is left
+// or the context ends. Shutdown would at once drop requests that it has not read yet, so
+// that their callers would not know whether they ran.
+func (server *Server) stop(ctx context.Context, http *http.Server) error {
+	server.closed.Store(true)
+	_ = server.Listener.Close() // Shutdown reports errors
+	http.SetKeepAlivesEnabled(false)
+	for until := time.Now().Add(lateRequestTime); server.connections.Load() > 0 && time.Now().Before(until); {
+		if !retry.Wait(ctx, time.Now().Add(stopPollInterval)) {
+			break
+		}
+	}
+	if err := http.Shutdown(ctx); !errors.Is(err, net.ErrClosed) { // the listener's
+		return err
+	}
+	return nil
+}
+
+func (server *Server) countConnections(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		server.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		server.connections.Add(-1)
+	}
+}
+
 // connKey is the key under which the context of a request holds the caller's connection.
 type connKey struct{}
 
@@ -144,6 +181,10 @@
 	if err == nil {
 		request.Body, err = readBody(httpRequest, share)
 	}
+	if err == nil && server.closed.Load() {
+		writer.Header().Set("Connection", "close")
+		err = refusal.New(refusal.NotReady, "this VM stops; retry elsewhere").WithRetryAt(now)
+	}
 	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
 	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 	if err == nil {
