End work for callers that leave behind further bytes (GONE)

Seen by targets: a request went on until its deadline, 20 s in the test, although its caller had closed the connection.

TestDepartureBehindFurtherBytesCancelsTheRequest failed before for all three kinds of bytes (deadline_exceeded after 20 s instead of caller_gone).

--- a/connection/closed.go
+++ b/connection/closed.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Closed reports whether the peer has closed the connection, without reading the
@@ -60,9 +62,17 @@
 			continue
 		case err == syscall.EAGAIN:
 			return noData
-		case err != nil || count == 0:
+		case err != nil || count == 0 || hungUp(fd):
 			return closedByPeer
 		}
 		return dataPending
 	}
 }
+
+// hungUp reports whether the peer has closed the connection behind data that is still
+// unread.
+func hungUp(fd int) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	count, err := unix.Poll(polled, 0)
+	return err == nil && count > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- a/front/front.go
+++ b/front/front.go
@@ -188,7 +188,9 @@
 	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
 	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 	if err == nil {
-		err = server.Relay.Serve(httpRequest.Context(), request, answer)
+		ctx, stopMonitor := monitorDeparture(httpRequest.Context(), answer.conn)
+		defer stopMonitor()
+		err = server.Relay.Serve(ctx, request, answer)
 	}
 	if err == nil {
 		return
