Run the four longest tests of package gateway at the same time

Beside other load, the package ran into go test's limit of 10 minutes with -race (600 s; 712 s of processor time with the build). With the four tests in parallel it took 329 s beside similar load, and 707 s of processor time. The tests are unchanged.

--- a/gateway/herd_test.go
+++ b/gateway/herd_test.go
@@ -195,6 +195,7 @@
 // restart, the account may have spent all that it is entitled to, so that only the
 // overage is left.
 func TestLimitHoldsWhenAllVMsRestart(t *testing.T) {
+	t.Parallel()
 	for _, size := range fleetSizes {
 		for _, rate := range size.rates {
 			t.Run(fmt.Sprintf("%d VMs, %.0f tokens a second", size.vms, rate), func(t *testing.T) {
@@ -224,6 +225,7 @@
 // have received each other's counts, each knows only its own requests; from then on,
 // requests are refused hardly more often than by a bucket that counts them all.
 func TestDemandWithinRateIsServedWhenAllVMsRestart(t *testing.T) {
+	t.Parallel()
 	const maxRefused = 0.03 // of the requested tokens, beyond the ideal bucket's
 	for _, size := range fleetSizes {
 		for _, rate := range size.rates {
--- a/gateway/origin_durable_test.go
+++ b/gateway/origin_durable_test.go
@@ -275,6 +275,7 @@
 // Guards against streams that end, or that go on at another version, after all VMs were
 // killed at once, and against more writes than the zones may make.
 func TestStreamsContinueAfterTheLossOfAllVMs(t *testing.T) {
+	t.Parallel()
 	for _, vms := range []int{6, 295} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/releases_test.go
+++ b/gateway/releases_test.go
@@ -219,6 +219,7 @@
 // whose VMs tell each other stages and counts: directly, or by representatives of their
 // availability zones. The bounds are the platform's.
 func TestVMsReleaseVersionTogether(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name    string
 		badPart float64
