--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -131,9 +131,9 @@
 	releases.gateway.roster.RecordOrders(revision)
 }
 
-// applyCopy puts all orders of this VM's copy of the store into effect, which another
-// goroutine may only be about to do, and removes those that the copy, complete up to the
-// given revision, lacks: another VM may have told of an order that was deleted since.
+// applyCopy puts all orders of this VM's copy of the store into effect, and removes those
+// that the copy, complete up to the given revision, lacks: another VM may have told of an
+// order that was deleted since. The caller holds Gateway.updating.
 func (releases *releases) applyCopy(revision uint64, now time.Time) {
 	listed := map[string]bool{}
 	for _, object := range releases.gateway.mirror.Objects(objects.Rollouts) {
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -411,7 +411,7 @@
 func (gateway *Gateway) applyFetched(fetched []catalog.Object) []mirror.Change {
 	// Heartbeats tell when weights were named.
 	changes := gateway.update(sourceVM, time.Time{}, func() []mirror.Change { return gateway.mirror.Merge(fetched) })
-	// Objects that another call is about to put into effect make no change.
+	// Weights that another source delivered before make no change; they were made known then.
 	named := slices.ContainsFunc(changes, func(change mirror.Change) bool { return change.Collection == objects.Weights })
 	removed := slices.ContainsFunc(fetched, func(object catalog.Object) bool {
 		return object.Deleted && strings.HasPrefix(object.ID, string(objects.Weights)+"/")
