--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -381,30 +381,43 @@
 
 // runSweep removes expired state.
 func (gateway *Gateway) runSweep(ctx context.Context) error {
-	var detector membership.FailureDetector
-	services := lostServices{}
+	sweeper := newSweeper(gateway)
 	for retry.Wait(ctx, time.Now().Add(sweepInterval)) {
 		gateway.applySuspensions()
-		now := time.Now()
-		gateway.roster.Sweep(now)
-		gateway.origins.sweep(now)
-		gateway.parts.Sweep(now)
-		gateway.reportParts(ctx, now)
-		gateway.updateLimitShares(now)
-		gateway.logReachability(&detector, now)
-		gateway.updateVMCount(now)
-		gateway.updateSubsets(now)
-		gateway.updateHomes(now)
-		entries := gateway.roster.Entries()
-		gateway.reportServices(services, entries, now)
-		listed := gateway.updateTargetMetrics(entries)
-		gateway.clients.Retain(func(id string) bool { return listed[id] })
-		gateway.closeExpired(entries, now)
-		gateway.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
+		sweeper.sweep(ctx, time.Now())
 	}
 	return nil
 }
 
+// sweeper is the state of the loop that removes expired state.
+type sweeper struct {
+	*Gateway
+	detector membership.FailureDetector
+	services lostServices
+}
+
+func newSweeper(gateway *Gateway) *sweeper {
+	return &sweeper{Gateway: gateway, services: lostServices{}}
+}
+
+func (sweeper *sweeper) sweep(ctx context.Context, now time.Time) {
+	sweeper.roster.Sweep(now)
+	sweeper.origins.sweep(now)
+	sweeper.parts.Sweep(now)
+	sweeper.reportParts(ctx, now)
+	sweeper.updateLimitShares(now)
+	sweeper.logReachability(&sweeper.detector, now)
+	sweeper.updateVMCount(now)
+	sweeper.updateSubsets(now)
+	sweeper.updateHomes(now)
+	entries := sweeper.roster.Entries()
+	sweeper.reportServices(sweeper.services, entries, now)
+	listed := sweeper.updateTargetMetrics(entries)
+	sweeper.clients.Retain(func(id string) bool { return listed[id] })
+	sweeper.closeExpired(entries, now)
+	sweeper.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
+}
+
 // updateTargetMetrics sets the numbers of targets by state and the use of the buffers, and
 // returns the IDs of all listed targets.
 func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) map[string]bool {
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -49,10 +49,15 @@
 	reply  rollout.Reply
 }
 
-// runRoll brings targets to the weights that operators named.
-func (gateway *Gateway) runRoll(ctx context.Context) error {
+func newRollLoop(gateway *Gateway) *rollLoop {
 	rollLoop := &rollLoop{gateway: gateway, lease: gateway.ordersLease, roll: rollout.New(), inFlight: map[string]bool{}, results: make(chan callResult)}
 	rollLoop.roll.Grace = gateway.Settings.Bounds.WeightsGrace
+	return rollLoop
+}
+
+// runRoll brings targets to the weights that operators named.
+func (gateway *Gateway) runRoll(ctx context.Context) error {
+	rollLoop := newRollLoop(gateway)
 	for ctx.Err() == nil {
 		named, changed := gateway.weights.newest()
 		if rollLoop.advance(ctx, named) {
