Roll: cheap steps on VMs that do not give orders

While a target lacks named weights each VM takes a step every 25 ms, which copied all registrations and ranked all members before it checked whether an attempt to acquire the lease could be due at all. Now the step iterates over the registrations into buffers, and the rank is computed after the other conditions hold: a rank only adds to the delay, so that the decisions are the same.

--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -40,6 +40,9 @@
 	// inFlight holds the targets with a poll or an order in flight.
 	inFlight map[string]bool
 	results  chan callResult
+	// targetBuffer and modelBuffer are used by targets.
+	targetBuffer []rollout.Target
+	modelBuffer  []rollout.Weights
 }
 
 // callResult is the result of a poll or an order.
@@ -78,8 +81,8 @@
 // advance executes the steps that are due if a target lacks weights and this VM holds
 // the lease. It returns false if no target lacks weights and no call is in flight.
 func (rollLoop *rollLoop) advance(ctx context.Context, named []rollout.NamedWeights) bool {
-	targets := rollLoop.targets()
 	now := time.Now()
+	targets := rollLoop.targets(now)
 	outdated := rollout.CountOutdated(targets, named)
 	if outdated != rollLoop.outdated {
 		rollLoop.outdated, rollLoop.outdatedChanged = outdated, now
@@ -95,19 +98,23 @@
 	return true
 }
 
-// targets returns the targets that have models and are not draining.
-func (rollLoop *rollLoop) targets() []rollout.Target {
-	var targets []rollout.Target
-	for _, entry := range rollLoop.gateway.roster.Entries() {
+// targets returns the targets that have models and are not draining. The result is valid
+// until the next call.
+func (rollLoop *rollLoop) targets(now time.Time) []rollout.Target {
+	targets, models := rollLoop.targetBuffer[:0], rollLoop.modelBuffer[:0]
+	for entry := range rollLoop.gateway.roster.All(now) {
 		if entry.Draining || len(entry.Models) == 0 {
 			continue
 		}
-		rollTarget := rollout.Target{ID: entry.ID, Running: entry.Running, Unreachable: entry.Unreachable, Resting: entry.Resting}
+		first := len(models)
 		for _, model := range entry.Models {
-			rollTarget.Models = append(rollTarget.Models, rollout.Weights{Model: model.Name, Version: model.Weights})
+			models = append(models, rollout.Weights{Model: model.Name, Version: model.Weights})
 		}
-		targets = append(targets, rollTarget)
+		targets = append(targets, rollout.Target{
+			ID: entry.ID, Models: models[first:], Running: entry.Running, Unreachable: entry.Unreachable, Resting: entry.Resting,
+		})
 	}
+	rollLoop.targetBuffer, rollLoop.modelBuffer = targets, models
 	return targets
 }
 
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -32,9 +32,9 @@
 
 // contest is what an attempt to acquire the lease depends on.
 type contest struct {
-	// rank is the number of VMs that try before this one. holderActive is set if the
+	// rank returns the number of VMs that try before this one. holderActive is set if the
 	// last holder is another VM that can give orders, as far as is known.
-	rank         int
+	rank         func() int
 	holderActive bool
 	// stalledSince is when a target or the lease last changed, freeAt when the lease may
 	// be taken over if it does not change.
@@ -47,14 +47,15 @@
 	if now.Sub(takeover.lastAttempt) < leaseAttemptInterval {
 		return false
 	}
-	headStart := time.Duration(contest.rank) * rankDelay
-	if takeover.lastAttempt.After(contest.stalledSince) {
-		return !now.Before(contest.freeAt.Add(headStart))
+	first := contest.stalledSince // when the VM that is ranked first tries
+	switch {
+	case takeover.lastAttempt.After(contest.stalledSince):
+		first = contest.freeAt
+	case contest.holderActive:
+		first = first.Add(rankDelay)
 	}
-	if contest.holderActive {
-		headStart += rankDelay
-	}
-	return !now.Before(contest.stalledSince.Add(headStart))
+	// The rank takes time in proportion to the fleet.
+	return !now.Before(first) && !now.Before(first.Add(time.Duration(contest.rank())*rankDelay))
 }
 
 // contest returns the present state of the contest for the lease, given when the number
@@ -62,7 +63,7 @@
 func (gateway *Gateway) contest(changed, now time.Time) contest {
 	observed := gateway.ordersLease.Observed()
 	contest := contest{
-		rank: gateway.rank(now), holderActive: gateway.holderActive(observed.Holder, now),
+		rank: func() int { return gateway.rank(now) }, holderActive: gateway.holderActive(observed.Holder, now),
 		stalledSince: changed, freeAt: gateway.ordersLease.TakeoverDelay.After(observed.At),
 	}
 	if observed.At.After(changed) {
@@ -79,12 +80,11 @@
 		return false
 	}
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
-	for view := range gateway.members.All(now) {
-		if view.Name == name && (!hierarchical || view.AvailabilityZone == gateway.members.Zone) {
-			return reachesStore(view)
-		}
+	view, ok := gateway.members.View(name, now)
+	if !ok || hierarchical && view.AvailabilityZone != gateway.members.Zone {
+		return hierarchical // it sends no heartbeats to this VM
 	}
-	return hierarchical // it sends no heartbeats to this VM
+	return reachesStore(view)
 }
 
 // reachesStore reports whether a VM is alive and reaches the store, by its heartbeats.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -245,6 +245,17 @@
 	return views
 }
 
+// View returns the named VM, or false if it is not known.
+func (table *Table) View(name string, now time.Time) (View, bool) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	member, ok := table.members[name]
+	if !ok {
+		return View{}, false
+	}
+	return member.view(now), true
+}
+
 func (member *member) view(now time.Time) View {
 	view := View{
 		Name: member.name, AvailabilityZone: member.zone, Address: member.addressText, Listed: member.listed,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,6 +19,7 @@
 package roster
 
 import (
+	"iter"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -302,8 +303,31 @@
 	return count
 }
 
-// Entries returns the registrations in use, with the newest weights versions known
-// to this VM.
+// All iterates over the registrations in use, with the newest weights versions known to
+// this VM. The loop must not use the roster, nor keep the models of an entry.
+func (roster *Roster) All(now time.Time) iter.Seq[Entry] {
+	return func(yield func(Entry) bool) {
+		roster.mu.Lock()
+		defer roster.mu.Unlock()
+		for _, target := range roster.targets {
+			if !target.removed && !yield(target.current(now)) {
+				return
+			}
+		}
+	}
+}
+
+// current returns the registration with what this VM knows of the target.
+func (target *Target) current(now time.Time) Entry {
+	entry := target.entry
+	entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
+	availability := target.availability(now)
+	entry.Limited, entry.Brittle = target.limit.value > 0, target.brittle.value > 0
+	entry.Resting = availability == Resting || availability == Returning
+	return entry
+}
+
+// Entries returns a copy of the registrations in use; see All.
 func (roster *Roster) Entries() []Entry {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
@@ -311,12 +335,8 @@
 	now := time.Now()
 	for _, target := range roster.targets {
 		if !target.removed {
-			entry := target.entry
+			entry := target.current(now)
 			entry.Models = append([]Model(nil), entry.Models...)
-			entry.Running, entry.Unreachable, entry.Ejected = target.requestCount(now), target.unreachable, target.ejected()
-			availability := target.availability(now)
-			entry.Limited, entry.Brittle = target.limit.value > 0, target.brittle.value > 0
-			entry.Resting = availability == Resting || availability == Returning
 			entries = append(entries, entry)
 		}
 	}
