--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -47,19 +47,6 @@
 	return count
 }
 
-// closeExpired closes the idle connections that adaptive targets may close themselves.
-func (gateway *Gateway) closeExpired(entries []roster.Entry, now time.Time) {
-	adaptive := map[string]bool{}
-	services := map[string]bool{}
-	for _, entry := range entries {
-		if _, ok := services[entry.Service]; !ok {
-			services[entry.Service] = gateway.roster.Adaptive(entry.Service)
-		}
-		adaptive[entry.ID] = services[entry.Service]
-	}
-	gateway.clients.CloseExpired(func(id string) bool { return adaptive[id] }, now)
-}
-
 // toHeard converts the targets that sent this VM bytes for a heartbeat.
 func toHeard(targets []roster.Heard, now time.Time) []peer.HeardTarget {
 	var heard []peer.HeardTarget
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"expvar"
 	"net"
 	"net/netip"
 	"os"
@@ -394,10 +393,14 @@
 	*Gateway
 	detector membership.FailureDetector
 	services lostServices
+	// entries holds the listed targets, adaptive whether each is adaptive, by ID. Both are
+	// used by one sweep at a time.
+	entries  []roster.Entry
+	adaptive map[string]bool
 }
 
 func newSweeper(gateway *Gateway) *sweeper {
-	return &sweeper{Gateway: gateway, services: lostServices{}}
+	return &sweeper{Gateway: gateway, services: lostServices{}, adaptive: map[string]bool{}}
 }
 
 func (sweeper *sweeper) sweep(ctx context.Context, now time.Time) {
@@ -410,39 +413,60 @@
 	sweeper.updateVMCount(now)
 	sweeper.updateSubsets(now)
 	sweeper.updateHomes(now)
-	entries := sweeper.roster.Entries()
-	sweeper.reportServices(sweeper.services, entries, now)
-	listed := sweeper.updateTargetMetrics(entries)
-	sweeper.clients.Retain(func(id string) bool { return listed[id] })
-	sweeper.closeExpired(entries, now)
-	sweeper.metrics.ByTarget.Retain(func(id string) bool { return listed[id] })
+	sweeper.listTargets(now)
+	sweeper.reportServices(sweeper.services, sweeper.entries, now)
+	sweeper.updateTargetMetrics(sweeper.entries)
+	sweeper.clients.Retain(sweeper.listed)
+	sweeper.clients.CloseExpired(func(id string) bool { return sweeper.adaptive[id] }, now)
+	sweeper.metrics.ByTarget.Retain(sweeper.listed)
 }
 
-// updateTargetMetrics sets the numbers of targets by state and the use of the buffers, and
-// returns the IDs of all listed targets.
-func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) map[string]bool {
-	listed := map[string]bool{}
-	for _, entry := range entries {
-		listed[entry.ID] = true
+// listTargets sets the listed targets. Adaptive ones may close idle connections themselves,
+// so that this VM closes them before.
+func (sweeper *sweeper) listTargets(now time.Time) {
+	sweeper.entries = sweeper.entries[:0]
+	for entry := range sweeper.roster.All(now) {
+		entry.Models = nil
+		sweeper.entries = append(sweeper.entries, entry)
 	}
-	count := func(gauge *expvar.Int, counts func(entry roster.Entry) bool) {
-		number := int64(0)
-		for _, entry := range entries {
-			if counts(entry) {
-				number++
-			}
-		}
-		gauge.Set(number)
+	clear(sweeper.adaptive)
+	for i := range sweeper.entries {
+		entry := &sweeper.entries[i]
+		sweeper.adaptive[entry.ID] = sweeper.roster.Adaptive(entry.Service)
 	}
+}
+
+// listed reports whether a target is listed.
+func (sweeper *sweeper) listed(id string) bool {
+	_, ok := sweeper.adaptive[id]
+	return ok
+}
+
+// updateTargetMetrics sets the numbers of targets by state and the use of the buffers.
+func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) {
 	buffers := gateway.relay.Buffers.Usage()
 	gateway.metrics.BufferedBytes.Set(buffers.Bytes)
 	gateway.metrics.BuffersDenied.Set(buffers.Denied)
-	count(&gateway.metrics.Unreachable, func(entry roster.Entry) bool { return entry.Unreachable })
-	count(&gateway.metrics.Ejected, func(entry roster.Entry) bool { return entry.Ejected })
 	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
-	count(&gateway.metrics.Leaving, func(entry roster.Entry) bool { return entry.Draining })
-	count(&gateway.metrics.Resting, func(entry roster.Entry) bool { return entry.Resting })
-	count(&gateway.metrics.Brittle, func(entry roster.Entry) bool { return entry.Brittle })
-	count(&gateway.metrics.Limited, func(entry roster.Entry) bool { return entry.Limited })
-	return listed
+	var unreachable, ejected, leaving, resting, brittle, limited int64
+	count := func(counter *int64, counts bool) {
+		if counts {
+			*counter++
+		}
+	}
+	for i := range entries {
+		entry := &entries[i]
+		count(&unreachable, entry.Unreachable)
+		count(&ejected, entry.Ejected)
+		count(&leaving, entry.Draining)
+		count(&resting, entry.Resting)
+		count(&brittle, entry.Brittle)
+		count(&limited, entry.Limited)
+	}
+	gateway.metrics.Unreachable.Set(unreachable)
+	gateway.metrics.Ejected.Set(ejected)
+	gateway.metrics.Leaving.Set(leaving)
+	gateway.metrics.Resting.Set(resting)
+	gateway.metrics.Brittle.Set(brittle)
+	gateway.metrics.Limited.Set(limited)
 }
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -14,7 +14,8 @@
 // targets are registered that do not leave.
 func (gateway *Gateway) reportServices(lost lostServices, entries []roster.Entry, now time.Time) {
 	targets, reachable := map[string]int{}, map[string]int{}
-	for _, entry := range entries {
+	for i := range entries {
+		entry := &entries[i]
 		if entry.Draining {
 			continue
 		}
--- a/gateway/target_limits.go
+++ b/gateway/target_limits.go
@@ -12,12 +12,16 @@
 // just started knows too few of the others and has none.
 func (gateway *Gateway) updateLimitShares(now time.Time) {
 	started := now.Sub(gateway.started) >= startupTime
+	holders := map[string][]string{} // VMs by availability zone
 	gateway.roster.SetLimitShares(func(target, zone string, rate float64) float64 {
 		holderZone := gateway.limitZone(zone, now)
 		if !started || holderZone != "" && holderZone != gateway.members.Zone {
 			return 0
 		}
-		return membership.Share(gateway.Settings.Name, gateway.presentVMs(holderZone, now), target, roster.LimitHolders(rate))
+		if _, ok := holders[holderZone]; !ok {
+			holders[holderZone] = gateway.presentVMs(holderZone, now)
+		}
+		return membership.Share(gateway.Settings.Name, holders[holderZone], target, roster.LimitHolders(rate))
 	}, now)
 }
 
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -16,15 +16,18 @@
 		detector.unreachable = map[string]bool{}
 	}
 	limit := now.Sub(cutoff).Milliseconds()
-	for _, view := range views {
+	for i := range views {
+		view := &views[i]
 		unreachable := view.HeartbeatAgeMS > limit
-		switch {
-		case unreachable && !detector.unreachable[view.Name]:
+		if unreachable == detector.unreachable[view.Name] {
+			continue
+		}
+		detector.unreachable[view.Name] = unreachable
+		if unreachable {
 			lost = append(lost, view.Name)
-		case !unreachable && detector.unreachable[view.Name]:
+		} else {
 			recovered = append(recovered, view.Name)
 		}
-		detector.unreachable[view.Name] = unreachable
 	}
 	return lost, recovered
 }
