Subsets: compare what they depend on without copies

The parts are now compared one by one, and only for services that have a subset and may compute it again.

--- a/roster/subset.go
+++ b/roster/subset.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/bramleygw/bramleygw/subset"
@@ -21,12 +19,25 @@
 	width subset.Width
 	// basis is what the members were computed from, at computedAt; they are the IDs of
 	// targets.
-	basis      string
+	basis      subsetBasis
 	computedAt time.Time
 	members    []string
 	targets    []*Target // those of the members that are registered
 }
 
+// subsetBasis is what determines a subset.
+type subsetBasis struct {
+	self       string
+	vms        []string // sorted
+	targets    []string // IDs of the service's targets that stay, sorted
+	base, size int      // base is the size without this VM's load
+}
+
+func (basis *subsetBasis) equal(other *subsetBasis) bool {
+	return basis.self == other.self && basis.base == other.base && basis.size == other.size &&
+		slices.Equal(basis.vms, other.vms) && slices.Equal(basis.targets, other.targets)
+}
+
 // Peers is what a VM knows of the fleet for the choice of subsets.
 type Peers struct {
 	Self string
@@ -47,6 +58,7 @@
 // and to its load. It returns the changes. It is called by one goroutine.
 func (roster *Roster) UpdateSubsets(peers Peers, now time.Time) []SubsetChange {
 	var changes []SubsetChange
+	peers.Names = slices.Sorted(slices.Values(peers.Names))
 	for _, service := range roster.serviceNames() {
 		if change, changed := roster.updateSubset(service, peers, now); changed {
 			changes = append(changes, change)
@@ -83,18 +95,13 @@
 }
 
 // updateSubset computes the members without the lock: it takes milliseconds in the largest
-// fleets.
+// fleets. The names of the peers are sorted.
 func (roster *Roster) updateSubset(service string, peers Peers, now time.Time) (SubsetChange, bool) {
-	targets, base, size := roster.subsetSize(service, peers, now)
-	if size == 0 {
+	basis, due := roster.subsetDue(service, peers, now)
+	if !due {
 		return SubsetChange{}, false
 	}
-	names := slices.Sorted(slices.Values(peers.Names))
-	basis := strings.Join([]string{peers.Self, strings.Join(names, ","), strings.Join(targets, ","), strconv.Itoa(base), strconv.Itoa(size)}, ";")
-	if !roster.subsetDue(service, basis, now) {
-		return SubsetChange{}, false
-	}
-	members := subset.Widen(peers.Self, subset.Members(peers.Self, names, targets, base), targets, size)
+	members := subset.Widen(basis.self, subset.Members(basis.self, basis.vms, basis.targets, basis.base), basis.targets, basis.size)
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	known, ok := roster.preferred[service]
@@ -113,39 +120,39 @@
 	return change, changed
 }
 
-// subsetDue reports whether the members must be computed, from the basis.
-func (roster *Roster) subsetDue(service, basis string, now time.Time) bool {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	known, ok := roster.preferred[service]
-	return ok && known.basis != basis && now.Sub(known.computedAt) >= minSubsetInterval
-}
-
-// subsetSize returns the IDs of the service's targets that stay and the size of the
-// subset, base without this VM's load. The size is 0 if there is no subset.
-func (roster *Roster) subsetSize(service string, peers Peers, now time.Time) (targets []string, base, size int) {
+// subsetDue returns what the members must be computed from, or false if they need not be.
+func (roster *Roster) subsetDue(service string, peers Peers, now time.Time) (subsetBasis, bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	inFlight := 0
+	staying, inFlight := 0, 0
 	for _, target := range roster.services[service] {
 		inFlight += target.inFlight
 		if !target.entry.Draining {
-			targets = append(targets, target.entry.ID)
+			staying++
 		}
 	}
-	base = subset.Size(peers.FleetSize, len(targets))
+	base := subset.Size(peers.FleetSize, staying)
 	// What a brittle target has to reject is estimated for VMs that use all targets.
-	if !roster.adaptive(service) || roster.admissions[service] != nil || base >= len(targets) {
+	if !roster.adaptive(service) || roster.admissions[service] != nil || base >= staying {
 		delete(roster.preferred, service)
-		return nil, 0, 0
+		return subsetBasis{}, false
 	}
 	known, ok := roster.preferred[service]
 	if !ok {
 		known = &preferred{}
 		roster.preferred[service] = known
 	}
-	slices.Sort(targets)
-	return targets, base, min(len(targets), known.width.Update(base, inFlight, now))
+	basis := subsetBasis{self: peers.Self, vms: peers.Names, base: base, size: min(staying, known.width.Update(base, inFlight, now))}
+	if basis.size == 0 || now.Sub(known.computedAt) < minSubsetInterval {
+		return subsetBasis{}, false
+	}
+	for _, target := range roster.services[service] {
+		if !target.entry.Draining {
+			basis.targets = append(basis.targets, target.entry.ID)
+		}
+	}
+	slices.Sort(basis.targets)
+	return basis, !known.basis.equal(&basis)
 }
 
 // resolve finds the registered targets of the members.
