--- a/membership/membership.go
+++ b/membership/membership.go
@@ -221,7 +221,8 @@
 }
 
 // All iterates over all known VMs, ordered by name. HeartbeatAgeMS is -1 for a VM from
-// which no heartbeat was ever received. The loop must not use the table.
+// which no heartbeat was ever received. The loop holds the lock of the table: it must not use
+// the table, nor wait for what may use it.
 func (table *Table) All(now time.Time) iter.Seq[View] {
 	return func(yield func(View) bool) {
 		table.mu.Lock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -304,7 +304,8 @@
 }
 
 // All iterates over the registrations in use, with the newest weights versions known to
-// this VM. The loop must not use the roster, nor keep the models of an entry.
+// this VM. The loop holds the lock of the roster: it must not use the roster, nor wait for
+// what may use it. It must not keep the models of an entry.
 func (roster *Roster) All(now time.Time) iter.Seq[Entry] {
 	return func(yield func(Entry) bool) {
 		roster.mu.Lock()
