Membership: keep the lists of peers while they do not change

A VM derives the lists of peers from all members ten times a second, and copied and grouped them each time. The lists change only when VMs come, go or move; they are now checked against the members and kept otherwise.

BenchmarkIdleVM/summary (arm64, busy machine), before and after: 228 us 77 KB 61 allocs, 37 us 1.9 KB 16 allocs.

--- a/gateway/loops_test.go
+++ b/gateway/loops_test.go
@@ -109,5 +109,13 @@
 	run("heartbeatReceivers", func(idle *idleVM) func() { return func() { idle.heartbeatReceivers(time.Now()) } })
 	run("probes", func(idle *idleVM) func() { return func() { idle.roster.Probes(time.Now()) } })
 	run("softwareLogs", func(idle *idleVM) func() { return func() { idle.origins.durable.logs.due(time.Now()) } })
+	run("summary", func(idle *idleVM) func() {
+		isRepresentative, vm := false, idle.fleet.listed[zones] // of the same zone
+		return func() {
+			isRepresentative = !isRepresentative
+			idle.members.RecordZone(vm.Name, vm.AvailabilityZone, isRepresentative)
+			idle.members.Peers(time.Now())
+		}
+	})
 	run("views", func(idle *idleVM) func() { return func() { idle.members.Views(time.Now()) } })
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -97,6 +97,7 @@
 	nextPeer        int // round-robin position, taken modulo the number of peers
 	// cached is the last summary of the members; nil after they changed.
 	cached *fleetSummary
+	lists  *peerLists // of the last summary; nil before
 }
 
 // NewTable returns the table of the named VM.
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -70,15 +70,20 @@
 // fleetSummary holds what is derived from all members. It is computed once for many
 // heartbeats, because each computation takes time in proportion to the fleet.
 type fleetSummary struct {
+	*peerLists
 	until time.Time // when it expires
-	peers []Peer    // ordered by name
 	// live are those of peers that are alive or may be starting; nil until they are needed.
 	live []Peer
+	// representatives holds the known representatives by availability zone.
+	representatives map[string][]Peer
+}
+
+// peerLists holds the peers, ordered by name. Several summaries may share one.
+type peerLists struct {
+	peers []Peer
 	// local are the peers of this VM's zone, remote those of the others, by zone.
 	local  []Peer
 	remote map[string][]Peer
-	// representatives holds the known representatives by availability zone.
-	representatives map[string][]Peer
 }
 
 // fleetSummaryMaxAge is how long a fleetSummary is used unless the members change. Within
@@ -90,29 +95,57 @@
 	if table.cached != nil && now.Before(table.cached.until) {
 		return table.cached
 	}
+	if table.lists == nil || !table.listsCurrent(now) {
+		table.lists = table.newLists(now)
+	}
 	summary := &fleetSummary{
-		until: now.Add(fleetSummaryMaxAge), remote: map[string][]Peer{},
+		peerLists: table.lists, until: now.Add(fleetSummaryMaxAge),
 		representatives: map[string][]Peer{table.Zone: {{Name: table.self, Zone: table.Zone}}},
 	}
-	summary.peers = make([]Peer, 0, len(table.ordered))
 	for _, member := range table.ordered {
-		peer := Peer{Name: member.name, Address: member.address, Zone: member.zone}
-		if table.isPeer(member.name, member, now) {
-			summary.peers = append(summary.peers, peer)
-		}
 		if member.name != table.self && table.mayRepresent(member, now) {
-			summary.representatives[peer.Zone] = insertRepresentative(summary.representatives[peer.Zone], peer)
+			summary.representatives[member.zone] = insertRepresentative(summary.representatives[member.zone], member.peer())
 		}
 	}
-	for _, peer := range summary.peers {
+	table.cached = summary
+	return summary
+}
+
+// listsCurrent reports whether the peers are still those of the lists. The caller holds mu.
+func (table *Table) listsCurrent(now time.Time) bool {
+	rest := table.lists.peers
+	for _, member := range table.ordered {
+		if !table.isPeer(member.name, member, now) {
+			continue
+		}
+		if len(rest) == 0 || rest[0] != member.peer() {
+			return false
+		}
+		rest = rest[1:]
+	}
+	return len(rest) == 0
+}
+
+// newLists returns the lists of the peers. The caller holds mu.
+func (table *Table) newLists(now time.Time) *peerLists {
+	lists := &peerLists{peers: make([]Peer, 0, len(table.ordered)), remote: map[string][]Peer{}}
+	for _, member := range table.ordered {
+		if !table.isPeer(member.name, member, now) {
+			continue
+		}
+		peer := member.peer()
+		lists.peers = append(lists.peers, peer)
 		if table.isRemote(peer.Zone) {
-			summary.remote[peer.Zone] = append(summary.remote[peer.Zone], peer)
+			lists.remote[peer.Zone] = append(lists.remote[peer.Zone], peer)
 		} else {
-			summary.local = append(summary.local, peer)
+			lists.local = append(lists.local, peer)
 		}
 	}
-	table.cached = summary
-	return summary
+	return lists
+}
+
+func (member *member) peer() Peer {
+	return Peer{Name: member.name, Address: member.address, Zone: member.zone}
 }
 
 // mayStart reports whether a VM may have started together with this one and not have sent
