--- a/membership/zones_test.go
+++ b/membership/zones_test.go
@@ -75,3 +75,54 @@
 		}
 	}
 }
+
+// Guards against lists of peers, zones and views that are kept after the members changed.
+func TestListsFollowMembers(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	address := func(last byte) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, last}), 1)
+	}
+	table := NewTable("b", nil, start)
+	table.Zone = "z1"
+	for _, step := range []struct {
+		second int
+		name   string
+		change func(now time.Time)
+		want   string // peers and their zones
+		zones  int
+	}{
+		{0, "none", func(time.Time) {}, "", 1},
+		{1, "heartbeats", func(now time.Time) {
+			for _, name := range []string{"d", "a", "c"} {
+				table.RecordHeartbeat(name, address(name[0]), 0, now)
+				table.RecordZone(name, "z1", false)
+			}
+		}, "a 127.0.0.97:1 z1,c 127.0.0.99:1 z1,d 127.0.0.100:1 z1,", 1},
+		{2, "a moves to another zone", func(time.Time) { table.RecordZone("a", "z2", false) }, "a 127.0.0.97:1 z2,c 127.0.0.99:1 z1,d 127.0.0.100:1 z1,", 2},
+		{3, "c has another address", func(now time.Time) { table.RecordHeartbeat("c", address(9), 0, now) }, "a 127.0.0.97:1 z2,c 127.0.0.9:1 z1,d 127.0.0.100:1 z1,", 2},
+		{4, "d is reported as a representative", func(now time.Time) { table.RecordRepresentative(Peer{"d", address(8), "z3"}, now) }, "a 127.0.0.97:1 z2,c 127.0.0.9:1 z1,d 127.0.0.8:1 z3,", 3},
+		{7, "a and c are lost", func(time.Time) {}, "d 127.0.0.8:1 z3,", 3},
+		{8, "e is listed", func(now time.Time) {
+			table.UpdateList([]objects.VM{{Name: "e", AvailabilityZone: "z2", Address: "127.0.0.5:1", Role: objects.RoleRouter}}, now)
+		}, "e 127.0.0.5:1 z2,", 3},
+	} {
+		now := start.Add(time.Duration(step.second) * time.Second)
+		step.change(now)
+		peers, grouped := "", len(table.summary(now).local)
+		for _, peer := range table.Peers(now) {
+			peers += peer.Name + " " + peer.Address.String() + " " + peer.Zone + ","
+		}
+		for _, others := range table.summary(now).remote {
+			grouped += len(others)
+		}
+		if zones := table.Zones(); peers != step.want || len(zones) != step.zones || grouped != len(table.Peers(now)) {
+			t.Errorf("%s: got peers %q, %d in groups, zones %v, want %q and %d zones", step.name, peers, grouped, zones, step.want, step.zones)
+		}
+		views := table.Views(now)
+		for i := range views {
+			if view, _ := table.View(views[i].Name, now); view != views[i] || view.Address != table.Address(view.Name).String() || i > 0 && views[i-1].Name >= view.Name {
+				t.Errorf("%s: got views %v, want them in order of their names with the present addresses", step.name, views)
+			}
+		}
+	}
+}
