--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -40,6 +40,9 @@
 	// inFlight holds the targets with a poll or an order in flight.
 	inFlight map[string]bool
 	results  chan callResult
+	// targetBuffer and modelBuffer are used by targets.
+	targetBuffer []rollout.Target
+	modelBuffer  []rollout.Weights
 }
 
 // callResult is the result of a poll or an order.
@@ -49,10 +52,15 @@
 	reply  rollout.Reply
 }
 
-// runRoll brings targets to the weights that operators named.
-func (gateway *Gateway) runRoll(ctx context.Context) error {
+func newRollLoop(gateway *Gateway) *rollLoop {
 	rollLoop := &rollLoop{gateway: gateway, lease: gateway.ordersLease, roll: rollout.New(), inFlight: map[string]bool{}, results: make(chan callResult)}
 	rollLoop.roll.Grace = gateway.Settings.Bounds.WeightsGrace
+	return rollLoop
+}
+
+// runRoll brings targets to the weights that operators named.
+func (gateway *Gateway) runRoll(ctx context.Context) error {
+	rollLoop := newRollLoop(gateway)
 	for ctx.Err() == nil {
 		named, changed := gateway.weights.newest()
 		if rollLoop.advance(ctx, named) {
@@ -73,8 +81,8 @@
 // advance executes the steps that are due if a target lacks weights and this VM holds
 // the lease. It returns false if no target lacks weights and no call is in flight.
 func (rollLoop *rollLoop) advance(ctx context.Context, named []rollout.NamedWeights) bool {
-	targets := rollLoop.targets()
 	now := time.Now()
+	targets := rollLoop.targets(now)
 	outdated := rollout.CountOutdated(targets, named)
 	if outdated != rollLoop.outdated {
 		rollLoop.outdated, rollLoop.outdatedChanged = outdated, now
@@ -90,19 +98,23 @@
 	return true
 }
 
-// targets returns the targets that have models and are not draining.
-func (rollLoop *rollLoop) targets() []rollout.Target {
-	var targets []rollout.Target
-	for _, entry := range rollLoop.gateway.roster.Entries() {
+// targets returns the targets that have models and are not draining. The result is valid
+// until the next call.
+func (rollLoop *rollLoop) targets(now time.Time) []rollout.Target {
+	targets, models := rollLoop.targetBuffer[:0], rollLoop.modelBuffer[:0]
+	for entry := range rollLoop.gateway.roster.All(now) {
 		if entry.Draining || len(entry.Models) == 0 {
 			continue
 		}
-		rollTarget := rollout.Target{ID: entry.ID, Running: entry.Running, Unreachable: entry.Unreachable, Resting: entry.Resting}
+		first := len(models)
 		for _, model := range entry.Models {
-			rollTarget.Models = append(rollTarget.Models, rollout.Weights{Model: model.Name, Version: model.Weights})
+			models = append(models, rollout.Weights{Model: model.Name, Version: model.Weights})
 		}
-		targets = append(targets, rollTarget)
+		targets = append(targets, rollout.Target{
+			ID: entry.ID, Models: models[first:], Running: entry.Running, Unreachable: entry.Unreachable, Resting: entry.Resting,
+		})
 	}
+	rollLoop.targetBuffer, rollLoop.modelBuffer = targets, models
 	return targets
 }
 
@@ -132,9 +144,9 @@
 // the zones.
 func (gateway *Gateway) rank(now time.Time) int {
 	hierarchical := gateway.members.Hierarchical(maxHeartbeatPeers, now)
-	rank := 0
-	for _, view := range gateway.members.Views(now) {
-		if reachesStore(view) && (!hierarchical || view.AvailabilityZone == gateway.members.Zone) && ranksBefore(view.Name, gateway.Settings.Name) {
+	rank, own := 0, prefix.Digest(gateway.Settings.Name)
+	for view := range gateway.members.All(now) {
+		if reachesStore(view) && (!hierarchical || view.AvailabilityZone == gateway.members.Zone) && prefix.Digest(view.Name) < own {
 			rank++
 		}
 	}
@@ -145,12 +157,6 @@
 	return rank*len(zones) + slices.Index(zones, gateway.members.Zone)
 }
 
-// ranksBefore reports whether name precedes other in the order that is the same on
-// every VM.
-func ranksBefore(name, other string) bool {
-	return prefix.Digest(name) < prefix.Digest(other)
-}
-
 // execute polls targets and sends orders. Orders are sent only right after the
 // lease was renewed. Targets with a call in flight are skipped.
 func (rollLoop *rollLoop) execute(ctx context.Context, steps []rollout.Step) {
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -34,7 +33,8 @@
 	if member.zone != zone || member.isRepresentative != isRepresentative {
 		table.cached = nil
 	}
-	member.zone, member.isRepresentative = zone, isRepresentative
+	table.setZone(member, zone)
+	member.isRepresentative = isRepresentative
 }
 
 // RecordRepresentative records a VM that another VM reported as a representative of its
@@ -49,7 +49,9 @@
 	if member.address != peer.Address || member.zone != peer.Zone || now.Sub(member.reportedRepresentative) >= LivenessTimeout {
 		table.cached = nil
 	}
-	member.address, member.zone, member.reportedRepresentative = peer.Address, peer.Zone, now
+	member.setAddress(peer.Address)
+	table.setZone(member, peer.Zone)
+	member.reportedRepresentative = now
 }
 
 // Hierarchical reports whether the fleet is too large for each VM to send heartbeats to
@@ -68,15 +70,20 @@
 // fleetSummary holds what is derived from all members. It is computed once for many
 // heartbeats, because each computation takes time in proportion to the fleet.
 type fleetSummary struct {
+	*peerLists
 	until time.Time // when it expires
-	peers []Peer    // ordered by name
 	// live are those of peers that are alive or may be starting; nil until they are needed.
 	live []Peer
+	// representatives holds the known representatives by availability zone.
+	representatives map[string][]Peer
+}
+
+// peerLists holds the peers, ordered by name. Several summaries may share one.
+type peerLists struct {
+	peers []Peer
 	// local are the peers of this VM's zone, remote those of the others, by zone.
 	local  []Peer
 	remote map[string][]Peer
-	// representatives holds the known representatives by availability zone.
-	representatives map[string][]Peer
 }
 
 // fleetSummaryMaxAge is how long a fleetSummary is used unless the members change. Within
@@ -88,29 +95,57 @@
 	if table.cached != nil && now.Before(table.cached.until) {
 		return table.cached
 	}
+	if table.lists == nil || !table.listsCurrent(now) {
+		table.lists = table.newLists(now)
+	}
 	summary := &fleetSummary{
-		until: now.Add(fleetSummaryMaxAge), remote: map[string][]Peer{},
+		peerLists: table.lists, until: now.Add(fleetSummaryMaxAge),
 		representatives: map[string][]Peer{table.Zone: {{Name: table.self, Zone: table.Zone}}},
 	}
-	for name, member := range table.members {
-		peer := Peer{Name: name, Address: member.address, Zone: member.zone}
-		if table.isPeer(name, member, now) {
-			summary.peers = append(summary.peers, peer)
+	for _, member := range table.ordered {
+		if member.name != table.self && table.mayRepresent(member, now) {
+			summary.representatives[member.zone] = insertRepresentative(summary.representatives[member.zone], member.peer())
 		}
-		if name != table.self && table.mayRepresent(member, now) {
-			summary.representatives[peer.Zone] = insertRepresentative(summary.representatives[peer.Zone], peer)
+	}
+	table.cached = summary
+	return summary
+}
+
+// listsCurrent reports whether the peers are still those of the lists. The caller holds mu.
+func (table *Table) listsCurrent(now time.Time) bool {
+	rest := table.lists.peers
+	for _, member := range table.ordered {
+		if !table.isPeer(member.name, member, now) {
+			continue
+		}
+		if len(rest) == 0 || rest[0] != member.peer() {
+			return false
 		}
+		rest = rest[1:]
 	}
-	slices.SortFunc(summary.peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	for _, peer := range summary.peers {
+	return len(rest) == 0
+}
+
+// newLists returns the lists of the peers. The caller holds mu.
+func (table *Table) newLists(now time.Time) *peerLists {
+	lists := &peerLists{peers: make([]Peer, 0, len(table.ordered)), remote: map[string][]Peer{}}
+	for _, member := range table.ordered {
+		if !table.isPeer(member.name, member, now) {
+			continue
+		}
+		peer := member.peer()
+		lists.peers = append(lists.peers, peer)
 		if table.isRemote(peer.Zone) {
-			summary.remote[peer.Zone] = append(summary.remote[peer.Zone], peer)
+			lists.remote[peer.Zone] = append(lists.remote[peer.Zone], peer)
 		} else {
-			summary.local = append(summary.local, peer)
+			lists.local = append(lists.local, peer)
 		}
 	}
-	table.cached = summary
-	return summary
+	return lists
+}
+
+func (member *member) peer() Peer {
+	return Peer{Name: member.name, Address: member.address, Zone: member.zone}
 }
 
 // mayStart reports whether a VM may have started together with this one and not have sent
@@ -253,19 +288,21 @@
 }
 
 // Zones returns the known availability zones, this VM's included, ordered by the digest
-// of their names, so that all VMs compute the same order.
+// of their names, so that all VMs compute the same order. The caller must not change them.
 func (table *Table) Zones() []string {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	known := map[string]bool{table.Zone: true}
+	if table.zones != nil {
+		return table.zones
+	}
 	zones := []string{table.Zone}
-	for _, member := range table.members {
-		if member.zone != "" && !known[member.zone] {
-			known[member.zone] = true
+	for _, member := range table.ordered {
+		if member.zone != "" && !slices.Contains(zones, member.zone) {
 			zones = append(zones, member.zone)
 		}
 	}
 	sort.Slice(zones, func(i, j int) bool { return prefix.Digest(zones[i]) < prefix.Digest(zones[j]) })
+	table.zones = zones
 	return zones
 }
 
