Merge counts at a cost that does not grow with the fleet

For each merged count, refillLevel went over all sources of the account to find those that are silent and assumed to go on spending. A VM with 60 sources and 40 accounts did so 40 times a heartbeat.

An account now keeps that sum, and a queue of its sources ordered by the time at which their silence may begin or end. A count takes its source out of the sum; the queue is touched when a time in it has come, about once a source and second. The sum equals that of a loop over all sources, within rounding.

--- a/quota/account_state.go
+++ b/quota/account_state.go
@@ -17,6 +17,7 @@
 	shareLevel   float64 // tokens in this VM's share
 	shareUpdated time.Time
 	sources      map[string]*sourceCount
+	silent       silentSources // of sources, those of other VMs
 	// credit accumulates the fractions in which requests are to be admitted. A
 	// request is admitted when credit reaches 1, which is then deducted.
 	credit float64
@@ -37,6 +38,12 @@
 	spending     float64   // tokens admitted a second, averaged
 	averagedAt   time.Time // time up to which both averages are decayed
 	countedSince time.Time // when counting of its tokens began
+	// silent, checkAt and queuePosition belong to silentSources: whether the source is
+	// part of the sum, when that is checked next, and the source's position in the queue
+	// from 1 on, or 0.
+	silent        bool
+	checkAt       time.Time
+	queuePosition int
 	// reporters holds the processes that report sums of the source's tokens, by boot.
 	// It is nil for sources that are not sums.
 	reporters map[string]reporter
@@ -123,7 +130,9 @@
 	default:
 		// The source restarted. What it spent before this report may not be recent,
 		// and is not debited.
+		account.silent.exclude(previous)
 		previous.boot, previous.count, previous.madeAt = source.Boot, count, made
+		account.silent.schedule(previous)
 		return
 	}
 	if source.Summed {
@@ -137,10 +146,12 @@
 		account.total.Spent += spent
 		account.total.Wanted += wanted
 	}
+	account.silent.exclude(previous)
 	previous.decay(now)
 	previous.demand += wanted / demandTime.Seconds()
 	previous.spending += max(0, spent) / demandTime.Seconds()
 	previous.count, previous.madeAt = count, made
+	account.silent.schedule(previous)
 }
 
 // isRecent reports whether all that a source counted may have been spent recently: it
@@ -162,10 +173,19 @@
 			added.count = count
 		}
 	}
+	account.removeSource(source.Name)
 	account.sources[source.Name] = added
 	return added
 }
 
+// removeSource removes a source of another VM, if there is one.
+func (account *accountState) removeSource(name string) {
+	if removed, ok := account.sources[name]; ok {
+		account.silent.remove(removed)
+		delete(account.sources, name)
+	}
+}
+
 // refillLevel refills the fleet's bucket up to now, less what silent VMs are
 // assumed to spend.
 func (account *accountState) refillLevel(now time.Time) {
@@ -173,13 +193,8 @@
 	if elapsed <= 0 {
 		return
 	}
-	rate := account.limit.Rate
-	for _, count := range account.sources {
-		if silent := now.Sub(count.madeAt); count.remote && silent > maxExtrapolation && silent < sourceExpiry {
-			rate -= count.spending
-		}
-	}
-	account.level = min(account.limit.Burst, account.level+elapsed*max(0, rate))
+	account.silent.advance(now)
+	account.level = min(account.limit.Burst, account.level+elapsed*max(0, account.limit.Rate-account.silent.spending))
 	account.levelUpdated = now
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -231,7 +231,7 @@
 	defer limiter.mu.Unlock()
 	delete(limiter.reports, name)
 	for _, account := range limiter.accounts {
-		delete(account.sources, name)
+		account.removeSource(name)
 	}
 }
 
@@ -310,7 +310,7 @@
 			continue
 		}
 		if !silent {
-			count.decay(now)
+			account.silent.decay(count, now)
 		}
 		total += count.demand
 		if name == limiter.self {
