Add the sums of an availability zone without one of its VMs

A representative can send each VM of its zone what the other VMs counted, so that the VMs need not report to each other. Limiter.TotalsWithout subtracts what the named VM contributed to Totals. What it contributed stays subtracted after a restart and after RemoveSource, so that a receiver which compares successive sums takes none of its own tokens for those of others. Nothing calls it yet.

--- a/quota/account_state.go
+++ b/quota/account_state.go
@@ -26,6 +26,14 @@
 	// total is what this VM and sources with SameZone set counted since this
 	// process started.
 	total Count
+	// contributions is the part of total that came from each source with SameZone set,
+	// by its name. It outlives the source.
+	contributions map[string]*Count
+}
+
+// newAccountState returns the state of an account without a limit.
+func newAccountState(now time.Time) *accountState {
+	return &accountState{countedSince: now, sources: map[string]*sourceCount{}, contributions: map[string]*Count{}}
 }
 
 // sourceCount is an account's count from one source: a VM, or the sum of several.
@@ -38,6 +46,7 @@
 	spending     float64   // tokens admitted a second, averaged
 	averagedAt   time.Time // time up to which both averages are decayed
 	countedSince time.Time // when counting of its tokens began
+	contribution *Count    // the source's entry in contributions, or nil
 	// silent, checkAt and queuePosition belong to silentSources: whether the source is
 	// part of the sum, when that is checked next, and the source's position in the queue
 	// from 1 on, or 0.
@@ -143,6 +152,9 @@
 	account.refillLevel(now)
 	account.level -= spent
 	if source.SameZone {
+		contribution := account.contribution(source.Name, previous)
+		contribution.Spent += spent
+		contribution.Wanted += wanted
 		account.total.Spent += spent
 		account.total.Wanted += wanted
 	}
@@ -154,6 +166,19 @@
 	account.silent.schedule(previous)
 }
 
+// contribution returns what a source contributed to total, also before it was removed.
+func (account *accountState) contribution(name string, count *sourceCount) *Count {
+	if count.contribution == nil {
+		known, ok := account.contributions[name]
+		if !ok {
+			known = &Count{}
+			account.contributions[name] = known
+		}
+		count.contribution = known
+	}
+	return count.contribution
+}
+
 // isRecent reports whether all that a source counted may have been spent recently: it
 // started a short time ago, and not long before this VM began to count.
 func (account *accountState) isRecent(source Source, now time.Time) bool {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -215,7 +215,7 @@
 	for _, count := range counts {
 		account, ok := limiter.accounts[count.Account]
 		if !ok {
-			account = &accountState{countedSince: now, sources: map[string]*sourceCount{}}
+			account = newAccountState(now)
 			limiter.accounts[count.Account] = account
 		}
 		account.applyCount(source, count, made, now)
@@ -238,12 +238,26 @@
 // Totals returns what this VM and sources with SameZone set counted since this
 // process started.
 func (limiter *Limiter) Totals() []Count {
+	return limiter.TotalsWithout("")
+}
+
+// TotalsWithout returns Totals less what the named source, another VM of this VM's
+// availability zone, contributed to them. A receiver may compare successive results:
+// they only change by what others counted. Therefore what the source contributed under
+// this name stays subtracted after its process was replaced by another, and after
+// RemoveSource. What a source with Summed set counted of the VM's tokens is not
+// subtracted.
+func (limiter *Limiter) TotalsWithout(name string) []Count {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	totals := make([]Count, 0, len(limiter.accounts))
-	for name, account := range limiter.accounts {
+	for accountName, account := range limiter.accounts {
 		total := account.total
-		total.Account = name
+		if contribution, ok := account.contributions[name]; ok {
+			total.Spent -= contribution.Spent
+			total.Wanted -= contribution.Wanted
+		}
+		total.Account = accountName
 		totals = append(totals, total)
 	}
 	return totals
@@ -272,7 +286,7 @@
 	}
 	account, ok := limiter.accounts[limit.Name]
 	if !ok {
-		account = &accountState{countedSince: now, sources: map[string]*sourceCount{}}
+		account = newAccountState(now)
 		limiter.accounts[limit.Name] = account
 	}
 	if account.limit.Burst == 0 && account.limit.Rate == 0 {
