Debit tokens once when a zone's representative changes

A VM that takes the counts of single VMs as a representative and sums at other times debited tokens twice when its part changed. Not seen by callers: nothing sends sums within a zone yet.

- Within five seconds after the start, the whole first count of a source is debited.
A VM whose tokens sums had reported was debited again as a single VM, and the sums again after the single VMs.
The first count of a VM that began before the last sum is no longer debited, and sums go on from what was debited of the zone.
- What sums reported of a VM remained in the totals without it, so that the VM debited its own tokens when the same reporter came back.
They are now subtracted once the VM reports its own counts, and TotalsWithout leaves out the account until then.

The totals of the zone are kept apart from this VM's own count (zoneCounts).

A handover loses at most what is spent between two reports. With two reporters at a time, the counts of one may be behind the other's when a VM begins to take them: the difference is debited twice when it catches up.

--- a/quota/account_state.go
+++ b/quota/account_state.go
@@ -23,17 +23,12 @@
 	credit float64
 	// continueCredit is the same for requests that continue an answer.
 	continueCredit float64
-	// total is what this VM and sources with SameZone set counted since this
-	// process started.
-	total Count
-	// contributions is the part of total that came from each source with SameZone set,
-	// by its name. It outlives the source.
-	contributions map[string]*Count
+	zone           zoneCounts
 }
 
 // newAccountState returns the state of an account without a limit.
 func newAccountState(now time.Time) *accountState {
-	return &accountState{countedSince: now, sources: map[string]*sourceCount{}, contributions: map[string]*Count{}}
+	return &accountState{countedSince: now, sources: map[string]*sourceCount{}, zone: zoneCounts{vms: map[string]*zoneVM{}}}
 }
 
 // sourceCount is an account's count from one source: a VM, or the sum of several.
@@ -46,7 +41,7 @@
 	spending     float64   // tokens admitted a second, averaged
 	averagedAt   time.Time // time up to which both averages are decayed
 	countedSince time.Time // when counting of its tokens began
-	contribution *Count    // the source's entry in contributions, or nil
+	zoneVM       *zoneVM   // set for VMs of this VM's availability zone
 	// silent, checkAt and queuePosition belong to silentSources: whether the source is
 	// part of the sum, when that is checked next, and the source's position in the queue
 	// from 1 on, or 0.
@@ -121,7 +116,6 @@
 func (account *accountState) spend(own *sourceCount, tokens float64) {
 	own.count.Spent += tokens
 	own.spending += tokens / demandTime.Seconds()
-	account.total.Spent += tokens
 	account.level -= tokens
 	account.shareLevel -= tokens
 }
@@ -148,15 +142,17 @@
 		sameStart := account.isRecent(source, now) && source.Began.Before(account.countedSince.Add(newSourceMaxLead))
 		count = previous.sums(source, count, sameStart, made)
 	}
+	if source.SameZone && !source.Summed && previous.zoneVM == nil {
+		previous.zoneVM = account.zone.vm(source.Name)
+	}
 	spent, wanted := count.Spent-previous.count.Spent, count.Wanted-previous.count.Wanted
 	account.refillLevel(now)
 	account.level -= spent
-	if source.SameZone {
-		contribution := account.contribution(source.Name, previous)
-		contribution.Spent += spent
-		contribution.Wanted += wanted
-		account.total.Spent += spent
-		account.total.Wanted += wanted
+	switch {
+	case source.SameZone && source.Summed:
+		account.zone.addSums(Count{Spent: spent, Wanted: wanted}, made)
+	case source.SameZone:
+		account.zone.add(previous.zoneVM, Count{Spent: spent, Wanted: wanted})
 	}
 	account.silent.exclude(previous)
 	previous.decay(now)
@@ -166,22 +162,13 @@
 	account.silent.schedule(previous)
 }
 
-// contribution returns what a source contributed to total, also before it was removed.
-func (account *accountState) contribution(name string, count *sourceCount) *Count {
-	if count.contribution == nil {
-		known, ok := account.contributions[name]
-		if !ok {
-			known = &Count{}
-			account.contributions[name] = known
-		}
-		count.contribution = known
-	}
-	return count.contribution
-}
-
-// isRecent reports whether all that a source counted may have been spent recently: it
-// started a short time ago, and not long before this VM began to count.
+// isRecent reports whether all that a source counted may have been spent recently, and
+// was not debited yet: it started a short time ago, not long before this VM began to
+// count, and after the last sums that may include its tokens were made.
 func (account *accountState) isRecent(source Source, now time.Time) bool {
+	if source.SameZone && !source.Summed && source.Began.Before(account.zone.coveredUntil) {
+		return false
+	}
 	return now.Sub(source.Began) <= newSourceMaxAge && !source.Began.Before(account.countedSince.Add(-newSourceMaxLead))
 }
 
@@ -192,23 +179,45 @@
 	if source.Summed {
 		added.reporters = map[string]reporter{}
 	}
-	if !account.isRecent(source, now) {
+	recent := account.isRecent(source, now)
+	if !recent {
 		added.countedSince = now
 		if !source.Summed {
 			added.count = count
 		}
 	}
-	account.removeSource(source.Name)
+	switch {
+	case source.SameZone && source.Summed:
+		added.count = account.zone.total // debited when other sources reported it
+	case source.SameZone && !recent:
+		account.zone.resume(account.zone.vm(source.Name), source, count, account.countedSince)
+	}
+	if replaced, ok := account.sources[source.Name]; ok {
+		account.silent.remove(replaced)
+	}
 	account.sources[source.Name] = added
 	return added
 }
 
 // removeSource removes a source of another VM, if there is one.
 func (account *accountState) removeSource(name string) {
-	if removed, ok := account.sources[name]; ok {
-		account.silent.remove(removed)
-		delete(account.sources, name)
+	removed, ok := account.sources[name]
+	if !ok {
+		return
+	}
+	account.silent.remove(removed)
+	delete(account.sources, name)
+	if removed.zoneVM != nil {
+		account.zone.removed(removed.zoneVM, removed)
+	}
+}
+
+// own returns this VM's own count.
+func (account *accountState) own(self string) Count {
+	if own, ok := account.sources[self]; ok {
+		return own.count
 	}
+	return Count{}
 }
 
 // refillLevel refills the fleet's bucket up to now, less what silent VMs are
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -55,8 +55,10 @@
 	VMs int
 	// Began is when the process began to count.
 	Began time.Time
-	// SameZone is set for a VM of this VM's availability zone. Its tokens are
-	// included in the Totals that this VM reports to others.
+	// SameZone is set for a VM of this VM's availability zone, and for the sums of the
+	// zone's other VMs. Their tokens are included in the Totals that this VM reports to
+	// others. A VM takes the counts of single VMs or sums: RemoveSource removes those of
+	// the other kind when it begins or ceases to represent its zone.
 	SameZone bool
 	// Summed is set if the counts are sums of several VMs. Other processes may then
 	// report sums of the same tokens under the same name.
@@ -177,7 +179,6 @@
 	share := limiter.share(account, now)
 	account.refillShare(limit, share, limiter.savedShare(), now)
 	own.addDemand(tokens)
-	account.total.Wanted += tokens
 	factor := limiter.requestSizes.admissionFactor(request)
 	credit := &account.credit
 	if request.Continues {
@@ -198,7 +199,6 @@
 		return
 	}
 	account.source(limiter.self, now).count.Spent -= tokens
-	account.total.Spent -= tokens
 	account.level = min(account.limit.Burst, account.level+tokens)
 	account.shareLevel += tokens
 }
@@ -238,27 +238,34 @@
 // Totals returns what this VM and sources with SameZone set counted since this
 // process started.
 func (limiter *Limiter) Totals() []Count {
-	return limiter.TotalsWithout("")
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	totals := make([]Count, 0, len(limiter.accounts))
+	for name, account := range limiter.accounts {
+		total := account.zone.total.plus(account.own(limiter.self))
+		total.Account = name
+		totals = append(totals, total)
+	}
+	return totals
 }
 
-// TotalsWithout returns Totals less what the named source, another VM of this VM's
-// availability zone, contributed to them. A receiver may compare successive results:
-// they only change by what others counted. Therefore what the source contributed under
-// this name stays subtracted after its process was replaced by another, and after
-// RemoveSource. What a source with Summed set counted of the VM's tokens is not
-// subtracted.
+// TotalsWithout returns Totals less what the named VM, another one of this VM's
+// availability zone, counted of them. The VM may compare successive results: they only
+// change by what others counted. Therefore what it counted stays subtracted after its
+// process was replaced by another, and after RemoveSource. Accounts are left out while
+// that part is not known: after sources with SameZone and Summed set reported it, until
+// the VM reports its own counts.
 func (limiter *Limiter) TotalsWithout(name string) []Count {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	totals := make([]Count, 0, len(limiter.accounts))
 	for accountName, account := range limiter.accounts {
-		total := account.total
-		if contribution, ok := account.contributions[name]; ok {
-			total.Spent -= contribution.Spent
-			total.Wanted -= contribution.Wanted
+		_, isSource := account.sources[name]
+		if total, ok := account.zone.without(name, isSource); ok {
+			total = total.plus(account.own(limiter.self))
+			total.Account = accountName
+			totals = append(totals, total)
 		}
-		total.Account = accountName
-		totals = append(totals, total)
 	}
 	return totals
 }
