--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -55,8 +55,10 @@
 	VMs int
 	// Began is when the process began to count.
 	Began time.Time
-	// SameZone is set for a VM of this VM's availability zone. Its tokens are
-	// included in the Totals that this VM reports to others.
+	// SameZone is set for a VM of this VM's availability zone, and for the sums of the
+	// zone's other VMs. Their tokens are included in the Totals that this VM reports to
+	// others. A VM takes the counts of single VMs or sums: RemoveSource removes those of
+	// the other kind when it begins or ceases to represent its zone.
 	SameZone bool
 	// Summed is set if the counts are sums of several VMs. Other processes may then
 	// report sums of the same tokens under the same name.
@@ -177,7 +179,6 @@
 	share := limiter.share(account, now)
 	account.refillShare(limit, share, limiter.savedShare(), now)
 	own.addDemand(tokens)
-	account.total.Wanted += tokens
 	factor := limiter.requestSizes.admissionFactor(request)
 	credit := &account.credit
 	if request.Continues {
@@ -198,7 +199,6 @@
 		return
 	}
 	account.source(limiter.self, now).count.Spent -= tokens
-	account.total.Spent -= tokens
 	account.level = min(account.limit.Burst, account.level+tokens)
 	account.shareLevel += tokens
 }
@@ -215,7 +215,7 @@
 	for _, count := range counts {
 		account, ok := limiter.accounts[count.Account]
 		if !ok {
-			account = &accountState{countedSince: now, sources: map[string]*sourceCount{}}
+			account = newAccountState(now)
 			limiter.accounts[count.Account] = account
 		}
 		account.applyCount(source, count, made, now)
@@ -231,7 +231,7 @@
 	defer limiter.mu.Unlock()
 	delete(limiter.reports, name)
 	for _, account := range limiter.accounts {
-		delete(account.sources, name)
+		account.removeSource(name)
 	}
 }
 
@@ -242,13 +242,34 @@
 	defer limiter.mu.Unlock()
 	totals := make([]Count, 0, len(limiter.accounts))
 	for name, account := range limiter.accounts {
-		total := account.total
+		total := account.zone.total.plus(account.own(limiter.self))
 		total.Account = name
 		totals = append(totals, total)
 	}
 	return totals
 }
 
+// TotalsWithout returns Totals less what the named VM, another one of this VM's
+// availability zone, counted of them. The VM may compare successive results: they only
+// change by what others counted. Therefore what it counted stays subtracted after its
+// process was replaced by another, and after RemoveSource. Accounts are left out while
+// that part is not known: after sources with SameZone and Summed set reported it, until
+// the VM reports its own counts.
+func (limiter *Limiter) TotalsWithout(name string) []Count {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	totals := make([]Count, 0, len(limiter.accounts))
+	for accountName, account := range limiter.accounts {
+		_, isSource := account.sources[name]
+		if total, ok := account.zone.without(name, isSource); ok {
+			total = total.plus(account.own(limiter.self))
+			total.Account = accountName
+			totals = append(totals, total)
+		}
+	}
+	return totals
+}
+
 // Counts returns this VM's own counts.
 func (limiter *Limiter) Counts() []Count {
 	limiter.mu.Lock()
@@ -272,7 +293,7 @@
 	}
 	account, ok := limiter.accounts[limit.Name]
 	if !ok {
-		account = &accountState{countedSince: now, sources: map[string]*sourceCount{}}
+		account = newAccountState(now)
 		limiter.accounts[limit.Name] = account
 	}
 	if account.limit.Burst == 0 && account.limit.Rate == 0 {
@@ -310,7 +331,7 @@
 			continue
 		}
 		if !silent {
-			count.decay(now)
+			account.silent.decay(count, now)
 		}
 		total += count.demand
 		if name == limiter.self {
