--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -42,6 +42,7 @@
 	defer cancel(nil)
 	job.progress = &eventProgress{}
 	job.attempt.mustContinue = job.lastEventID != ""
+	continues := job.started
 	silenceMonitor := job.monitorSilence(assignment, cancel)
 	share := job.relay.Buffers.Share()
 	defer func() { share.Close() }()
@@ -59,7 +60,7 @@
 		return errNotRun
 	}
 	if head.Stream {
-		return job.endStream(head)
+		return job.endStream(head, continues)
 	}
 	if job.started {
 		return errNotAStream
@@ -72,9 +73,14 @@
 	return job.deliver(head, body)
 }
 
-// endStream sends the caller the head of a stream that had no events.
-func (job *job) endStream(head target.Head) error {
-	if job.started {
+// endStream ends a stream. If continues is set, an earlier attempt sent the caller a part of
+// it, and the last one must have added to that: an answer without events does not show that
+// the stream was complete. Otherwise the caller gets the head of a stream that had no events.
+func (job *job) endStream(head target.Head, continues bool) error {
+	switch {
+	case continues && job.attempt.mustContinue:
+		return errNotAStream
+	case job.started:
 		return nil
 	}
 	job.started = true
