Take no success for an answer that lacks the engine's stamp (MIXED)

An engine's answer with a 2xx status and no X-Bramleygw-Server-Stamp reached callers as a success, framed as whole.

The head was decoded without a look at the stamp. The platform's dialect now names the field that a success lacks (target.Head.Missing), and package target ends calls with such an answer, other than reports, orders and probes, which have no request ID and no stamp.

--- a/target/dialect.go
+++ b/target/dialect.go
@@ -46,6 +46,10 @@
 	// RequestID is the ID of the answered request; empty when the target does not
 	// return it.
 	RequestID string
+	// Missing names the field without which the target's success does not count, if the
+	// head reports success and has no such field; empty otherwise. Answers to requests with
+	// an ID are not used then.
+	Missing string
 	// NotRun is set when the target guarantees that it did not and will not run
 	// the request.
 	NotRun bool
--- a/target/target.go
+++ b/target/target.go
@@ -3,9 +3,9 @@
 //
 // A request is sent once on one connection, without the HTTP library's own
 // retries. A connection is closed and not reused when its answer timed out, was
-// incomplete, belonged to another request or could not be matched to its own. Calls
-// without an ID use other connections than those with one. Callers' credentials are
-// not forwarded.
+// incomplete, belonged to another request, could not be matched to its own or lacked a
+// field that each success has. Calls without an ID use other connections than those with
+// one. Callers' credentials are not forwarded.
 //
 // # Usage
 //
@@ -44,6 +44,9 @@
 	ErrTimeout = errors.New("no data from the target before the deadline")
 	// ErrAnswerMismatch: the answer carries the ID of another request.
 	ErrAnswerMismatch = errors.New("the answer belongs to another request")
+	// ErrMissingField: the answer reports success, but lacks a field that each success of
+	// the target has. The target may have run the request.
+	ErrMissingField = errors.New("the answer lacks a field that each success has")
 	// ErrCancelled: the context of the call ended.
 	ErrCancelled = errors.New("the call was cancelled")
 	// ErrRefused: the target rejected the request and ran nothing.
@@ -256,6 +259,9 @@
 		}
 		return ErrAnswerMismatch
 	}
+	if head.Missing != "" && call.RequestID != "" {
+		return errors.Wrap(ErrMissingField, head.Missing)
+	}
 	if call.OnHead != nil {
 		call.OnHead(head)
 	}
@@ -308,7 +314,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "call ended"), ErrCancelled)
 	case err == nil:
 		return nil
-	case errors.IsAny(err, ErrAnswerMismatch, ErrRefused, ErrIncomplete):
+	case errors.IsAny(err, ErrAnswerMismatch, ErrMissingField, ErrRefused, ErrIncomplete):
 		return err
 	case errors.Is(err, connection.ErrDial) && !reused:
 		return errors.Mark(err, ErrNotSent)
