--- a/target/target.go
+++ b/target/target.go
@@ -226,7 +226,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	client.dialect.Fill(request, &call)
-	body := &deadlineBody{conn: conn, call: &call}
+	body := &deadlineBody{conn: conn, call: &call, empty: true}
 	body.extendDeadline()
 	err := conn.Do(request, response)
 	if !reused && conn.Used() {
@@ -275,14 +275,26 @@
 		}
 		return err
 	}
+	if body.empty && endsAfterHead(response) {
+		return errors.Mark(errors.New("the connection ended after the head"), ErrConnectionLost)
+	}
 	return response.CloseBodyStream()
 }
 
+// endsAfterHead reports whether an answer with an empty body was broken off after its head:
+// it reports success, and states neither a length nor chunks. Servers of HTTP/1.0 may omit
+// the length of an empty body.
+func endsAfterHead(response *fasthttp.Response) bool {
+	isSuccess := response.StatusCode() >= fasthttp.StatusOK && response.StatusCode() < fasthttp.StatusMultipleChoices
+	return isSuccess && response.Header.IsHTTP11() && response.Header.ContentLength() == unframed
+}
+
 // deadlineBody is a body that extends the connection's deadline before each read.
 type deadlineBody struct {
 	reader io.Reader
 	conn   *connection.Client
 	call   *Call
+	empty  bool  // nothing was read yet
 	err    error // the error that ended reading, if not io.EOF
 }
 
@@ -290,6 +302,7 @@
 func (body *deadlineBody) Read(buffer []byte) (int, error) {
 	body.extendDeadline()
 	count, err := body.reader.Read(buffer)
+	body.empty = body.empty && count == 0
 	if err != nil && err != io.EOF {
 		body.err = err
 	}
--- a/target/unframed_test.go
+++ b/target/unframed_test.go
@@ -56,7 +56,8 @@
 const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // Guards against targets whose end is not noticed: an answer without length ends with
-// its connection, and a stream that ends within an event has been broken off.
+// its connection, and a stream that ends within an event has been broken off, as has a
+// success that ends after its head.
 func TestUnframedAnswers(t *testing.T) {
 	for _, test := range []struct {
 		name, text string
@@ -66,6 +67,11 @@
 		{"stream ends within an event", streamHead + "id: 1\ndata: a\n\nid: 2\nda", ErrConnectionLost},
 		{"stream ends within its first event", streamHead + "id: 1\nda", ErrConnectionLost},
 		{"body", "HTTP/1.1 200 OK\r\n\r\nthe whole body", nil},
+		{"head alone", "HTTP/1.1 200 OK\r\n\r\n", ErrConnectionLost},
+		{"head alone of a stream", streamHead, ErrConnectionLost},
+		{"no content", "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", nil},
+		{"empty failure", "HTTP/1.1 500 Internal Server Error\r\n\r\n", nil},
+		{"empty body of an older protocol", "HTTP/1.0 200 OK\r\n\r\n", nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			server := startUnframed(t, test.text)
