Reset broken streams of callers over HTTP/1.0 (ORDER)

A stream that had begun and broke off looked complete to callers over HTTP/1.0, such as proxies that speak it to their servers: there are no chunks, the end of the connection is the end of the stream, and front closed it as after a whole one. It is reset now.

Callers over HTTP/1.1 get chunks, and miss the last one, as before.

TestBrokenStreamsLookBrokenOverHTTP10 failed before.

--- a/front/front.go
+++ b/front/front.go
@@ -197,6 +197,9 @@
 	}
 	refused := refusal.From(err)
 	if answer.headSent || refused.Code == refusal.StreamInterrupted || refused.Code == refusal.CallerGone {
+		if !httpRequest.ProtoAtLeast(1, 1) {
+			answer.resetAtClose()
+		}
 		panic(http.ErrAbortHandler) // closes the connection
 	}
 	server.Dialect.Refuse(writer, httpRequest, refused, time.Now())
@@ -272,6 +275,14 @@
 	return answer.conn != nil && connection.Closed(answer.conn)
 }
 
+// resetAtClose makes the close of the connection a reset. Without chunks, which HTTP/1.0 does
+// not have, a plain close is the proper end of a stream.
+func (answer *answer) resetAtClose() {
+	if conn, ok := answer.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // fails if the connection is closed already
+	}
+}
+
 // Write sends the next part of a stream, or the complete body of another answer.
 func (answer *answer) Write(text []byte) error {
 	if !answer.stream {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -144,3 +144,24 @@
 		site.Close()
 	}
 }
+
+// Guards against ORDER: callers of HTTP/1.0 get no chunks, the end of the connection is the end
+// of their stream, and one that breaks off looks complete.
+func TestBrokenStreamsLookBrokenOverHTTP10(t *testing.T) {
+	server := &Server{Dialect: refusingDialect{}, Relay: breakingRelay{refusal.StreamInterrupted}, Log: event.New(io.Discard, "vm", event.LevelInfo)}
+	site := httptest.NewUnstartedServer(server)
+	site.Config.ConnContext = withConn
+	site.Start()
+	defer site.Close()
+	conn, err := net.Dial("tcp", site.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }() // it has ended
+	if _, err := io.WriteString(conn, "GET /a HTTP/1.0\r\nHost: a.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(conn); err == nil {
+		t.Errorf("got %q and the end of the connection, want it reset", got)
+	}
+}
