Pass on no promise of 'not run' that an engine did not give (REFUSED)

An engine's 408, 429 or 503 without X-Bramleygw-Not-Run reached callers of requests that may run only once. Clients take these statuses for the promise that the request has not run and send it again; the platform's pages say that nothing but the header states this.

The answer was passed on like any failure of an engine. Its dialect now tells which statuses promise (target.Head.PromisesNotRun), and such an answer without the header ends the attempt as possibly run: callers get a 502 of the VM, without the engine's stamp. Requests that may be repeated are sent to the next target or get the engine's answer, as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,9 @@
 	// errFailedAnswer marks a complete answer with a server error. Another target
 	// may succeed.
 	errFailedAnswer = errors.New("the target answered with a server error")
+	// errFalsePromise marks a complete answer from which the caller would conclude that the
+	// request did not run, although the target does not say so.
+	errFalsePromise = errors.New("the target's status alone says that it did not run the request")
 	errNotAStream   = errors.New("the target did not continue the stream")
 	errOutOfOrder   = errors.New("the stream's events are out of order")
 )
@@ -65,6 +68,9 @@
 	if job.started {
 		return errNotAStream
 	}
+	if head.PromisesNotRun && !job.route.Kind.Repeatable() {
+		return errFalsePromise
+	}
 	if head.Status >= minServerErrorStatus && job.route.Kind.Repeatable() {
 		job.failedHead, job.failedBody = &head, body
 		share, job.failedShare = job.failedShare, share // that of an earlier one is closed
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -53,6 +53,9 @@
 	// NotRun is set when the target guarantees that it did not and will not run
 	// the request.
 	NotRun bool
+	// PromisesNotRun is set when callers take the status as the promise that the request
+	// did not run, whether or not the target guarantees it.
+	PromisesNotRun bool
 	// Stream is set when the body is an event stream.
 	Stream bool
 	// Fields are the header fields that are forwarded to the caller.
