--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,9 @@
 	// errFailedAnswer marks a complete answer with a server error. Another target
 	// may succeed.
 	errFailedAnswer = errors.New("the target answered with a server error")
+	// errFalsePromise marks a complete answer from which the caller would conclude that the
+	// request did not run, although the target does not say so.
+	errFalsePromise = errors.New("the target's status alone says that it did not run the request")
 	errNotAStream   = errors.New("the target did not continue the stream")
 	errOutOfOrder   = errors.New("the stream's events are out of order")
 )
@@ -42,6 +45,7 @@
 	defer cancel(nil)
 	job.progress = &eventProgress{}
 	job.attempt.mustContinue = job.lastEventID != ""
+	continues := job.started
 	silenceMonitor := job.monitorSilence(assignment, cancel)
 	share := job.relay.Buffers.Share()
 	defer func() { share.Close() }()
@@ -59,11 +63,14 @@
 		return errNotRun
 	}
 	if head.Stream {
-		return job.endStream(head)
+		return job.endStream(head, continues)
 	}
 	if job.started {
 		return errNotAStream
 	}
+	if head.PromisesNotRun && !job.route.Kind.Repeatable() {
+		return errFalsePromise
+	}
 	if head.Status >= minServerErrorStatus && job.route.Kind.Repeatable() {
 		job.failedHead, job.failedBody = &head, body
 		share, job.failedShare = job.failedShare, share // that of an earlier one is closed
@@ -72,9 +79,14 @@
 	return job.deliver(head, body)
 }
 
-// endStream sends the caller the head of a stream that had no events.
-func (job *job) endStream(head target.Head) error {
-	if job.started {
+// endStream ends a stream. If continues is set, an earlier attempt sent the caller a part of
+// it, and the last one must have added to that: an answer without events does not show that
+// the stream was complete. Otherwise the caller gets the head of a stream that had no events.
+func (job *job) endStream(head target.Head, continues bool) error {
+	switch {
+	case continues && job.attempt.mustContinue:
+		return errNotAStream
+	case job.started:
 		return nil
 	}
 	job.started = true
--- a/target/target.go
+++ b/target/target.go
@@ -3,9 +3,9 @@
 //
 // A request is sent once on one connection, without the HTTP library's own
 // retries. A connection is closed and not reused when its answer timed out, was
-// incomplete, belonged to another request or could not be matched to its own. Calls
-// without an ID use other connections than those with one. Callers' credentials are
-// not forwarded.
+// incomplete, belonged to another request, could not be matched to its own or lacked a
+// field that each success has. Calls without an ID use other connections than those with
+// one. Callers' credentials are not forwarded.
 //
 // # Usage
 //
@@ -44,6 +44,9 @@
 	ErrTimeout = errors.New("no data from the target before the deadline")
 	// ErrAnswerMismatch: the answer carries the ID of another request.
 	ErrAnswerMismatch = errors.New("the answer belongs to another request")
+	// ErrMissingField: the answer reports success, but lacks a field that each success of
+	// the target has. The target may have run the request.
+	ErrMissingField = errors.New("the answer lacks a field that each success has")
 	// ErrCancelled: the context of the call ended.
 	ErrCancelled = errors.New("the call was cancelled")
 	// ErrRefused: the target rejected the request and ran nothing.
@@ -223,7 +226,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	client.dialect.Fill(request, &call)
-	body := &deadlineBody{conn: conn, call: &call}
+	body := &deadlineBody{conn: conn, call: &call, empty: true}
 	body.extendDeadline()
 	err := conn.Do(request, response)
 	if !reused && conn.Used() {
@@ -256,6 +259,9 @@
 		}
 		return ErrAnswerMismatch
 	}
+	if head.Missing != "" && call.RequestID != "" {
+		return errors.Wrap(ErrMissingField, head.Missing)
+	}
 	if call.OnHead != nil {
 		call.OnHead(head)
 	}
@@ -269,14 +275,26 @@
 		}
 		return err
 	}
+	if body.empty && endsAfterHead(response) {
+		return errors.Mark(errors.New("the connection ended after the head"), ErrConnectionLost)
+	}
 	return response.CloseBodyStream()
 }
 
+// endsAfterHead reports whether an answer with an empty body was broken off after its head:
+// it reports success, and states neither a length nor chunks. Servers of HTTP/1.0 may omit
+// the length of an empty body.
+func endsAfterHead(response *fasthttp.Response) bool {
+	isSuccess := response.StatusCode() >= fasthttp.StatusOK && response.StatusCode() < fasthttp.StatusMultipleChoices
+	return isSuccess && response.Header.IsHTTP11() && response.Header.ContentLength() == unframed
+}
+
 // deadlineBody is a body that extends the connection's deadline before each read.
 type deadlineBody struct {
 	reader io.Reader
 	conn   *connection.Client
 	call   *Call
+	empty  bool  // nothing was read yet
 	err    error // the error that ended reading, if not io.EOF
 }
 
@@ -284,6 +302,7 @@
 func (body *deadlineBody) Read(buffer []byte) (int, error) {
 	body.extendDeadline()
 	count, err := body.reader.Read(buffer)
+	body.empty = body.empty && count == 0
 	if err != nil && err != io.EOF {
 		body.err = err
 	}
@@ -308,7 +327,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "call ended"), ErrCancelled)
 	case err == nil:
 		return nil
-	case errors.IsAny(err, ErrAnswerMismatch, ErrRefused, ErrIncomplete):
+	case errors.IsAny(err, ErrAnswerMismatch, ErrMissingField, ErrRefused, ErrIncomplete):
 		return err
 	case errors.Is(err, connection.ErrDial) && !reused:
 		return errors.Mark(err, ErrNotSent)
