Test that a new version does not delay targets that lack the former one

A roll whose holder failed goes on 3 s after version 2 was named, 0.5 s after version 3 was. At the end of version 2's bound of 6 s, 2 of 9, 5 of 18, 17 of 60 and 44 of 153 targets still have version 1.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -57,6 +57,9 @@
 	// Learned is when this VM learned of the version. It is zero if the version was
 	// named before, at an unknown time.
 	Learned time.Time
+	// Former holds the versions of the model that were named before this one, oldest
+	// first. Only the newest version of a model has them.
+	Former []NamedWeights
 }
 
 // Target is the state of a target that a roll depends on.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// Guards against requests that begin on replaced weights, and against refused ones where
+// only targets with such weights are left: a roll that stood still while another version
+// was named began anew with the pace of that version.
+func TestNewVersionDoesNotDelayTargetsThatLackFormerOne(t *testing.T) {
+	const secondAfter, takeover = 2500 * time.Millisecond, 3 * time.Second
+	for _, count := range []int{9, 18, 60, 153} {
+		simulation := newSimulation(count, 1)
+		requested := named(3, start.Add(secondAfter))
+		requested[0].Former = named(2, start)
+		simulation.now = start.Add(takeover)
+		for simulation.now.Sub(start) < grace {
+			simulation.step(requested)
+		}
+		if got := CountOutdated(simulation.targets(), requested[0].Former); got != 0 {
+			t.Errorf("%d targets: got %d without the former version %v after it was named, want none", count, got, grace)
+		}
+	}
+}
+
 // Operators request another version while the previous one is being loaded. The
 // roll must not wait for targets that have already loaded the previous one.
 func TestNewVersionRequestedDuringRoll(t *testing.T) {
