A further version does not put off the orders for the former one

Callers saw refusals, and requests that began on weights replaced for longer than the bound, when versions were named in series while a roll stood still, as after its holder was cut off from the store. The pace counted from the naming of the newest version alone, so a roll that was late began anew with each naming.

The roll knows the former versions too, and each has its own pace; the largest number due counts. Targets with the oldest weights already come first.

--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -167,14 +168,17 @@
 	return version
 }
 
-// newest returns the newest version of each model, sorted by model, and a channel that
-// is closed at the next change.
+// newest returns the newest version of each model with its former ones, sorted by model,
+// and a channel that is closed at the next change.
 func (namedWeights *namedWeights) newest() ([]rollout.NamedWeights, <-chan struct{}) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	var newest []rollout.NamedWeights
-	for _, named := range namedWeights.named {
-		newest = append(newest, named[len(named)-1])
+	for _, versions := range namedWeights.named {
+		last := len(versions) - 1
+		named := versions[last]
+		named.Former = slices.Clone(versions[:last])
+		newest = append(newest, named)
 	}
 	sort.Slice(newest, func(i, j int) bool { return newest[i].Model < newest[j].Model })
 	return newest, namedWeights.changed
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -52,8 +52,8 @@
 		t.Errorf("got version %d at 8 s, want 4", got)
 	}
 	named, _ := namedWeights.newest()
-	if len(named) != 1 || named[0].Version != 4 {
-		t.Errorf("got newest %+v, want only version 4", named)
+	if len(named) != 1 || named[0].Version != 4 || len(named[0].Former) != 1 || named[0].Former[0].Version != 3 {
+		t.Errorf("got newest %+v, want only version 4, with the former version 3", named)
 	}
 }
 
--- a/rollout/limit.go
+++ b/rollout/limit.go
@@ -32,11 +32,14 @@
 	return allowed
 }
 
-// late reports whether the orders for a requested version should all have been sent.
-func (roll *Roll) late(named []NamedWeights, now time.Time) bool {
-	for _, weights := range named {
-		if now.Sub(weights.Learned).Seconds() >= paceShare*time.Duration(roll.Grace).Seconds() {
-			return true
+// late reports whether a target lacks a version for which the orders should all have been
+// sent.
+func (roll *Roll) late(targets []Target, named []NamedWeights, now time.Time) bool {
+	for _, newest := range named {
+		for _, weights := range newest.requested() {
+			if _, remaining := roll.count(targets, weights); remaining > 0 && roll.overdue(weights, now) {
+				return true
+			}
 		}
 	}
 	return false
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -230,7 +230,7 @@
 		}
 		return outdated[i].ID < outdated[j].ID
 	})
-	budget := orderBudget{total: roll.limit(targets, roll.late(named, now), now), byModel: roll.pace(targets, named, now)}
+	budget := orderBudget{total: roll.limit(targets, roll.late(targets, named, now), now), byModel: roll.pace(targets, named, now)}
 	var steps []Step
 	for _, target := range outdated {
 		weights, _ := missingWeights(target, named)
@@ -250,34 +250,57 @@
 }
 
 // pace returns by model how many more targets should have been ordered by now if the
-// orders are spread evenly. A target that loads loses its cache entries, and the
-// requests that need them slow down all others, so the loads are spread over the
+// orders for each version are spread evenly. A target that loads loses its cache entries,
+// and the requests that need them slow down all others, so the loads are spread over the
 // time that there is. A roll that is late, for example because its holder died, is
-// only limited by limit.
+// only limited by limit. A further version does not put off the orders for the former one.
 func (roll *Roll) pace(targets []Target, named []NamedWeights, now time.Time) map[string]int {
 	due := map[string]int{}
-	for _, weights := range named {
-		reachable, ordered := 0, 0
-		for i := range targets {
-			version, ok := targets[i].version(weights.Model)
-			if !ok || targets[i].Unreachable {
-				continue
-			}
-			reachable++
-			if state, ok := roll.states[targets[i].ID]; version >= weights.Version || ok && state.ordered() {
-				ordered++
-			}
-		}
-		elapsed := now.Sub(weights.Learned).Seconds()
-		if duration := paceShare * time.Duration(roll.Grace).Seconds(); elapsed < duration {
-			due[weights.Model] = 1 + int(elapsed/duration*float64(reachable)) - ordered
-		} else {
-			due[weights.Model] = reachable
+	for _, newest := range named {
+		for _, weights := range newest.requested() {
+			due[newest.Model] = max(due[newest.Model], roll.due(targets, weights, now))
 		}
 	}
 	return due
 }
 
+// requested returns the version and the former ones.
+func (named NamedWeights) requested() []NamedWeights {
+	return append(slices.Clip(named.Former), named)
+}
+
+// due returns how many more targets should have been ordered by now if the orders for the
+// version are spread evenly.
+func (roll *Roll) due(targets []Target, weights NamedWeights, now time.Time) int {
+	reachable, remaining := roll.count(targets, weights)
+	if roll.overdue(weights, now) {
+		return remaining
+	}
+	duration := paceShare * time.Duration(roll.Grace).Seconds()
+	return 1 + int(now.Sub(weights.Learned).Seconds()/duration*float64(reachable)) - (reachable - remaining)
+}
+
+// count returns the number of reachable targets with the model, and of those that lack the
+// version and were not ordered to load one.
+func (roll *Roll) count(targets []Target, weights NamedWeights) (reachable, remaining int) {
+	for i := range targets {
+		version, ok := targets[i].version(weights.Model)
+		if !ok || targets[i].Unreachable {
+			continue
+		}
+		reachable++
+		if state, ok := roll.states[targets[i].ID]; version < weights.Version && !(ok && state.ordered()) {
+			remaining++
+		}
+	}
+	return reachable, remaining
+}
+
+// overdue reports whether the orders for the version should all have been sent.
+func (roll *Roll) overdue(weights NamedWeights, now time.Time) bool {
+	return now.Sub(weights.Learned).Seconds() >= paceShare*time.Duration(roll.Grace).Seconds()
+}
+
 // nextStep returns the next step for a target that lacks a requested version, or
 // false if there is none now. budget is the number of orders that may still be
 // sent; nextStep takes an order out of it.
