--- a/roster/weights_test.go
+++ b/roster/weights_test.go
@@ -90,3 +90,42 @@
 		t.Errorf("got weights %d, want 2", got)
 	}
 }
+
+// Guards against requests that one target rejects one after the other: it has loaded weights
+// of which this VM was not told, and its reports show them only some hundred ms later.
+func TestTargetThatRejectedItsWeightsIsNotUsedUntilOthersAreKnown(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		tell func(roster *Roster, weights uint64, at time.Time)
+	}{
+		{"report", func(roster *Roster, weights uint64, at time.Time) {
+			roster.RecordWeights("e1", []Model{{Name: "m", Weights: weights}}, at)
+		}},
+		{"notice", func(roster *Roster, weights uint64, _ time.Time) { roster.RaiseWeights("e1", "m", weights) }},
+		{"registration", func(roster *Roster, weights uint64, at time.Time) { roster.Put(engineEntry("e1", "a", weights), at) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			roster := New("a")
+			roster.Put(engineEntry("e1", "a", 1), start)
+			assignment := choose(t, roster, Criteria{Model: "m"}, start)
+			assignment.MarkMismatched(start)
+			assignment.End()
+			for ms := 10; ms < 500; ms += 10 {
+				probes := roster.Probes(afterMs(ms))
+				if ms == 10 && len(probes) != 1 {
+					t.Fatalf("got probes %+v, want one for a report", probes)
+				}
+				if len(probes) > 0 {
+					roster.RecordWeights("e1", []Model{{Name: "m", Weights: 1}}, afterMs(ms))
+				}
+				if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m"}, afterMs(ms)); ok {
+					t.Fatalf("got the target %d ms after it rejected its known weights, want none", ms)
+				}
+			}
+			test.tell(roster, 2, afterMs(500))
+			if got := choose(t, roster, Criteria{Model: "m"}, afterMs(500)).Weights; got != 2 {
+				t.Errorf("got weights %d, want 2", got)
+			}
+		})
+	}
+}
