A target that rejected its known weights is not used until others are known

Callers saw 503 after two targets in a row had answered 421. The version that a request expects is compared for equality, so a VM that was not told of a load is rejected. It then asked for a report and used the target again at once, but reports are some hundred ms old: the next request was rejected too, and each rejection takes a retry out of the budget of the VM, which is 0.16 of its requests.

A target that rejected its weights gets no requests until others are known, from a report, a notice or its registration, for 1 s at most; it is asked again while its report shows the rejected ones. A rejection of weights that are not the known ones any more changes nothing, and weights in the answer of another target at the address are not recorded. In the test the target was chosen 10 ms after it rejected its weights, now not within 500 ms, in which its reports show them.

The line of a failed attempt has the weights that the answer named, if any.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -175,7 +175,8 @@
 		job.relay.RecordReachability(assignment.ID, roster.SourceAnswer, nil, now)
 	}
 	job.relay.ObserveHead(assignment, assignment.ID, head, now)
-	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" {
+	otherTarget := head.Status == statusMisdirected && head.Incarnation != assignment.ID
+	if prompt := job.request.Prompt; prompt != nil && head.Weights != "" && !otherTarget {
 		if weights, err := strconv.ParseUint(head.Weights, 10, 64); err == nil {
 			job.relay.Roster.RaiseWeights(assignment.ID, prompt.Model, weights)
 		}
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -103,6 +103,6 @@
 func (job *job) logAttempt(assignment *roster.Assignment, err error) {
 	fields := append(job.request.resumesFields(),
 		event.F("request", job.request.ID), event.F("target", assignment.ID), event.Err(err), event.F("software", assignment.Software),
-		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("through", throughText(assignment.Through)), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
+		event.F("status", job.attempt.head.Status), event.F("weights", assignment.Weights), event.F("answer_weights", job.attempt.head.Weights), event.F("required_weights", assignment.RequiredWeights), event.F("through", throughText(assignment.Through)), event.F("after_event", job.lastEventID), event.F("died", job.attempt.died))
 	job.relay.Log.Emit(event.AttemptFailed, fields...)
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -426,12 +426,15 @@
 // is another one or has other weights than the request expects.
 func (job *job) handleMisdirected(assignment *roster.Assignment, now time.Time) {
 	instance := job.attempt.head.Incarnation
-	if instance == "" || instance == assignment.ID {
+	switch sameTarget := instance == "" || instance == assignment.ID; {
+	case sameTarget && assignment.Weights > 0:
+		assignment.MarkRejectedWeights(job.request.Prompt.Model, now)
+	case sameTarget:
 		assignment.MarkMismatched(now)
-		return
-	}
-	if change, changed := assignment.MarkReplaced(now); changed {
-		job.relay.RecordAvailability(change, now)
+	default:
+		if change, changed := assignment.MarkReplaced(now); changed {
+			job.relay.RecordAvailability(change, now)
+		}
 	}
 }
 
--- a/roster/homes.go
+++ b/roster/homes.go
@@ -253,7 +253,7 @@
 		if len(homes) == count && score <= prefix.Mix(criteria.Prefix^homes[count-1].seed) {
 			continue // the cheaper check first: it excludes most targets
 		}
-		if !target.usable(now) || now.Before(target.pausedUntil) || target.ejected() || target.limit.value != 0 || !versions.allows(target) {
+		if !target.usable(now) || target.paused(now) || target.ejected() || target.limit.value != 0 || !versions.allows(target) {
 			continue
 		}
 		at := 0
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -45,7 +45,7 @@
 		return obstacle
 	}
 	switch {
-	case now.Before(target.pausedUntil):
+	case target.paused(now):
 		return ObstaclePaused
 	case !target.hasSoftware(criteria):
 		return ObstacleSoftware
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -73,7 +73,8 @@
 	return !wasUnreachable
 }
 
-// RecordWeights records the weights that a target reports.
+// RecordWeights records the weights that a target reports. A report that still shows weights
+// that the target rejected is older than the rejection.
 func (roster *Roster) RecordWeights(id string, models []Model, now time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
@@ -84,5 +85,10 @@
 	for _, model := range models {
 		target.raiseWeights(model.Name, model.Weights)
 	}
-	target.pausedUntil = now
+	switch {
+	case target.rejected.Name == "":
+		target.pausedUntil = now
+	case target.paused(now):
+		target.mismatched, target.probeAt = true, now.Add(reportInterval)
+	}
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -7,10 +7,14 @@
 )
 
 const (
-	// mismatchPause is how long a target gets no requests after its instance or
-	// weights differed from the expected ones; by then the platform's lists are more
-	// up to date.
+	// mismatchPause is how long a target gets no requests after its instance differed
+	// from the expected one; by then the platform's lists are more up to date.
 	mismatchPause = 250 * time.Millisecond
+	// weightsPause is how long a target gets no requests after it rejected its known
+	// weights, unless others become known earlier. Reports lag by some hundred
+	// milliseconds: it is asked again after reportInterval.
+	weightsPause   = time.Second
+	reportInterval = 100 * time.Millisecond
 	// silenceLimit is how long a target with requests in flight may send nothing
 	// before it is probed for whether it still accepts connections. probeInterval is
 	// the time between two such probes.
@@ -99,7 +103,10 @@
 	mismatched     bool // its weights or its instance are not the expected ones
 	probeAt        time.Time
 	pausedUntil    time.Time // set when mismatched
-	ejectedUntil   time.Time // set when too many requests failed
+	// rejected is the weights that the target rejected last: the pause ends when others
+	// are known. Its name is empty if the target did not name itself.
+	rejected     Model
+	ejectedUntil time.Time // set when too many requests failed
 	// failureShare is the moving average of the share of requests that failed.
 	failureShare float64
 	// lastReceived is when the target last sent a byte. It is also set at registration
@@ -172,6 +179,15 @@
 	return target.generalObstacle(now) == ""
 }
 
+// paused reports whether the target gets no requests because of a mismatch.
+func (target *Target) paused(now time.Time) bool {
+	if !now.Before(target.pausedUntil) {
+		return false
+	}
+	weights, _ := target.weights(target.rejected.Name)
+	return weights == target.rejected.Weights
+}
+
 // awaitsWeights reports whether the target is loading weights that it is not yet
 // known to have.
 func (target *Target) awaitsWeights(now time.Time) bool {
@@ -323,7 +339,7 @@
 func (assignment *Assignment) Usable(now time.Time) bool {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
-	return assignment.target.usable(now) && !now.Before(assignment.target.pausedUntil)
+	return assignment.target.usable(now) && !assignment.target.paused(now)
 }
 
 // Unreachable reports whether the target accepts no more connections, or not on the way
@@ -343,15 +359,30 @@
 	return assignment.roster.markLeaving(assignment.target, SourceAddress, now)
 }
 
-// MarkMismatched records that the target did not name itself in an answer that says that
-// another target has the address, or that its weights are not the expected ones. The target gets no requests until it
-// reports its weights or mismatchPause has passed.
+// MarkMismatched records that the target did not name another one in an answer that says
+// that another one has the address. It gets no requests until it reports its weights or
+// mismatchPause has passed.
 func (assignment *Assignment) MarkMismatched(now time.Time) {
+	assignment.markMismatched(Model{}, now.Add(mismatchPause), now)
+}
+
+// MarkRejectedWeights records that the target rejected the weights of a model that it was
+// known to have, as far as its answer tells. It gets no requests until others are known or weightsPause has passed, and
+// is asked for a report.
+func (assignment *Assignment) MarkRejectedWeights(model string, now time.Time) {
+	assignment.markMismatched(Model{Name: model, Weights: assignment.Weights}, now.Add(weightsPause), now)
+}
+
+func (assignment *Assignment) markMismatched(rejected Model, until, now time.Time) {
 	assignment.roster.mu.Lock()
 	defer assignment.roster.mu.Unlock()
-	assignment.target.pausedUntil = now.Add(mismatchPause)
-	if !assignment.target.mismatched {
-		assignment.target.mismatched, assignment.target.probeAt = true, now
+	target := assignment.target
+	if weights, _ := target.weights(rejected.Name); weights != rejected.Weights {
+		return // others became known since the request was sent
+	}
+	target.rejected, target.pausedUntil = rejected, until
+	if !target.mismatched {
+		target.mismatched, target.probeAt = true, now
 	}
 }
 
--- a/roster/weights_test.go
+++ b/roster/weights_test.go
@@ -79,7 +79,7 @@
 	roster := New("a")
 	roster.Put(engineEntry("e1", "a", 1), start)
 	assignment := choose(t, roster, Criteria{Model: "m"}, start)
-	assignment.MarkMismatched(start)
+	assignment.MarkRejectedWeights("m", start)
 	assignment.End()
 	probes := roster.Probes(afterMs(1))
 	if len(probes) != 1 || !probes[0].Report {
@@ -108,7 +108,7 @@
 			roster := New("a")
 			roster.Put(engineEntry("e1", "a", 1), start)
 			assignment := choose(t, roster, Criteria{Model: "m"}, start)
-			assignment.MarkMismatched(start)
+			assignment.MarkRejectedWeights("m", start)
 			assignment.End()
 			for ms := 10; ms < 500; ms += 10 {
 				probes := roster.Probes(afterMs(ms))
