A registration tells that a late order took a target's weights back

Callers saw requests rejected by targets that served nothing until the next version was named: an order that was carried out late, after a restart that cleared what the target knew of orders, took it back to an older version. Its registration says so, but VMs kept the newest version they had ever known of this start, so none ordered it to load, and each expected the newer version in requests.

A registration with a later revision whose version is older than in the registration before it is believed. One that only lags behind a notice or an answer is not: the registration before it was older still. In the test the VM kept version 3 and now has 2 and 1.

--- a/roster/target.go
+++ b/roster/target.go
@@ -70,6 +70,9 @@
 	entry  Entry
 	seed   uint64
 
+	// registered is the registration with the highest revision.
+	registered Entry
+
 	removed bool
 	dropAt  time.Time // when an expired registration is dropped; zero unless expired
 	rollout rollout
@@ -124,7 +127,8 @@
 }
 
 // update applies a registration but keeps newer weights versions and the draining
-// state, because an older registration may arrive late.
+// state, because an older registration may arrive late. A version that is older than the one
+// in the registration before was taken back by an order that was carried out late.
 func (target *Target) update(entry Entry, now time.Time) {
 	known := target.entry.Models
 	draining := target.entry.Draining
@@ -132,13 +136,26 @@
 	target.entry.Models = append([]Model(nil), entry.Models...)
 	target.entry.Draining = entry.Draining || draining
 	for _, model := range known {
-		target.raiseWeights(model.Name, model.Weights)
+		if !target.tookBack(entry, model.Name) {
+			target.raiseWeights(model.Name, model.Weights)
+		}
+	}
+	if entry.Revision >= target.registered.Revision {
+		target.registered = entry
 	}
 	if target.lastReceived.IsZero() {
 		target.lastReceived = now
 	}
 }
 
+// tookBack reports whether a registration shows that the target went back to older weights
+// of a model.
+func (target *Target) tookBack(entry Entry, model string) bool {
+	before, _ := target.registered.weights(model)
+	after, ok := entry.weights(model)
+	return ok && entry.Revision > target.registered.Revision && after < before
+}
+
 // raiseWeights records a weights version unless the known one is the same or newer;
 // versions only increase.
 func (target *Target) raiseWeights(model string, weights uint64) {
@@ -151,9 +168,14 @@
 	}
 }
 
-// weights returns the weights version that the target has of a model.
+// weights returns the weights version that the target is known to have of a model.
 func (target *Target) weights(model string) (uint64, bool) {
-	for _, known := range target.entry.Models {
+	return target.entry.weights(model)
+}
+
+// weights returns the weights version of a model in the registration.
+func (entry *Entry) weights(model string) (uint64, bool) {
+	for _, known := range entry.Models {
 		if known.Name == model {
 			return known.Weights, true
 		}
--- a/roster/weights_test.go
+++ b/roster/weights_test.go
@@ -43,6 +43,36 @@
 	}
 }
 
+// Guards against targets that stay on older weights and serve nothing: an order that is
+// carried out late took a target back, as its next registration says.
+func TestWeightsAreTakenBackByLaterRegistrationOnly(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		registered, told     uint64 // at revision 5, and by another VM since
+		revision, next, want uint64
+	}{
+		{"taken back", 3, 0, 6, 2, 2},
+		{"earlier registration arrives late", 3, 0, 4, 2, 3},
+		{"registration does not show the load yet", 2, 3, 6, 2, 3},
+		{"taken back after a load that no registration showed", 2, 3, 6, 1, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			roster := New("a")
+			put := func(revision, weights uint64) {
+				entry := engineEntry("e1", "a", weights)
+				entry.Revision = revision
+				roster.Put(entry, start)
+			}
+			put(5, test.registered)
+			roster.RaiseWeights("e1", "m", test.told)
+			put(test.revision, test.next)
+			if got := choose(t, roster, Criteria{Model: "m"}, start).Weights; got != test.want {
+				t.Errorf("got weights %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 func TestOldWeightsAreAvoidedAndExcludedBelowRequired(t *testing.T) {
 	roster := New("a")
 	roster.Put(engineEntry("old", "a", 1), start)
