A version that was told before the store shows it was named no later than that

Requests could begin on weights replaced for longer than the bound: a VM that is cut off from the store may be told of a naming by a heartbeat of which it does not know when it was sent. The version is then required at once. When the store answered again, seconds later, the naming counted as of that moment, and replaced weights were used again until the bound had passed from there.

The VM keeps when it was first told, and a later answer of the store dates the naming no later. In the test, a VM that was cut off for 9 s required version 1 where version 2 was named longer ago than the bound of 6 s; it requires version 2.

--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -343,7 +343,7 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	gateway.addNamedWeights(model, version, source, namedAt)
+	gateway.addNamedWeights(model, version, source, gateway.weights.correctTime(model, version, namedAt))
 }
 
 // addNamedWeights records that a weight version was named at the given time or
@@ -353,6 +353,9 @@
 	if !at.IsZero() {
 		fields = append(fields, event.F("age_ms", time.Since(at).Milliseconds()))
 	}
+	if at.IsZero() {
+		gateway.weights.recordTold(model, version, time.Now())
+	}
 	newest, dated := gateway.weights.add(model, version, at)
 	if dated {
 		gateway.Log.Emit(event.WeightsDated, fields...)
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -23,8 +23,10 @@
 // namedWeights holds the weight versions that operators named. It is safe for
 // concurrent use.
 type namedWeights struct {
-	mu       sync.Mutex                        // guards the fields below
-	named    map[string][]rollout.NamedWeights // by model, oldest first
+	mu    sync.Mutex                        // guards the fields below
+	named map[string][]rollout.NamedWeights // by model, oldest first
+	// told holds when this VM was first told of a version without the time of its naming.
+	told     map[rollout.Weights]time.Time
 	changed  chan struct{}
 	syncedAt time.Time // when the store last answered
 	// contactAt is when the store last answered or another VM was last heard. No gap in
@@ -36,7 +38,7 @@
 }
 
 func newNamedWeights() *namedWeights {
-	return &namedWeights{named: map[string][]rollout.NamedWeights{}, changed: make(chan struct{})}
+	return &namedWeights{named: map[string][]rollout.NamedWeights{}, told: map[rollout.Weights]time.Time{}, changed: make(chan struct{})}
 }
 
 // recordContact records an answer of the store or a heartbeat of another VM.
@@ -74,6 +76,9 @@
 func (namedWeights *namedWeights) moveBack(length time.Duration) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
+	for weights, at := range namedWeights.told {
+		namedWeights.told[weights] = at.Add(-length)
+	}
 	times := []*time.Time{&namedWeights.syncedAt, &namedWeights.contactAt, &namedWeights.contactSince}
 	for _, versions := range namedWeights.named {
 		for i := range versions {
@@ -87,6 +92,27 @@
 	}
 }
 
+// recordTold records that this VM was told of a version without the time of its naming.
+func (namedWeights *namedWeights) recordTold(model string, version uint64, now time.Time) {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	weights := rollout.Weights{Model: model, Version: version}
+	if _, ok := namedWeights.told[weights]; !ok {
+		namedWeights.told[weights] = now
+	}
+}
+
+// correctTime returns the time at which a version was named that the store showed as named
+// at the given time: no later than when this VM was told of it. A zero time stays zero.
+func (namedWeights *namedWeights) correctTime(model string, version uint64, at time.Time) time.Time {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	if told, ok := namedWeights.told[rollout.Weights{Model: model, Version: version}]; ok && told.Before(at) {
+		return told
+	}
+	return at
+}
+
 // add records that a version was named at the given time or earlier; a zero time means
 // that the time is not known. It returns whether the version is the newest of its model
 // and was unknown, and whether it was known with a later time or with none.
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -33,6 +33,19 @@
 			sleep(15 * time.Second)
 			return gateway
 		}},
+		{"VM is cut off from the store and told without the time", func(ctx context.Context, store *fakeStore) *Gateway {
+			gateway, otherStore := startVM(ctx, "vm", store), newFakeStore()
+			other := startVM(ctx, "other", otherStore)
+			sleep(time.Second)
+			store.hang(9 * time.Second)
+			store.put(objects.Weights, 2)
+			otherStore.put(objects.Weights, 2)
+			for range 9 * time.Second / heartbeatInterval {
+				sleep(heartbeatInterval)
+				gateway.HandleHeartbeat(other.newHeartbeat(""))
+			}
+			return gateway
+		}},
 		{"VM is cut off and hears another VM before the store", func(ctx context.Context, store *fakeStore) *Gateway {
 			gateway, other := startVM(ctx, "vm", store), startVM(ctx, "other", newFakeStore())
 			sleep(time.Second)
--- a/roster/target.go
+++ b/roster/target.go
@@ -103,11 +103,11 @@
 	tunnelAt       time.Time
 	tunnelSearches int
 	failedProbes   int  // consecutive failed probes
-	mismatched     bool // its weights or its instance are not the expected ones
+	mismatched     bool // its weights or its instance are not the expected ones: it is asked for a report
 	probeAt        time.Time
 	pausedUntil    time.Time // set when mismatched
-	// rejected is the weights that the target rejected last: the pause ends when others
-	// are known. Its name is empty if the target did not name itself.
+	// rejected is the weights that the target rejected: the pause ends when others are
+	// known. It is empty if the pause has another cause.
 	rejected     Model
 	ejectedUntil time.Time // set when too many requests failed
 	// failureShare is the moving average of the share of requests that failed.
@@ -156,8 +156,7 @@
 	return ok && entry.Revision > target.registered.Revision && after < before
 }
 
-// raiseWeights records a weights version unless the known one is the same or newer;
-// versions only increase.
+// raiseWeights records a weights version unless the known one is the same or newer.
 func (target *Target) raiseWeights(model string, weights uint64) {
 	for i := range target.entry.Models {
 		known := &target.entry.Models[i]
@@ -389,8 +388,8 @@
 }
 
 // MarkRejectedWeights records that the target rejected the weights of a model that it was
-// known to have, as far as its answer tells. It gets no requests until others are known or weightsPause has passed, and
-// is asked for a report.
+// known to have, as far as its answer tells. It gets no requests until others are known or
+// weightsPause has passed, and is asked for a report.
 func (assignment *Assignment) MarkRejectedWeights(model string, now time.Time) {
 	assignment.markMismatched(Model{Name: model, Weights: assignment.Weights}, now.Add(weightsPause), now)
 }
