--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -22,8 +23,10 @@
 // namedWeights holds the weight versions that operators named. It is safe for
 // concurrent use.
 type namedWeights struct {
-	mu       sync.Mutex                        // guards the fields below
-	named    map[string][]rollout.NamedWeights // by model, oldest first
+	mu    sync.Mutex                        // guards the fields below
+	named map[string][]rollout.NamedWeights // by model, oldest first
+	// told holds when this VM was first told of a version without the time of its naming.
+	told     map[rollout.Weights]time.Time
 	changed  chan struct{}
 	syncedAt time.Time // when the store last answered
 	// contactAt is when the store last answered or another VM was last heard. No gap in
@@ -35,7 +38,7 @@
 }
 
 func newNamedWeights() *namedWeights {
-	return &namedWeights{named: map[string][]rollout.NamedWeights{}, changed: make(chan struct{})}
+	return &namedWeights{named: map[string][]rollout.NamedWeights{}, told: map[rollout.Weights]time.Time{}, changed: make(chan struct{})}
 }
 
 // recordContact records an answer of the store or a heartbeat of another VM.
@@ -73,6 +76,9 @@
 func (namedWeights *namedWeights) moveBack(length time.Duration) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
+	for weights, at := range namedWeights.told {
+		namedWeights.told[weights] = at.Add(-length)
+	}
 	times := []*time.Time{&namedWeights.syncedAt, &namedWeights.contactAt, &namedWeights.contactSince}
 	for _, versions := range namedWeights.named {
 		for i := range versions {
@@ -86,6 +92,27 @@
 	}
 }
 
+// recordTold records that this VM was told of a version without the time of its naming.
+func (namedWeights *namedWeights) recordTold(model string, version uint64, now time.Time) {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	weights := rollout.Weights{Model: model, Version: version}
+	if _, ok := namedWeights.told[weights]; !ok {
+		namedWeights.told[weights] = now
+	}
+}
+
+// correctTime returns the time at which a version was named that the store showed as named
+// at the given time: no later than when this VM was told of it. A zero time stays zero.
+func (namedWeights *namedWeights) correctTime(model string, version uint64, at time.Time) time.Time {
+	namedWeights.mu.Lock()
+	defer namedWeights.mu.Unlock()
+	if told, ok := namedWeights.told[rollout.Weights{Model: model, Version: version}]; ok && told.Before(at) {
+		return told
+	}
+	return at
+}
+
 // add records that a version was named at the given time or earlier; a zero time means
 // that the time is not known. It returns whether the version is the newest of its model
 // and was unknown, and whether it was known with a later time or with none.
@@ -167,14 +194,17 @@
 	return version
 }
 
-// newest returns the newest version of each model, sorted by model, and a channel that
-// is closed at the next change.
+// newest returns the newest version of each model with its former ones, sorted by model,
+// and a channel that is closed at the next change.
 func (namedWeights *namedWeights) newest() ([]rollout.NamedWeights, <-chan struct{}) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	var newest []rollout.NamedWeights
-	for _, named := range namedWeights.named {
-		newest = append(newest, named[len(named)-1])
+	for _, versions := range namedWeights.named {
+		last := len(versions) - 1
+		named := versions[last]
+		named.Former = slices.Clone(versions[:last])
+		newest = append(newest, named)
 	}
 	sort.Slice(newest, func(i, j int) bool { return newest[i].Model < newest[j].Model })
 	return newest, namedWeights.changed
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -57,6 +57,9 @@
 	// Learned is when this VM learned of the version. It is zero if the version was
 	// named before, at an unknown time.
 	Learned time.Time
+	// Former holds the versions of the model that were named before this one, oldest
+	// first. Only the newest version of a model has them.
+	Former []NamedWeights
 }
 
 // Target is the state of a target that a roll depends on.
@@ -140,6 +143,9 @@
 	// paceShare is the fraction of Grace over which orders are spread. The rest is for
 	// another VM to take over the lease and finish the roll.
 	paceShare = 0.7
+	// batchInterval is the minimum time between two batches of orders of a roll that is not
+	// late: all VMs are told of each, however many targets there are.
+	batchInterval = 250 * time.Millisecond
 	// assumedLoadTime is how long a target is assumed to be loading after an order.
 	// The end of the load shows in its reports only later.
 	assumedLoadTime = 400 * time.Millisecond
@@ -167,7 +173,8 @@
 	// over paceShare of it. If it is 0, orders are sent as fast as the limits allow.
 	Grace settings.Span
 
-	states map[string]*targetState
+	states  map[string]*targetState
+	batchAt time.Time // when the last orders were returned
 }
 
 // New returns a Roll without any outstanding orders.
@@ -227,12 +234,21 @@
 		}
 		return outdated[i].ID < outdated[j].ID
 	})
-	budget := orderBudget{total: roll.limit(targets, roll.late(named, now), now), byModel: roll.pace(targets, named, now)}
+	late := roll.late(targets, named, now)
+	budget := orderBudget{total: roll.limit(targets, late, now), byModel: roll.pace(targets, named, now)}
+	if !late && now.Sub(roll.batchAt) < batchInterval {
+		budget.total = 0
+	}
 	var steps []Step
 	for _, target := range outdated {
 		weights, _ := missingWeights(target, named)
-		if step, ok := roll.nextStep(target, weights, &budget, now); ok {
-			steps = append(steps, step)
+		step, ok := roll.nextStep(target, weights, &budget, now)
+		if !ok {
+			continue
+		}
+		steps = append(steps, step)
+		if !step.Poll {
+			roll.batchAt = now
 		}
 	}
 	return steps
@@ -247,34 +263,57 @@
 }
 
 // pace returns by model how many more targets should have been ordered by now if the
-// orders are spread evenly. A target that loads loses its cache entries, and the
-// requests that need them slow down all others, so the loads are spread over the
+// orders for each version are spread evenly. A target that loads loses its cache entries,
+// and the requests that need them slow down all others, so the loads are spread over the
 // time that there is. A roll that is late, for example because its holder died, is
-// only limited by limit.
+// only limited by limit. A further version does not put off the orders for the former one.
 func (roll *Roll) pace(targets []Target, named []NamedWeights, now time.Time) map[string]int {
 	due := map[string]int{}
-	for _, weights := range named {
-		reachable, ordered := 0, 0
-		for i := range targets {
-			version, ok := targets[i].version(weights.Model)
-			if !ok || targets[i].Unreachable {
-				continue
-			}
-			reachable++
-			if state, ok := roll.states[targets[i].ID]; version >= weights.Version || ok && state.ordered() {
-				ordered++
-			}
-		}
-		elapsed := now.Sub(weights.Learned).Seconds()
-		if duration := paceShare * time.Duration(roll.Grace).Seconds(); elapsed < duration {
-			due[weights.Model] = 1 + int(elapsed/duration*float64(reachable)) - ordered
-		} else {
-			due[weights.Model] = reachable
+	for _, newest := range named {
+		for _, weights := range newest.requested() {
+			due[newest.Model] = max(due[newest.Model], roll.due(targets, weights, now))
 		}
 	}
 	return due
 }
 
+// requested returns the version and the former ones.
+func (named NamedWeights) requested() []NamedWeights {
+	return append(slices.Clip(named.Former), named)
+}
+
+// due returns how many more targets should have been ordered by now if the orders for the
+// version are spread evenly.
+func (roll *Roll) due(targets []Target, weights NamedWeights, now time.Time) int {
+	reachable, remaining := roll.count(targets, weights)
+	if roll.overdue(weights, now) {
+		return remaining
+	}
+	duration := paceShare * time.Duration(roll.Grace).Seconds()
+	return 1 + int(now.Sub(weights.Learned).Seconds()/duration*float64(reachable)) - (reachable - remaining)
+}
+
+// count returns the number of reachable targets with the model, and of those that lack the
+// version and were not ordered to load one.
+func (roll *Roll) count(targets []Target, weights NamedWeights) (reachable, remaining int) {
+	for i := range targets {
+		version, ok := targets[i].version(weights.Model)
+		if !ok || targets[i].Unreachable {
+			continue
+		}
+		reachable++
+		if state, ok := roll.states[targets[i].ID]; version < weights.Version && !(ok && state.ordered()) {
+			remaining++
+		}
+	}
+	return reachable, remaining
+}
+
+// overdue reports whether the orders for the version should all have been sent.
+func (roll *Roll) overdue(weights NamedWeights, now time.Time) bool {
+	return now.Sub(weights.Learned).Seconds() >= paceShare*time.Duration(roll.Grace).Seconds()
+}
+
 // nextStep returns the next step for a target that lacks a requested version, or
 // false if there is none now. budget is the number of orders that may still be
 // sent; nextStep takes an order out of it.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -182,6 +182,26 @@
 	}
 }
 
+// Guards against requests that targets reject: the holder tells all VMs before each batch of
+// orders, and in a large fleet VMs missed what it told 30 times a second.
+func TestOrdersOfManyTargetsAreSentInBatches(t *testing.T) {
+	simulation := newSimulation(153, 1)
+	batches := 0
+	for simulation.now.Sub(start) < grace {
+		before := simulation.orders
+		simulation.step(named(2, start))
+		if simulation.orders > before {
+			batches++
+		}
+	}
+	if got, want := batches, 1+int(grace/batchInterval); got > want {
+		t.Errorf("got %d batches, want %d at most", got, want)
+	}
+	if got := CountOutdated(simulation.targets(), named(2, start)); got != 0 {
+		t.Errorf("got %d targets outdated after %v, want none", got, grace)
+	}
+}
+
 // The holder of the lease dies in the middle of a roll, and another VM, which knows
 // nothing of its orders, takes over late. It must not keep to the pace.
 func TestLateRollIsNotPaced(t *testing.T) {
@@ -200,6 +220,25 @@
 	}
 }
 
+// Guards against requests that begin on replaced weights, and against refused ones where
+// only targets with such weights are left: a roll that stood still while another version
+// was named began anew with the pace of that version.
+func TestNewVersionDoesNotDelayTargetsThatLackFormerOne(t *testing.T) {
+	const secondAfter, takeover = 2500 * time.Millisecond, 3 * time.Second
+	for _, count := range []int{9, 18, 60, 153} {
+		simulation := newSimulation(count, 1)
+		requested := named(3, start.Add(secondAfter))
+		requested[0].Former = named(2, start)
+		simulation.now = start.Add(takeover)
+		for simulation.now.Sub(start) < grace {
+			simulation.step(requested)
+		}
+		if got := CountOutdated(simulation.targets(), requested[0].Former); got != 0 {
+			t.Errorf("%d targets: got %d without the former version %v after it was named, want none", count, got, grace)
+		}
+	}
+}
+
 // Operators request another version while the previous one is being loaded. The
 // roll must not wait for targets that have already loaded the previous one.
 func TestNewVersionRequestedDuringRoll(t *testing.T) {
--- a/roster/weights_test.go
+++ b/roster/weights_test.go
@@ -43,6 +43,36 @@
 	}
 }
 
+// Guards against targets that stay on older weights and serve nothing: an order that is
+// carried out late took a target back, as its next registration says.
+func TestWeightsAreTakenBackByLaterRegistrationOnly(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		registered, told     uint64 // at revision 5, and by another VM since
+		revision, next, want uint64
+	}{
+		{"taken back", 3, 0, 6, 2, 2},
+		{"earlier registration arrives late", 3, 0, 4, 2, 3},
+		{"registration does not show the load yet", 2, 3, 6, 2, 3},
+		{"taken back after a load that no registration showed", 2, 3, 6, 1, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			roster := New("a")
+			put := func(revision, weights uint64) {
+				entry := engineEntry("e1", "a", weights)
+				entry.Revision = revision
+				roster.Put(entry, start)
+			}
+			put(5, test.registered)
+			roster.RaiseWeights("e1", "m", test.told)
+			put(test.revision, test.next)
+			if got := choose(t, roster, Criteria{Model: "m"}, start).Weights; got != test.want {
+				t.Errorf("got weights %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 func TestOldWeightsAreAvoidedAndExcludedBelowRequired(t *testing.T) {
 	roster := New("a")
 	roster.Put(engineEntry("old", "a", 1), start)
@@ -79,7 +109,7 @@
 	roster := New("a")
 	roster.Put(engineEntry("e1", "a", 1), start)
 	assignment := choose(t, roster, Criteria{Model: "m"}, start)
-	assignment.MarkMismatched(start)
+	assignment.MarkRejectedWeights("m", start)
 	assignment.End()
 	probes := roster.Probes(afterMs(1))
 	if len(probes) != 1 || !probes[0].Report {
@@ -90,3 +120,42 @@
 		t.Errorf("got weights %d, want 2", got)
 	}
 }
+
+// Guards against requests that one target rejects one after the other: it has loaded weights
+// of which this VM was not told, and its reports show them only some hundred ms later.
+func TestTargetThatRejectedItsWeightsIsNotUsedUntilOthersAreKnown(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		tell func(roster *Roster, weights uint64, at time.Time)
+	}{
+		{"report", func(roster *Roster, weights uint64, at time.Time) {
+			roster.RecordWeights("e1", []Model{{Name: "m", Weights: weights}}, at)
+		}},
+		{"notice", func(roster *Roster, weights uint64, _ time.Time) { roster.RaiseWeights("e1", "m", weights) }},
+		{"registration", func(roster *Roster, weights uint64, at time.Time) { roster.Put(engineEntry("e1", "a", weights), at) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			roster := New("a")
+			roster.Put(engineEntry("e1", "a", 1), start)
+			assignment := choose(t, roster, Criteria{Model: "m"}, start)
+			assignment.MarkRejectedWeights("m", start)
+			assignment.End()
+			for ms := 10; ms < 500; ms += 10 {
+				probes := roster.Probes(afterMs(ms))
+				if ms == 10 && len(probes) != 1 {
+					t.Fatalf("got probes %+v, want one for a report", probes)
+				}
+				if len(probes) > 0 {
+					roster.RecordWeights("e1", []Model{{Name: "m", Weights: 1}}, afterMs(ms))
+				}
+				if _, ok := roster.Choose(Criteria{Service: "notes", Model: "m"}, afterMs(ms)); ok {
+					t.Fatalf("got the target %d ms after it rejected its known weights, want none", ms)
+				}
+			}
+			test.tell(roster, 2, afterMs(500))
+			if got := choose(t, roster, Criteria{Model: "m"}, afterMs(500)).Weights; got != 2 {
+				t.Errorf("got weights %d, want 2", got)
+			}
+		})
+	}
+}
