--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -83,12 +83,17 @@
 }
 
 func start(t testing.TB, handler *handler) (*Dialer, netip.AddrPort, context.CancelFunc) {
+	t.Helper()
+	handler.issuer = quota.NewIssuer()
+	return startWith(t, handler)
+}
+
+func startWith(t testing.TB, handler Handler) (*Dialer, netip.AddrPort, context.CancelFunc) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	handler.issuer = quota.NewIssuer()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	server := &Server{Listener: listener, Handler: handler}
