Sums of prefix loads look at each VM's loads once

Each heartbeat looked up every prefix at every VM, computed what a home takes (a pass over all targets) for every prefix, and sorted all loads for the eight highest. Now the few loads of each VM are added to the prefixes of this one, what a home takes is computed once for a service, and the eight highest are kept while the others are passed over, most without their decay. The results are the same; a test compares them with the plain sum.

--- a/roster/homes.go
+++ b/roster/homes.go
@@ -48,25 +48,67 @@
 
 // prefixLoad is the load of a prefix at this VM.
 type prefixLoad struct {
+	prefix  uint64
 	service string
 	// tokens is the sum of the tokens, decaying with prefixLoadTime, as of countedAt.
 	tokens    float64
 	countedAt time.Time
 	homes     int // that this VM finds the prefix to need
+	// othersTokens, a second, and othersHomes are valid until the next sumPeerLoads.
+	othersTokens, othersHomes int
 }
 
-// peerLoads are the loads of other VMs, by prefix.
+// peerLoads are the loads of another VM, ordered by prefix.
 type peerLoads struct {
-	loads map[uint64]PrefixLoad
+	loads []PrefixLoad
 	at    time.Time
 }
 
+// get returns the load of a prefix.
+func (loads *peerLoads) get(key uint64) PrefixLoad {
+	i, ok := slices.BinarySearchFunc(loads.loads, key, func(load PrefixLoad, key uint64) int { return cmp.Compare(load.Prefix, key) })
+	if !ok {
+		return PrefixLoad{Prefix: key}
+	}
+	return loads.loads[i]
+}
+
+// sumPeerLoads sums the loads of other VMs by prefix, in othersTokens and othersHomes of this
+// VM's loads: of the named VMs, or of all if all is set. It reports whether one of them told
+// its loads lately. The caller holds mu.
+func (roster *Roster) sumPeerLoads(vms map[string]bool, all bool, now time.Time) bool {
+	for i := range roster.prefixLoads {
+		load := &roster.prefixLoads[i]
+		load.othersTokens, load.othersHomes = 0, 0
+	}
+	fresh := false
+	for vm, peer := range roster.peerLoads {
+		if !all && !vms[vm] || now.Sub(peer.at) > peerLoadTime {
+			continue
+		}
+		fresh = true
+		for _, reported := range peer.loads {
+			if i, ok := roster.prefixIndex[reported.Prefix]; ok {
+				load := &roster.prefixLoads[i]
+				load.othersTokens += reported.TokensPerSecond
+				load.othersHomes = max(load.othersHomes, reported.Homes)
+			}
+		}
+	}
+	return fresh
+}
+
 // rate returns the tokens a second.
 func (load *prefixLoad) rate(now time.Time) float64 {
 	decay := math.Exp(-max(0, now.Sub(load.countedAt).Seconds()) / prefixLoadTime.Seconds())
 	return load.tokens * decay / prefixLoadTime.Seconds()
 }
 
+// maxRate returns an upper bound of rate that takes less time to compute.
+func (load *prefixLoad) maxRate() float64 {
+	return load.tokens / prefixLoadTime.Seconds()
+}
+
 // add counts a request.
 func (load *prefixLoad) add(tokens int, now time.Time) {
 	load.tokens = load.rate(now)*prefixLoadTime.Seconds() + float64(tokens+requestTokens)
@@ -85,18 +127,33 @@
 	if criteria.Prefix == 0 || !roster.adaptive(criteria.Service) {
 		return
 	}
-	load, ok := roster.prefixLoads[criteria.Prefix]
+	i, ok := roster.prefixIndex[criteria.Prefix]
 	if !ok {
 		if len(roster.prefixLoads) >= maxPrefixLoads {
 			return
 		}
-		load = &prefixLoad{homes: 1}
-		roster.prefixLoads[criteria.Prefix] = load
+		i = len(roster.prefixLoads)
+		roster.prefixLoads = append(roster.prefixLoads, prefixLoad{prefix: criteria.Prefix, homes: 1})
+		roster.prefixIndex[criteria.Prefix] = i
 	}
+	load := &roster.prefixLoads[i]
 	load.service = criteria.Service
 	load.add(criteria.Tokens, now)
 }
 
+// removePrefixLoad removes the load with an index, which another one gets. The caller holds
+// mu.
+func (roster *Roster) removePrefixLoad(i int) {
+	last := len(roster.prefixLoads) - 1
+	delete(roster.prefixIndex, roster.prefixLoads[i].prefix)
+	if i != last {
+		roster.prefixLoads[i] = roster.prefixLoads[last]
+		roster.prefixIndex[roster.prefixLoads[i].prefix] = i
+	}
+	roster.prefixLoads[last] = prefixLoad{}
+	roster.prefixLoads = roster.prefixLoads[:last]
+}
+
 // HomesChange is a change of the number of homes that this VM finds a prefix to need.
 type HomesChange struct {
 	Service         string
@@ -110,21 +167,18 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	var changes []HomesChange
-	rates := map[string]float64{}
-	for key, load := range roster.prefixLoads {
+	rates := homeRates{roster: roster, now: now}
+	roster.sumPeerLoads(nil, true, now)
+	for i := len(roster.prefixLoads) - 1; i >= 0; i-- {
+		load := &roster.prefixLoads[i]
 		own := load.rate(now)
 		if own < 1 || !roster.adaptive(load.service) {
-			delete(roster.prefixLoads, key)
+			roster.removePrefixLoad(i)
 			continue
 		}
-		rate, ok := rates[load.service]
-		if !ok {
-			rate = roster.homeRate(load.service, now)
-			rates[load.service] = rate
-		}
-		total, before := own+roster.peerRate(key, now), load.homes
-		if load.decide(total, rate); load.homes != before {
-			changes = append(changes, HomesChange{Service: load.service, Prefix: key, TokensPerSecond: int(total), From: before, To: load.homes})
+		total, before := own+float64(load.othersTokens), load.homes
+		if load.decide(total, rates.get(load.service)); load.homes != before {
+			changes = append(changes, HomesChange{Service: load.service, Prefix: load.prefix, TokensPerSecond: int(total), From: before, To: load.homes})
 		}
 	}
 	for vm, loads := range roster.peerLoads {
@@ -139,9 +193,13 @@
 func (roster *Roster) HotPrefixes(now time.Time) int {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	if fresh := roster.sumPeerLoads(nil, true, now); !fresh && roster.fleetSize > 1 {
+		return 0
+	}
 	count := 0
-	for key, load := range roster.prefixLoads {
-		if roster.homeCount(Criteria{Service: load.service, Prefix: key}, now) > 1 {
+	for i := range roster.prefixLoads {
+		load := &roster.prefixLoads[i]
+		if max(load.homes, load.othersHomes) > 1 && roster.adaptive(load.service) {
 			count++
 		}
 	}
@@ -158,15 +216,30 @@
 	return homeShare * capacity.PromptTokensPerSecond / float64(capacity.Targets)
 }
 
-// peerRate returns the tokens a second that other VMs send with a prefix.
-func (roster *Roster) peerRate(key uint64, now time.Time) float64 {
-	total := 0.0
-	for _, loads := range roster.peerLoads {
-		if now.Sub(loads.at) <= peerLoadTime {
-			total += float64(loads.loads[key].TokensPerSecond)
+// homeRates keeps the results of homeRate while the caller holds mu. It is ready for use with
+// a roster and a time.
+type homeRates struct {
+	roster  *Roster
+	now     time.Time
+	service string // of the last call
+	rate    float64
+	rates   map[string]float64
+}
+
+func (rates *homeRates) get(service string) float64 {
+	if rates.rates != nil && service == rates.service {
+		return rates.rate
+	}
+	rate, ok := rates.rates[service]
+	if !ok {
+		rate = rates.roster.homeRate(service, rates.now)
+		if rates.rates == nil {
+			rates.rates = map[string]float64{}
 		}
+		rates.rates[service] = rate
 	}
-	return total
+	rates.service, rates.rate = service, rate
+	return rate
 }
 
 // homeCount returns the number of homes of the prefix: the most that any VM finds it to
@@ -179,11 +252,11 @@
 	count, fresh := 1, roster.fleetSize <= 1
 	for _, loads := range roster.peerLoads {
 		if now.Sub(loads.at) <= peerLoadTime {
-			count, fresh = max(count, min(maxHomes, loads.loads[criteria.Prefix].Homes)), true
+			count, fresh = max(count, min(maxHomes, loads.get(criteria.Prefix).Homes)), true
 		}
 	}
-	if load, ok := roster.prefixLoads[criteria.Prefix]; ok {
-		count = max(count, load.homes)
+	if i, ok := roster.prefixIndex[criteria.Prefix]; ok {
+		count = max(count, roster.prefixLoads[i].homes)
 	}
 	if !fresh {
 		return 1
@@ -201,23 +274,31 @@
 func (roster *Roster) SummedPrefixLoads(vms map[string]bool, now time.Time) []PrefixLoad {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	var loads []PrefixLoad
-	for key, load := range roster.prefixLoads {
-		total, homes := load.rate(now), load.homes
-		for vm, peer := range roster.peerLoads {
-			if vms[vm] && now.Sub(peer.at) <= peerLoadTime {
-				total, homes = total+float64(peer.loads[key].TokensPerSecond), max(homes, peer.loads[key].Homes)
-			}
+	roster.sumPeerLoads(vms, false, now)
+	rates := homeRates{roster: roster, now: now}
+	others := float64(max(1, roster.fleetSize-len(vms)))
+	loads := make([]PrefixLoad, 0, maxReportedLoads+1)
+	for i := range roster.prefixLoads {
+		load := &roster.prefixLoads[i]
+		peers := float64(load.othersTokens)
+		if len(loads) == maxReportedLoads && int(load.maxRate()+peers) < loads[maxReportedLoads-1].TokensPerSecond {
+			continue
 		}
-		others := max(1, roster.fleetSize-len(vms))
-		if homes > 1 || total*float64(others) >= roster.homeRate(load.service, now)/2 {
-			loads = append(loads, PrefixLoad{Prefix: key, TokensPerSecond: int(total), Homes: homes})
+		total, homes := load.rate(now)+peers, max(load.homes, load.othersHomes)
+		if homes <= 1 && total*others < rates.get(load.service)/2 {
+			continue
 		}
+		reported := PrefixLoad{Prefix: load.prefix, TokensPerSecond: int(total), Homes: homes}
+		at, _ := slices.BinarySearchFunc(loads, reported, compareLoads)
+		loads = slices.Insert(loads, at, reported)
+		loads = loads[:min(len(loads), maxReportedLoads)]
 	}
-	slices.SortFunc(loads, func(a, b PrefixLoad) int {
-		return cmp.Or(cmp.Compare(b.TokensPerSecond, a.TokensPerSecond), cmp.Compare(a.Prefix, b.Prefix))
-	})
-	return loads[:min(len(loads), maxReportedLoads)]
+	return loads
+}
+
+// compareLoads orders loads by their tokens, the most first.
+func compareLoads(a, b PrefixLoad) int {
+	return cmp.Or(cmp.Compare(b.TokensPerSecond, a.TokensPerSecond), cmp.Compare(a.Prefix, b.Prefix))
 }
 
 // SetPrefixLoads replaces the loads of another VM, or the sum of several VMs' loads under
@@ -225,11 +306,11 @@
 func (roster *Roster) SetPrefixLoads(vm string, loads []PrefixLoad, at time.Time) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
-	byPrefix := make(map[uint64]PrefixLoad, len(loads))
-	for _, load := range loads {
-		byPrefix[load.Prefix] = load
-	}
-	roster.peerLoads[vm] = peerLoads{loads: byPrefix, at: at}
+	ordered := slices.Clone(loads)
+	slices.Reverse(ordered) // the last load of a prefix counts
+	slices.SortStableFunc(ordered, func(a, b PrefixLoad) int { return cmp.Compare(a.Prefix, b.Prefix) })
+	ordered = slices.CompactFunc(ordered, func(a, b PrefixLoad) bool { return a.Prefix == b.Prefix })
+	roster.peerLoads[vm] = peerLoads{loads: ordered, at: at}
 }
 
 // RemovePrefixLoads removes the loads of another VM.
--- a/roster/homes_test.go
+++ b/roster/homes_test.go
@@ -155,3 +155,25 @@
 		t.Errorf("got %v, want the %d highest loads", got, maxReportedLoads)
 	}
 }
+
+// Guards against sums that miss a VM, or count one that was not named or is silent.
+func TestPrefixLoadsAreSummedOverNamedVMs(t *testing.T) {
+	roster, vms := newZoneRoster(20, 30, 50)
+	roster.SetPrefixLoads("other", []PrefixLoad{{Prefix: 1, TokensPerSecond: 1e6, Homes: 9}}, start)
+	roster.SetPrefixLoads("vm-3", []PrefixLoad{{Prefix: 2, TokensPerSecond: 1e6, Homes: 9}}, start.Add(-2*peerLoadTime))
+	roster.SetPrefixLoads("vm-4", []PrefixLoad{{Prefix: 5, TokensPerSecond: 1e6}, {Prefix: 5, TokensPerSecond: 40, Homes: 2}}, start)
+	var want []PrefixLoad
+	for _, load := range roster.prefixLoads {
+		tokens, homes := load.rate(start), load.homes
+		for vm := range vms {
+			if peer := roster.peerLoads[vm]; start.Sub(peer.at) <= peerLoadTime {
+				tokens, homes = tokens+float64(peer.get(load.prefix).TokensPerSecond), max(homes, peer.get(load.prefix).Homes)
+			}
+		}
+		want = append(want, PrefixLoad{Prefix: load.prefix, TokensPerSecond: int(tokens), Homes: homes})
+	}
+	slices.SortFunc(want, compareLoads)
+	if got := roster.SummedPrefixLoads(vms, start); !slices.Equal(got, want[:maxReportedLoads]) {
+		t.Errorf("got %v, want %v", got, want[:maxReportedLoads])
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -115,8 +115,10 @@
 	reportWorkTime map[string]bool
 	// preferred holds the services of which this VM prefers some targets.
 	preferred map[string]*preferred
-	// prefixLoads holds this VM's loads by prefix, peerLoads those of other VMs by VM.
-	prefixLoads map[uint64]*prefixLoad
+	// prefixLoads holds this VM's loads, prefixIndex their indexes by prefix, and peerLoads
+	// the loads of other VMs by VM.
+	prefixLoads []prefixLoad
+	prefixIndex map[uint64]int
 	peerLoads   map[string]peerLoads
 	// processSeed differs between VMs, which use different homes of a prefix.
 	processSeed uint64
@@ -135,7 +137,7 @@
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, logged: map[string][]string{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{}, preferred: map[string]*preferred{},
-		prefixLoads: map[uint64]*prefixLoad{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
+		prefixIndex: map[uint64]int{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
