Backlogs are summed in one pass, and set where a VM had some

A report of a VM's backlogs deleted its entry at every target, and the wait at a target, which each choice of a target needs, was a pass over a map with all VMs. A VM now has an index and knows the targets at which it has a backlog, a target holds the backlogs by index and keeps their sum and mean age, and a sum over named VMs looks up their names once. The test compares with the plain sums over all reports; it also passes on the code before. The mean age may differ by less than a microsecond, that is, by a token at most.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -120,6 +120,11 @@
 	prefixLoads []prefixLoad
 	prefixIndex map[uint64]int
 	peerLoads   map[string]peerLoads
+	// reporters holds the other VMs that have backlogs, by name. freeIndexes are the
+	// indexes of those that had some. Backlogs are measured in time since epoch.
+	reporters   map[string]*reporter
+	freeIndexes []int
+	epoch       time.Time
 	// processSeed differs between VMs, which use different homes of a prefix.
 	processSeed uint64
 	homeBuffer  [maxHomes + 1]*Target // used by homes, so that it allocates nothing
@@ -137,7 +142,7 @@
 		zone: zone, targets: map[string]*Target{}, services: map[string][]*Target{},
 		versions: map[string]softwareVersions{}, logged: map[string][]string{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{}, preferred: map[string]*preferred{},
-		prefixIndex: map[uint64]int{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
+		prefixIndex: map[uint64]int{}, reporters: map[string]*reporter{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -91,7 +91,7 @@
 	begunSinceReport int
 	// peerBacklogs is, for each other VM, the number of prompt tokens that it sent
 	// and the target had not processed, as last reported by that VM.
-	peerBacklogs map[string]backlog
+	peerBacklogs peerBacklogs
 
 	// unreachable is set when this VM observed that the target accepts no direct
 	// connections; a successful probe or an answer clears it. through is the address of
