Sums of demands sort only what they report

A sum over 54 VMs and 430 accounts sorted all counts for the 40 largest, and found the counts of each VM by a key of two fields. The 40 are now kept while the others are passed over, and the key is one number.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -34,6 +34,17 @@
 	level   Level
 }
 
+// packedKey is a key as one number, by which sums of many VMs' counts are found faster.
+type packedKey uint64
+
+func pack(account uint32, level Level) packedKey {
+	return packedKey(account)<<8 | packedKey(level)
+}
+
+func (packed packedKey) account() uint32 { return uint32(packed >> 8) }
+
+func (packed packedKey) level() Level { return Level(packed) }
+
 // Count is what the requests of an account with a level ask.
 type Count struct {
 	Account uint32 // hashed
@@ -126,10 +137,10 @@
 }
 
 // own returns what this VM is asked for.
-func (controller *Controller) own(now time.Time) map[key]float64 {
-	own := make(map[key]float64, len(controller.cells))
+func (controller *Controller) own(now time.Time) map[packedKey]float64 {
+	own := make(map[packedKey]float64, len(controller.cells))
 	for asked, cell := range controller.cells {
-		own[asked] = cell.asked.at(now)
+		own[pack(asked.account, asked.level)] = cell.asked.at(now)
 	}
 	return own
 }
@@ -148,7 +159,7 @@
 	scale := max(1, float64(controller.vms)/float64(total.VMs))
 	total.Placed, total.TurnedAway = total.Placed*scale, total.TurnedAway*scale
 	for asked, rate := range counts {
-		total.Counts = append(total.Counts, Count{Account: asked.account, Level: asked.level, Asked: rate * scale})
+		total.Counts = append(total.Counts, Count{Account: asked.account(), Level: asked.level(), Asked: rate * scale})
 	}
 	slices.SortFunc(total.Counts, func(first, second Count) int {
 		return cmp.Or(cmp.Compare(first.Level, second.Level), cmp.Compare(first.Account, second.Account))
@@ -170,32 +181,38 @@
 	}
 }
 
-func add(sum map[key]float64, counts []Count) {
+func add(sum map[packedKey]float64, counts []Count) {
 	for _, count := range counts {
-		sum[count.key()] += math.Round(count.Asked)
+		sum[pack(count.Account, count.Level)] += math.Round(count.Asked)
 	}
 }
 
 // largest returns the largest demands, and the rest of each level in one.
-func largest(demands map[key]float64) []Count {
-	counts, rest := make([]Count, 0, len(demands)), map[key]float64{}
+func largest(demands map[packedKey]float64) []Count {
+	counts, rest := make([]Count, 0, maxReported+1), map[Level]float64{}
 	for asked, rate := range demands {
-		if rate >= 1 {
-			counts = append(counts, Count{Account: asked.account, Level: asked.level, Asked: rate})
+		if rate < 1 {
+			continue
+		}
+		count := Count{Account: asked.account(), Level: asked.level(), Asked: rate}
+		if len(counts) == maxReported && count.compare(counts[maxReported-1]) > 0 {
+			rest[count.Level] += count.Asked
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(counts, count, Count.compare)
+		counts = slices.Insert(counts, at, count)
+		if len(counts) > maxReported {
+			rest[counts[maxReported].Level] += counts[maxReported].Asked
+			counts = counts[:maxReported]
 		}
 	}
-	slices.SortFunc(counts, func(first, second Count) int {
-		return cmp.Or(cmp.Compare(second.Asked, first.Asked), cmp.Compare(first.Account, second.Account), cmp.Compare(first.Level, second.Level))
-	})
-	if len(counts) <= maxReported {
-		return counts
-	}
-	for _, count := range counts[maxReported:] {
-		rest[key{account: restAccount, level: count.Level}] += count.Asked
-	}
-	counts = counts[:maxReported]
-	for asked, rate := range rest {
-		counts = append(counts, Count{Account: restAccount, Level: asked.level, Asked: rate})
+	for level, rate := range rest {
+		counts = append(counts, Count{Account: restAccount, Level: level, Asked: rate})
 	}
 	return counts
 }
+
+// compare orders counts by what they ask, the most first.
+func (count Count) compare(other Count) int {
+	return cmp.Or(cmp.Compare(other.Asked, count.Asked), cmp.Compare(count.Account, other.Account), cmp.Compare(count.Level, other.Level))
+}
