--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/event"
-	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
-	// probeInterval is how often the roster is checked for targets to probe.
+	// probeInterval is the least time between two checks for targets to probe, unless the
+	// roster signals one.
 	probeInterval = 25 * time.Millisecond
 	// probeTimeout bounds one connection attempt. It covers many round trips. A second
 	// attempt follows because a packet may be lost.
@@ -22,10 +22,22 @@
 // runProbes checks whether targets that stopped responding still accept connections,
 // and queries the weights of targets that rejected a request for certain weights.
 func (gateway *Gateway) runProbes(ctx context.Context) error {
-	for retry.Wait(ctx, time.Now().Add(probeInterval)) {
-		for _, probe := range gateway.roster.Probes(time.Now()) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		for _, probe := range gateway.roster.Probes(now) {
 			go gateway.runProbe(ctx, probe)
 		}
+		next := gateway.roster.NextProbe(now)
+		if earliest := now.Add(probeInterval); next.Before(earliest) {
+			next = earliest
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-gateway.roster.DueProbes():
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 	return nil
 }
--- a/roster/path.go
+++ b/roster/path.go
@@ -35,6 +35,7 @@
 	target.unreachable, target.failedProbes, target.probeAt = true, 0, now
 	target.tunnelAt, target.tunnelSearches = now, 0
 	roster.lost[target.entry.Service]++
+	roster.signalProbe()
 	return true
 }
 
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -40,6 +40,43 @@
 	return probes
 }
 
+// NextProbe returns the earliest time at which Probes may return a target, if DueProbes signals
+// nothing before.
+func (roster *Roster) NextProbe(now time.Time) time.Time {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	next := now.Add(silenceLimit) // a request that begins now makes its target silent then
+	for _, target := range roster.targets {
+		due := target.probeAt
+		switch {
+		case target.unreachable || target.mismatched || roster.lost[target.entry.Service] > 0:
+		case target.inFlight == 0:
+			continue
+		default:
+			if silentAt := target.lastReceived.Add(silenceLimit); silentAt.After(due) {
+				due = silentAt
+			}
+		}
+		if due.Before(next) {
+			next = due
+		}
+	}
+	return next
+}
+
+// DueProbes signals that a target is to be probed now.
+func (roster *Roster) DueProbes() <-chan struct{} {
+	return roster.dueProbes
+}
+
+// signalProbe signals that a target is to be probed now.
+func (roster *Roster) signalProbe() {
+	select {
+	case roster.dueProbes <- struct{}{}:
+	default: // a signal is pending
+	}
+}
+
 // probeDue reports whether the target should be probed, and whether by a report. A
 // target that may get nothing is only checked for the sake of the requests in flight
 // there: by a connection, on which nothing is sent.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,7 +133,8 @@
 	releases   Releases
 	ordersRead uint64
 	// random spreads requests over brittle targets.
-	random *rand.Rand
+	random    *rand.Rand
+	dueProbes chan struct{} // see DueProbes
 }
 
 // New returns an empty roster for a VM in the zone.
@@ -143,7 +144,7 @@
 		versions: map[string]softwareVersions{}, logged: map[string][]string{}, leaving: map[string]leavingStart{}, lost: map[string]int{},
 		admissions: map[string]*admission{}, serviceTimes: map[string]time.Duration{}, reportWorkTime: map[string]bool{}, preferred: map[string]*preferred{},
 		prefixIndex: map[uint64]int{}, reporters: map[string]*reporter{}, peerLoads: map[string]peerLoads{}, processSeed: rand.Uint64(),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), dueProbes: make(chan struct{}, 1),
 	}
 }
 
--- a/roster/target.go
+++ b/roster/target.go
@@ -404,6 +404,7 @@
 	target.rejected, target.pausedUntil = rejected, until
 	if !target.mismatched {
 		target.mismatched, target.probeAt = true, now
+		assignment.roster.signalProbe()
 	}
 }
 
