--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,9 +143,9 @@
 	// limit on memory.
 	bufferShare    = 0.1
 	defaultBuffers = 64 << 20 // bytes
-	// gcPercent is the heap growth, in percent, that triggers a garbage collection. It
-	// is low because memory is scarcer than processor time.
-	gcPercent = 60
+	// gcPercent is the heap growth, in percent, that triggers a garbage collection while the
+	// heap is far below its limit.
+	gcPercent = 200
 	// exitMargin is how long before the platform's SIGKILL the remaining requests are
 	// aborted, so that the process ends in time.
 	exitMargin = 400 * time.Millisecond
