--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -24,6 +24,9 @@
 	// interval, not counting representatives of availability zones. A fleet is large
 	// if a VM has more peers than this and some are in other zones.
 	maxHeartbeatPeers = 12
+	// forwardedHeartbeatPeers takes its place while representatives forward what the VMs
+	// of this availability zone report.
+	forwardedHeartbeatPeers = 1
 	// failuresToRedial is the number of consecutive failed heartbeats after which a
 	// new connection is made: the existing one may carry no data any more.
 	failuresToRedial = 2
@@ -172,14 +175,12 @@
 	starting := now.Sub(gateway.started) < startupTime
 	count := 1 + gateway.zones.summaries.VMs(now.Add(-presentTime))
 	known := count > 1
-	for _, view := range gateway.members.Views(now) {
-		if view.Name == gateway.Settings.Name || gateway.summarized(view.AvailabilityZone, now) {
+	for view := range gateway.members.All(now) {
+		if view.Name == gateway.Settings.Name || !gateway.present(view, now) || gateway.summarized(view.AvailabilityZone, now) {
 			continue
 		}
-		if gateway.present(view, now) {
-			count++
-			known = true
-		}
+		count++
+		known = true
 	}
 	if starting && !known {
 		return assumedVMs
@@ -191,8 +192,8 @@
 // stopped, and those whose have resumed.
 func (gateway *Gateway) logReachability(detector *membership.FailureDetector, now time.Time) {
 	views := gateway.zones.summaries.Views(zoneSource, now)
-	for _, view := range gateway.members.Views(now) {
-		if !gateway.summarized(view.AvailabilityZone, now) {
+	for view := range gateway.members.All(now) {
+		if view.HeartbeatAgeMS >= 0 && !gateway.summarized(view.AvailabilityZone, now) {
 			views = append(views, view)
 		}
 	}
@@ -213,6 +214,7 @@
 		if now := time.Now(); scheduled.Before(now) {
 			scheduled = now
 		}
+		gateway.updateForwarded(time.Now())
 		gateway.sendHeartbeats(ctx)
 		if !retry.Wait(ctx, scheduled.Add(heartbeatInterval)) {
 			return nil
@@ -229,13 +231,19 @@
 
 func (gateway *Gateway) heartbeatReceivers(now time.Time) []membership.Peer {
 	var receivers []membership.Peer
-	recentlySeen := map[string]bool{}
-	for _, view := range gateway.members.Views(now) {
-		recentlySeen[view.Name] = view.HeartbeatAgeMS >= 0 && view.HeartbeatAgeMS < 2*heartbeatInterval.Milliseconds()
+	recentlySeen := func(name string) bool {
+		view, ok := gateway.members.View(name, now)
+		return ok && view.HeartbeatAgeMS >= 0 && view.HeartbeatAgeMS < 2*heartbeatInterval.Milliseconds()
+	}
+	local := maxHeartbeatPeers
+	started := now.Sub(gateway.started) >= startupTime // before, not all others know of this VM
+	if gateway.forwardsZone(now) && started || gateway.zones.forwarded.Load() {
+		local = forwardedHeartbeatPeers
 	}
-	others := gateway.members.HeartbeatPeers(maxHeartbeatPeers, now)
+	reportsTo := gateway.reportsTo(now)
+	others := gateway.members.HeartbeatPeers(maxHeartbeatPeers, local, now)
 	for _, other := range others {
-		if gateway.Settings.Name < other.Name || !recentlySeen[other.Name] || gateway.sendTimes.CheckDue(other.Name) {
+		if gateway.Settings.Name < other.Name || reportsTo[other.Name] || !recentlySeen(other.Name) || gateway.sendTimes.CheckDue(other.Name) {
 			receivers = append(receivers, other)
 		}
 	}
@@ -268,6 +276,7 @@
 		delete(gateway.heartbeatFailures, address)
 		return
 	}
+	gateway.members.RecordFailure(other.Name)
 	if gateway.heartbeatFailures[address]++; gateway.heartbeatFailures[address]%failuresToRedial == 0 {
 		gateway.dialer.Disconnect(address)
 	}
@@ -276,8 +285,9 @@
 // heartbeatFor returns a heartbeat for the named VM in the given availability zone. Both are
 // empty if unknown.
 func (gateway *Gateway) heartbeatFor(name, zone string) peer.Heartbeat {
-	heartbeat := gateway.newHeartbeat(zone)
-	gateway.releases.addTo(&heartbeat, name, time.Now())
+	heartbeat, now := gateway.newHeartbeat(zone), time.Now()
+	gateway.releases.addTo(&heartbeat, name, now)
+	gateway.addOwnZone(&heartbeat, name, zone, now)
 	return heartbeat
 }
 
@@ -306,7 +316,7 @@
 	if !hierarchical || zone == "" || zone == gateway.members.Zone {
 		heartbeat.Spending = toSpendings(gateway.limits.Counts())
 		heartbeat.Backlogs, heartbeat.Demands = toBacklogs(gateway.roster.Backlogs()), gateway.relay.Admission.Demands(now)
-		heartbeat.HeardTargets = toHeard(gateway.roster.Heard(now), now)
+		heartbeat.HeardTargets = gateway.heardTargets(now)
 		heartbeat.HotPrefixes = toHotPrefixes(gateway.roster.PrefixLoads(now))
 	}
 	return heartbeat
@@ -319,8 +329,11 @@
 	sentAt, exact := gateway.sendTimes.Record(heartbeat.Name, heartbeat.Boot, heartbeat.Uptime, notBefore, now)
 	gateway.members.RecordHeartbeat(heartbeat.Name, heartbeat.Address, 0, now)
 	gateway.members.RecordStatus(heartbeat.Name, heartbeat.Version, heartbeat.PlatformAge)
-	if summarized := gateway.mergeZones(heartbeat, now); !summarized {
-		sameZone := heartbeat.Zone == gateway.members.Zone
+	sameZone := heartbeat.Zone == gateway.members.Zone
+	if sameZone && len(heartbeat.PeerAges) > 0 {
+		gateway.members.RecordStatuses(fromPeerAges(heartbeat.PeerAges), sentAt, now)
+	}
+	if summarized := gateway.mergeZones(heartbeat, now); !summarized && !(sameZone && gateway.zones.forwarded.Load()) {
 		source := quota.Source{Name: heartbeat.Name, Boot: heartbeat.Boot, VMs: 1, Began: now.Add(-heartbeat.Uptime), SameZone: sameZone}
 		gateway.limits.UpdateCounts(source, fromSpendings(heartbeat.Spending), now, now)
 		gateway.roster.SetBacklogs(heartbeat.Name, fromBacklogs(heartbeat.Backlogs), now)
@@ -374,6 +387,12 @@
 	gateway.applySuspensions()
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
 	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
+	if heartbeat.HasSummaries {
+		reply.ZoneSummaries = nil
+	}
+	if gateway.disagrees(heartbeat, time.Now()) {
+		reply.PeerAges = toPeerAges(gateway.members.Statuses(time.Now()))
+	}
 	if heartbeat.Uptime < partsSendTime {
 		now := time.Now()
 		reply.BlockedParts = toBlockedParts(gateway.parts.AllBlocked(now), now)
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -89,7 +89,7 @@
 
 // reachesStore reports whether a VM is alive and reaches the store, by its heartbeats.
 func reachesStore(view membership.View) bool {
-	return view.HeartbeatAgeMS >= 0 && view.HeartbeatAgeMS < membership.LivenessTimeout.Milliseconds() && view.PlatformAgeMS == 0
+	return view.Alive && view.PlatformAgeMS == 0
 }
 
 // holderSeparator separates a VM's name from its address in the name of a holder.
--- a/gateway/zones_test.go
+++ b/gateway/zones_test.go
@@ -28,8 +28,10 @@
 	isolatedZones map[string]bool
 	// loses, if set, reports whether a heartbeat sent now is lost.
 	loses func(from, to *Gateway) bool
-	// crossZoneHeartbeats counts the heartbeats between availability zones.
+	// crossZoneHeartbeats counts the heartbeats between availability zones, heartbeats those
+	// that each VM sends or receives.
 	crossZoneHeartbeats int
+	heartbeats          map[string]int
 }
 
 func newLargeFleet(vms, zones int) *largeFleet {
@@ -38,7 +40,7 @@
 
 // newBoundedFleet returns a fleet whose platform sets bounds.
 func newBoundedFleet(vms, zones int, bounds settings.Bounds) *largeFleet {
-	fleet := &largeFleet{bounds: bounds, vms: map[netip.AddrPort]*Gateway{}, down: map[netip.AddrPort]bool{}, isolatedZones: map[string]bool{}}
+	fleet := &largeFleet{bounds: bounds, vms: map[netip.AddrPort]*Gateway{}, down: map[netip.AddrPort]bool{}, isolatedZones: map[string]bool{}, heartbeats: map[string]int{}}
 	for i := range vms {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i / 200), byte(1 + i%200)}), 1)
 		fleet.listed = append(fleet.listed, objects.VM{
@@ -88,11 +90,15 @@
 
 // sendHeartbeats sends a VM's heartbeats of one interval.
 func (fleet *largeFleet) sendHeartbeats(from *Gateway) {
+	from.updateForwarded(time.Now())
 	for _, other := range from.heartbeatReceivers(time.Now()) {
 		to, ok := fleet.vms[other.Address]
 		if !ok || !fleet.canReach(from, to) || fleet.loses != nil && fleet.loses(from, to) {
+			from.members.RecordFailure(other.Name)
 			continue
 		}
+		fleet.heartbeats[from.Settings.Name]++
+		fleet.heartbeats[to.Settings.Name]++
 		if from.members.Zone != to.members.Zone {
 			fleet.crossZoneHeartbeats++
 		}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -61,6 +61,9 @@
 	// reportedRepresentative is when another VM last reported this one as a
 	// representative of its zone.
 	reportedRepresentative time.Time
+	// forwarded is when a representative last reported the VM as alive; zero if a call to
+	// it has failed since.
+	forwarded time.Time
 }
 
 // HeartbeatAge is the age of a VM's last heartbeat.
@@ -95,6 +98,9 @@
 	// reported by another one.
 	platformContact time.Time
 	nextPeer        int // round-robin position, taken modulo the number of peers
+	// forwardedAt is when a representative of this VM's zone last reported the VMs that
+	// are alive there.
+	forwardedAt time.Time
 	// cached is the last summary of the members; nil after they changed.
 	cached *fleetSummary
 	lists  *peerLists // of the last summary; nil before
@@ -219,6 +225,9 @@
 	HeartbeatAgeMS   int64           `json:"heard_ms_ago"`
 	Version          objects.Version `json:"config_version"`
 	PlatformAgeMS    int64           `json:"platform_ms_ago"`
+	// Alive reports whether the VM counts as alive, by its own heartbeats or by the last
+	// report of a representative.
+	Alive bool `json:"-"`
 }
 
 // All iterates over all known VMs, ordered by name. HeartbeatAgeMS is -1 for a VM from
@@ -229,7 +238,7 @@
 		table.mu.Lock()
 		defer table.mu.Unlock()
 		for _, member := range table.ordered {
-			if !yield(member.view(now)) {
+			if !yield(table.view(member, now)) {
 				return
 			}
 		}
@@ -242,7 +251,7 @@
 	defer table.mu.Unlock()
 	views := make([]View, len(table.ordered))
 	for i, member := range table.ordered {
-		views[i] = member.view(now)
+		views[i] = table.view(member, now)
 	}
 	return views
 }
@@ -255,13 +264,15 @@
 	if !ok {
 		return View{}, false
 	}
-	return member.view(now), true
+	return table.view(member, now), true
 }
 
-func (member *member) view(now time.Time) View {
+// view returns a VM. The caller holds mu.
+func (table *Table) view(member *member, now time.Time) View {
 	view := View{
 		Name: member.name, AvailabilityZone: member.zone, Address: member.addressText, Listed: member.listed,
 		Leaving: member.leaving, HeartbeatAgeMS: -1, Version: member.version, PlatformAgeMS: member.platformAge.Milliseconds(),
+		Alive: table.alive(member, now),
 	}
 	if member.hasHeartbeat {
 		view.HeartbeatAgeMS = now.Sub(member.lastHeartbeat).Milliseconds()
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -161,7 +161,7 @@
 	if !member.address.IsValid() {
 		return false
 	}
-	alive := member.alive(now)
+	alive := table.alive(member, now)
 	if member.zone == table.Zone {
 		return alive || table.mayStart(member, now)
 	}
@@ -180,7 +180,7 @@
 	}
 	summary.live = []Peer{}
 	for _, peer := range summary.peers {
-		if member := table.members[peer.Name]; member.alive(now) || table.mayStart(member, now) {
+		if member := table.members[peer.Name]; table.alive(member, now) || table.mayStart(member, now) {
 			summary.live = append(summary.live, peer)
 		}
 	}
@@ -192,21 +192,32 @@
 	return zone != "" && zone != table.Zone
 }
 
+// Crowded reports whether there are more than count other VMs in this VM's availability zone
+// in a large fleet. Its representatives then forward what its VMs report.
+func (table *Table) Crowded(count int, now time.Time) bool {
+	if !table.Hierarchical(count, now) {
+		return false
+	}
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return len(table.summary(now).local) > count
+}
+
 // HeartbeatPeers returns the VMs that receive the next heartbeats. When Hierarchical
 // is false, it returns up to count peers in round-robin order. Otherwise it returns up
-// to count VMs of this VM's availability zone in round-robin order, the zone's
+// to local VMs of this VM's availability zone in round-robin order, the zone's
 // representatives and, if this VM is one of them, the representatives of the other
 // zones.
-func (table *Table) HeartbeatPeers(count int, now time.Time) []Peer {
+func (table *Table) HeartbeatPeers(count, local int, now time.Time) []Peer {
 	if !table.Hierarchical(count, now) {
 		return table.NextPeers(count, now)
 	}
 	table.mu.Lock()
 	summary := table.summary(now)
 	first := table.nextPeer
-	table.nextPeer += count
+	table.nextPeer += local
 	table.mu.Unlock()
-	selected := roundRobin(summary.local, first, count)
+	selected := roundRobin(summary.local, first, local)
 	isRepresentative := false
 	for _, representative := range table.Representatives(table.Zone, now) {
 		switch {
@@ -223,7 +234,7 @@
 		representatives := table.Representatives(zone, now)
 		if len(representatives) == 0 {
 			// Any VM of the zone reports the zone's representatives in its reply.
-			representatives = roundRobin(members, first/count*representativesPerZone, representativesPerZone)
+			representatives = roundRobin(members, first/local*representativesPerZone, representativesPerZone)
 		}
 		selected = append(selected, representatives...)
 	}
@@ -263,9 +274,15 @@
 	return representatives[:min(len(representatives), representativesPerZone)]
 }
 
-// alive reports whether the last heartbeat from the VM is younger than LivenessTimeout.
-func (member *member) alive(now time.Time) bool {
-	return member.hasHeartbeat && now.Sub(member.lastHeartbeat) < LivenessTimeout
+// alive reports whether the last heartbeat from the VM is younger than LivenessTimeout. If
+// the representatives of its zone have stopped, their last report counts until others have
+// taken over: otherwise this VM would take all VMs of its zone for dead.
+func (table *Table) alive(member *member, now time.Time) bool {
+	if !member.hasHeartbeat {
+		return false
+	}
+	inLastReport := !member.forwarded.IsZero() && member.forwarded.Equal(table.forwardedAt)
+	return now.Sub(member.lastHeartbeat) < LivenessTimeout || inLastReport && now.Sub(table.forwardedAt) < heartbeatMaxAge
 }
 
 // RemoteRepresentatives returns the live VMs of other availability zones that declared
@@ -275,7 +292,7 @@
 	defer table.mu.Unlock()
 	var representatives []Peer
 	for name, member := range table.members {
-		if member.isRepresentative && member.alive(now) && table.isRemote(member.zone) {
+		if member.isRepresentative && table.alive(member, now) && table.isRemote(member.zone) {
 			representatives = append(representatives, Peer{Name: name, Address: member.address, Zone: member.zone})
 		}
 	}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -97,6 +97,8 @@
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connWindow),
 		grpc.WithStatsHandler(&byteCounter{bytes: &dialer.Bytes}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -18,9 +18,7 @@
 		Version:       uint64(heartbeat.Version),
 		PlatformAgeMs: uint32(min(heartbeat.PlatformAge, time.Hour).Milliseconds()),
 	}
-	for _, peerAge := range heartbeat.PeerAges {
-		encoded.Heard = append(encoded.Heard, &peerpb.PeerAge{Name: peerAge.Name, AgeMs: uint32(peerAge.Age.Milliseconds())})
-	}
+	encoded.Heard = encodePeerAges(heartbeat.PeerAges)
 	encoded.Boot, encoded.UptimeUs = heartbeat.Boot, encodeUptime(heartbeat.Uptime)
 	encoded.Spending = encodeSpendings(heartbeat.Spending)
 	encoded.Targets = encodeTargets(heartbeat.Targets)
@@ -59,9 +57,7 @@
 		Version:     objects.Version(encoded.GetVersion()),
 		PlatformAge: time.Duration(encoded.GetPlatformAgeMs()) * time.Millisecond,
 	}
-	for _, peerAge := range encoded.GetHeard() {
-		heartbeat.PeerAges = append(heartbeat.PeerAges, PeerAge{Name: peerAge.GetName(), Age: time.Duration(peerAge.GetAgeMs()) * time.Millisecond})
-	}
+	heartbeat.PeerAges = decodePeerAges(encoded.GetHeard())
 	heartbeat.Boot = encoded.GetBoot()
 	heartbeat.Spending = decodeSpendings(encoded.GetSpending())
 	heartbeat.Targets = decodeTargets(encoded.GetTargets())
@@ -84,6 +80,30 @@
 	return heartbeat
 }
 
+func encodePeerAges(ages []PeerAge) []*peerpb.PeerAge {
+	encoded := make([]*peerpb.PeerAge, len(ages))
+	for i, age := range ages {
+		encoded[i] = &peerpb.PeerAge{Name: age.Name, AgeMs: milliseconds(age.Age), PlatformAgeMs: milliseconds(age.PlatformAge)}
+		if age.Address.IsValid() {
+			encoded[i].Address, _ = age.Address.MarshalBinary() // never fails
+		}
+	}
+	return encoded
+}
+
+func decodePeerAges(encoded []*peerpb.PeerAge) []PeerAge {
+	var ages []PeerAge
+	for _, age := range encoded {
+		decoded := PeerAge{
+			Name: age.GetName(), Age: time.Duration(age.GetAgeMs()) * time.Millisecond,
+			PlatformAge: time.Duration(age.GetPlatformAgeMs()) * time.Millisecond,
+		}
+		_ = decoded.Address.UnmarshalBinary(age.GetAddress()) // invalid addresses are ignored
+		ages = append(ages, decoded)
+	}
+	return ages
+}
+
 func encodeSpendings(spendings []Spending) []*peerpb.Spending {
 	encoded := make([]*peerpb.Spending, len(spendings))
 	for i, spending := range spendings {
@@ -120,6 +140,7 @@
 // encodeZones encodes a heartbeat's fields on availability zones.
 func encodeZones(encoded *peerpb.Beat, heartbeat Heartbeat) {
 	encoded.AvailabilityZone, encoded.Speaks, encoded.UptimeMs = heartbeat.Zone, heartbeat.IsRepresentative, milliseconds(heartbeat.Uptime)
+	encoded.HasZones = heartbeat.HasSummaries
 	for _, representative := range heartbeat.Representatives {
 		encoded.Speakers = append(encoded.Speakers, &peerpb.Speaker{
 			Name: representative.Name, Address: representative.Address.String(), AvailabilityZone: representative.Zone,
@@ -160,6 +181,7 @@
 // decodeZones decodes a heartbeat's fields on availability zones.
 func decodeZones(heartbeat *Heartbeat, encoded *peerpb.Beat) {
 	heartbeat.Zone, heartbeat.IsRepresentative = encoded.GetAvailabilityZone(), encoded.GetSpeaks()
+	heartbeat.HasSummaries = encoded.GetHasZones()
 	heartbeat.Uptime = time.Duration(encoded.GetUptimeMs()) * time.Millisecond
 	if uptime := decodeUptime(encoded.GetUptimeUs()); uptime > 0 {
 		heartbeat.Uptime = uptime // VMs of earlier versions do not send it
--- a/peer/encode_test.go
+++ b/peer/encode_test.go
@@ -37,14 +37,14 @@
 	demands := []admission.Demand{{Service: "notes", VMs: 20, Counts: []admission.Count{{Account: 1 << 31, Level: 34, Asked: 9000}}, Placed: 7000, TurnedAway: 800}}
 	want := Heartbeat{
 		Name: "vm-1", Address: address, Version: 5, PlatformAge: time.Second,
-		PeerAges: []PeerAge{{"vm-2", 2 * time.Second}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
+		PeerAges: []PeerAge{{Name: "vm-2", Age: 2 * time.Second, PlatformAge: time.Second, Address: netip.MustParseAddrPort("127.0.0.9:2")}}, Boot: "b1", Uptime: 7 * time.Second, Spending: spending,
 		Targets: []TargetUpdate{
 			{Target: "i-1", Model: "m", Weights: 3, Rolling: true}, {Target: "i-1", Model: "m", Weights: 3},
 			{Target: "i-2", Leaving: true, StartTime: 1_700_000_000_000},
 		},
 		Backlogs: backlogs, NamedWeights: []NamedWeights{{Model: "m", Version: 3, Age: time.Second}},
 		Positions: []objects.Position{{Collection: objects.Configs, Version: 9}},
-		Zone:      "z1", IsRepresentative: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
+		Zone:      "z1", IsRepresentative: true, HasSummaries: true, Representatives: []membership.Peer{{Name: "vm-3", Address: address, Zone: "z2"}},
 		ZoneSummaries: []ZoneSummary{{
 			Zone: "z2", Origin: "vm-3/b1", Number: 4, Age: time.Second, Uptime: 3 * time.Second, VMs: 19,
 			Spending: spending, Backlogs: backlogs, HotPrefixes: []HotPrefix{{Prefix: 1 << 63, TokensPerSecond: 90_000, Homes: 2}}, Demands: demands, Releases: testReleases(),
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -116,7 +116,7 @@
 	}
 	dialer, address, _ := start(t, handler)
 	ctx := t.Context()
-	sent := Heartbeat{Name: "me", Address: netip.MustParseAddrPort("127.0.0.8:1"), Version: 5, PlatformAge: time.Second, PeerAges: []PeerAge{{"x", 2 * time.Second}}}
+	sent := Heartbeat{Name: "me", Address: netip.MustParseAddrPort("127.0.0.8:1"), Version: 5, PlatformAge: time.Second, PeerAges: []PeerAge{{Name: "x", Age: 2 * time.Second}}}
 	reply, err := dialer.Heartbeat(ctx, address, sent)
 	if err != nil || reply.Name != "other" || reply.Version != 7 {
 		t.Errorf("got %+v %v, want the heartbeat of the called VM", reply, err)
@@ -274,7 +274,7 @@
 	dialer, address, _ := start(b, handler)
 	heartbeat := Heartbeat{Name: "vm-100", Address: netip.MustParseAddrPort("127.0.0.8:1"), Version: 123456, PlatformAge: time.Second}
 	for range 16 {
-		heartbeat.PeerAges = append(heartbeat.PeerAges, PeerAge{"vm-101", 2 * time.Second})
+		heartbeat.PeerAges = append(heartbeat.PeerAges, PeerAge{Name: "vm-101", Age: 2 * time.Second})
 	}
 	before := dialer.Bytes.Load()
 	b.ReportAllocs()
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,6 +46,11 @@
 	keepaliveTimeout    = 3 * time.Second
 	snapshotPartObjects = 256 // objects per message of a snapshot stream
 	maxMessageBytes     = 16 << 20
+	// streamWindow and connWindow bound the bytes that a receiver has not read yet. They are
+	// static because pings follow the messages where windows adapt, and so large that
+	// heartbeats need few updates of them.
+	streamWindow = 256 << 10
+	connWindow   = 1 << 20
 )
 
 // Heartbeat is a VM's periodic report to another VM.
@@ -76,6 +81,9 @@
 	Representatives []membership.Peer
 	// ZoneSummaries are the aggregated reports of availability zones.
 	ZoneSummaries []ZoneSummary
+	// HasSummaries is set if the sender receives ZoneSummaries from another VM, so that the
+	// reply need not have any.
+	HasSummaries bool
 	// BlockedParts are the blocked parts of prompts, for a receiver that has just
 	// started.
 	BlockedParts []BlockedPart
@@ -207,10 +215,14 @@
 	Admitted float64
 }
 
-// PeerAge is the age of a VM's last heartbeat.
+// PeerAge is the age of a VM's last heartbeat, and what a representative forwards of it to
+// the VMs of its availability zone.
 type PeerAge struct {
 	Name string
 	Age  time.Duration
+	// PlatformAge is the time since the VM's last contact with the platform.
+	PlatformAge time.Duration
+	Address     netip.AddrPort
 }
 
 // Charge reports a request that was in flight on a target when the target died.
@@ -308,6 +320,8 @@
 	grpcServer := grpc.NewServer(
 		grpc.Creds(transport),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(connWindow),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinimum, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
--- a/roster/silence.go
+++ b/roster/silence.go
@@ -48,6 +48,23 @@
 	return heard
 }
 
+// HeardByAny is like Heard for the bytes that any VM received which reports them to this one.
+func (roster *Roster) HeardByAny(now time.Time) []Heard {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	var heard []Heard
+	for _, target := range roster.targets {
+		at := target.heardAt
+		if target.peerHeardAt.After(at) {
+			at = target.peerHeardAt
+		}
+		if now.Sub(at) < heardTime && roster.adaptive(target.entry.Service) {
+			heard = append(heard, Heard{Hash: uint32(target.seed), At: at})
+		}
+	}
+	return heard
+}
+
 // MergeHeard records the targets that another VM received bytes from.
 func (roster *Roster) MergeHeard(heard []Heard) {
 	roster.mu.Lock()
