A naming told without its time is as old as the heartbeat says at least

Requests could begin on weights replaced for longer than the bound: a VM that is cut off from the store and then hears another VM, whose heartbeat it cannot date, kept the time of that heartbeat as the latest time of the naming, although the heartbeat tells the age of the naming, up to 10 s. When the store answered again, the naming counted as that much younger, and the VM told others so.

The VM now takes the told age off: the heartbeat was sent before it was read. In the test, a VM that was cut off, and told 6 s after a naming, required version 1 where version 2 was named 9 s ago, longer than the bound of 6 s; it requires version 2.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -345,6 +345,8 @@
 		at := time.Time{}
 		if exact {
 			at = sentAt.Add(-named.Age)
+		} else {
+			gateway.weights.recordTold(named.Model, named.Version, now.Add(-named.Age))
 		}
 		gateway.addNamedWeights(named.Model, named.Version, sourceVM, at)
 	}
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -25,7 +25,8 @@
 type namedWeights struct {
 	mu    sync.Mutex                        // guards the fields below
 	named map[string][]rollout.NamedWeights // by model, oldest first
-	// told holds when this VM was first told of a version without the time of its naming.
+	// told holds the latest time at which a version can have been named of which this VM was
+	// told without the time of its naming.
 	told     map[rollout.Weights]time.Time
 	changed  chan struct{}
 	syncedAt time.Time // when the store last answered
@@ -92,18 +93,19 @@
 	}
 }
 
-// recordTold records that this VM was told of a version without the time of its naming.
-func (namedWeights *namedWeights) recordTold(model string, version uint64, now time.Time) {
+// recordTold records that this VM was told of a version without the time of its naming, which
+// was at the given time or earlier.
+func (namedWeights *namedWeights) recordTold(model string, version uint64, latest time.Time) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	weights := rollout.Weights{Model: model, Version: version}
-	if _, ok := namedWeights.told[weights]; !ok {
-		namedWeights.told[weights] = now
+	if known, ok := namedWeights.told[weights]; !ok || latest.Before(known) {
+		namedWeights.told[weights] = latest
 	}
 }
 
 // correctTime returns the time at which a version was named that the store showed as named
-// at the given time: no later than when this VM was told of it. A zero time stays zero.
+// at the given time: no later than what this VM was told before. A zero time stays zero.
 func (namedWeights *namedWeights) correctTime(model string, version uint64, at time.Time) time.Time {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -46,6 +46,18 @@
 			}
 			return gateway
 		}},
+		{"VM is cut off and late told without the time", func(ctx context.Context, store *fakeStore) *Gateway {
+			gateway, otherStore := startVM(ctx, "vm", store), newFakeStore()
+			other := startVM(ctx, "other", otherStore)
+			sleep(time.Second)
+			store.hang(9 * time.Second)
+			store.put(objects.Weights, 2)
+			otherStore.put(objects.Weights, 2)
+			sleep(6 * time.Second)
+			gateway.HandleHeartbeat(other.newHeartbeat(""))
+			sleep(3 * time.Second)
+			return gateway
+		}},
 		{"VM is cut off and hears another VM before the store", func(ctx context.Context, store *fakeStore) *Gateway {
 			gateway, other := startVM(ctx, "vm", store), startVM(ctx, "other", newFakeStore())
 			sleep(time.Second)
