No VM makes a naming younger than another VM was told

Requests could begin on weights replaced for longer than the bound: a VM that dates a naming too late tells others so for 10 s, and a VM that had been told of the version without the time took that over, although it had known the version before.

The latest possible time that a VM keeps now bounds what other VMs tell, as it does what the store shows. The test failed before: version 1 was required 7 s after the VM was told of version 2, with a bound of 6 s.

--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -343,12 +343,13 @@
 		gateway.Log.Emit(event.ConfigRejected, event.Err(err), event.F("object", change.Object.Metadata.Name))
 		return
 	}
-	gateway.addNamedWeights(model, version, source, gateway.weights.correctTime(model, version, namedAt))
+	gateway.addNamedWeights(model, version, source, namedAt)
 }
 
 // addNamedWeights records that a weight version was named at the given time or
 // earlier; a zero time means that the time is not known.
 func (gateway *Gateway) addNamedWeights(model string, version uint64, source string, at time.Time) {
+	at = gateway.weights.correctTime(model, version, at)
 	fields := []event.Field{event.F("model", model), event.F("weights", version), event.F("source", source), event.F("age_known", !at.IsZero())}
 	if !at.IsZero() {
 		fields = append(fields, event.F("age_ms", time.Since(at).Milliseconds()))
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -104,8 +104,9 @@
 	}
 }
 
-// correctTime returns the time at which a version was named that the store showed as named
-// at the given time: no later than what this VM was told before. A zero time stays zero.
+// correctTime returns the time at which a version was named that the store or another VM
+// showed as named at the given time: no later than what this VM was told before. A zero time
+// stays zero.
 func (namedWeights *namedWeights) correctTime(model string, version uint64, at time.Time) time.Time {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
--- a/gateway/weights_age_test.go
+++ b/gateway/weights_age_test.go
@@ -58,6 +58,14 @@
 			sleep(3 * time.Second)
 			return gateway
 		}},
+		{"VM is told without the time, and later of a time that is later", func(ctx context.Context, store *fakeStore) *Gateway {
+			gateway := startVM(ctx, "vm", store)
+			sleep(time.Second)
+			gateway.addNamedWeights("m", 2, sourceVM, time.Time{})
+			sleep(7 * time.Second)
+			gateway.addNamedWeights("m", 2, sourceVM, time.Now())
+			return gateway
+		}},
 		{"VM is cut off and hears another VM before the store", func(ctx context.Context, store *fakeStore) *Gateway {
 			gateway, other := startVM(ctx, "vm", store), startVM(ctx, "other", newFakeStore())
 			sleep(time.Second)
