Probes that become due earlier are signaled to the loop that sends them

Targets that rejected their known weights were asked for a report again 250 ms later, not 100, and VMs found targets that accept connections again up to 150 ms later: the loop of the probes waits until NextProbe says, for 250 ms at most, and the answer to a probe, which arrives after that was computed, may set an earlier time. So does the loss of the way through another VM, after which a probe is due at once.

These three now signal the loop.

--- a/roster/path.go
+++ b/roster/path.go
@@ -128,6 +128,7 @@
 		return false
 	}
 	target.through, target.probeAt = netip.AddrPort{}, now
+	target.roster.signalProbe()
 	return true
 }
 
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -64,12 +64,12 @@
 	return next
 }
 
-// DueProbes signals that a target is to be probed now.
+// DueProbes signals that a target is to be probed now, or earlier than it was to be before.
 func (roster *Roster) DueProbes() <-chan struct{} {
 	return roster.dueProbes
 }
 
-// signalProbe signals that a target is to be probed now.
+// signalProbe sends the signal of DueProbes.
 func (roster *Roster) signalProbe() {
 	select {
 	case roster.dueProbes <- struct{}{}:
@@ -107,6 +107,7 @@
 	target.failedProbes++
 	backoff := minProbeBackoff << min(target.failedProbes-1, maxDoublings)
 	target.probeAt = now.Add(min(backoff, maxProbeBackoff))
+	roster.signalProbe()
 	return !wasUnreachable
 }
 
@@ -127,5 +128,6 @@
 		target.pausedUntil = now
 	case target.paused(now):
 		target.mismatched, target.probeAt = true, now.Add(reportInterval)
+		roster.signalProbe()
 	}
 }
