Each representative tells which VMs of its zone are alive

VMs took live ones of their zone for dead, and chose others as its representatives: the list of those that are alive came from the first representative alone. A VM that was cut off from that one got none, and the others took it for dead, although the second representative hears all of them.

A VM now gets the list from the representative whose sums it uses, and the representatives tell each other.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -390,7 +390,7 @@
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
 	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
 	if heartbeat.HasSummaries {
-		reply.ZoneSummaries = nil
+		reply.ZoneSummaries, reply.PeerAges = nil, nil
 	}
 	if gateway.disagrees(heartbeat, time.Now()) {
 		reply.PeerAges = toPeerAges(gateway.members.Statuses(time.Now()))
--- a/gateway/own_zone.go
+++ b/gateway/own_zone.go
@@ -43,22 +43,23 @@
 }
 
 // addOwnZone adds to a heartbeat for a VM of this VM's zone what the zone's other VMs report, in
-// place of what this VM alone does. One representative suffices for the list of those that are
-// alive.
+// place of what this VM alone does. Representatives tell each other which VMs are alive, since
+// each may be cut off from some.
 func (gateway *Gateway) addOwnZone(heartbeat *peer.Heartbeat, receiver, zone string, now time.Time) {
 	if receiver == "" || zone != gateway.members.Zone || !gateway.crowded(now) {
 		return
 	}
 	representatives := gateway.members.Representatives(zone, now)
 	heartbeat.HasSummaries = gateway.zones.fromOther(receiver, now)
-	if !heartbeat.IsRepresentative || isAmong(representatives, receiver) {
+	if !heartbeat.IsRepresentative {
+		return
+	}
+	heartbeat.PeerAges = toPeerAges(gateway.members.Statuses(now))
+	if isAmong(representatives, receiver) {
 		return
 	}
 	heartbeat.ZoneSummaries = append(heartbeat.ZoneSummaries, gateway.summarizeZone(receiver, now))
 	heartbeat.Spending, heartbeat.Backlogs, heartbeat.Demands, heartbeat.HotPrefixes = nil, nil, nil, nil
-	if representatives[0].Name == gateway.Settings.Name {
-		heartbeat.PeerAges = toPeerAges(gateway.members.Statuses(now))
-	}
 }
 
 func isAmong(peers []membership.Peer, name string) bool {
--- a/gateway/own_zone_test.go
+++ b/gateway/own_zone_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleygw/bramleygw/membership"
 	"github.com/bramleygw/bramleygw/quota"
 )
 
@@ -136,3 +138,45 @@
 func (fleet *largeFleet) live() []netip.AddrPort {
 	return slices.DeleteFunc(slices.Clone(fleet.addresses), func(address netip.AddrPort) bool { return fleet.down[address] })
 }
+
+// Guards against VMs that take live ones of their zone for dead, and then others for its
+// representatives, because the first representative is cut off from some of them.
+func TestVMsCutOffFromRepresentativeKnowLiveVMsOfTheirZone(t *testing.T) {
+	const vms, zones = 80, 4
+	for _, cut := range []int{1, 9} {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newLargeFleet(vms, zones)
+				fleet.run(5 * time.Second)
+				zone := fleet.vms[fleet.addresses[1]].members.Zone
+				representatives := fleet.vms[fleet.addresses[1]].members.Representatives(zone, time.Now())
+				cutOff := map[string]bool{}
+				for i := 1; len(cutOff) < cut; i += zones {
+					cutOff[fleet.listed[i].Name] = !isAmong(representatives, fleet.listed[i].Name)
+				}
+				first := representatives[0].Name
+				fleet.loses = func(from, to *Gateway) bool {
+					return cutOff[from.Settings.Name] && to.Settings.Name == first || cutOff[to.Settings.Name] && from.Settings.Name == first
+				}
+				fleet.run(15 * time.Second)
+				for i := 1; i < vms; i += zones {
+					members := fleet.vms[fleet.addresses[i]].members
+					got := 0
+					for _, other := range members.LivePeers(time.Now()) {
+						if other.Zone == zone {
+							got++
+						}
+					}
+					if want := vms/zones - 1; got != want {
+						t.Errorf("%s: got %d live VMs in its zone, want %d", fleet.listed[i].Name, got, want)
+					}
+					if got := members.Representatives(zone, time.Now()); !slices.EqualFunc(got, representatives, samePeer) {
+						t.Errorf("%s: got representatives %v, want %v", fleet.listed[i].Name, got, representatives)
+					}
+				}
+			})
+		})
+	}
+}
+
+func samePeer(a, b membership.Peer) bool { return a.Name == b.Name }
--- a/peer/server.go
+++ b/peer/server.go
@@ -81,8 +81,8 @@
 	Representatives []membership.Peer
 	// ZoneSummaries are the aggregated reports of availability zones.
 	ZoneSummaries []ZoneSummary
-	// HasSummaries is set if the sender receives ZoneSummaries from another VM, so that the
-	// reply need not have any.
+	// HasSummaries is set if the sender receives ZoneSummaries and PeerAges from another VM,
+	// so that the reply need not have any.
 	HasSummaries bool
 	// BlockedParts are the blocked parts of prompts, for a receiver that has just
 	// started.
