--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -345,6 +345,8 @@
 		at := time.Time{}
 		if exact {
 			at = sentAt.Add(-named.Age)
+		} else {
+			gateway.weights.recordTold(named.Model, named.Version, now.Add(-named.Age))
 		}
 		gateway.addNamedWeights(named.Model, named.Version, sourceVM, at)
 	}
@@ -388,7 +390,7 @@
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
 	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
 	if heartbeat.HasSummaries {
-		reply.ZoneSummaries = nil
+		reply.ZoneSummaries, reply.PeerAges = nil, nil
 	}
 	if gateway.disagrees(heartbeat, time.Now()) {
 		reply.PeerAges = toPeerAges(gateway.members.Statuses(time.Now()))
