One representative makes the sums of a crowded zone for each VM

Processor time of representatives, of which requests get the less: both made the sums of their zone for each VM in each interval, and the reply left them out where the VM has those of the other one. Each sum takes time in proportion to the zone.

They are not made now where they would be left out.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -264,7 +264,7 @@
 	defer cancel()
 	gateway.metrics.Heartbeats.Add(1)
 	calledAt, suspended := time.Now(), gateway.suspendedSinceStart()
-	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.heartbeatFor(other.Name, other.Zone))
+	reply, err := gateway.dialer.Heartbeat(ctx, address, gateway.heartbeatFor(other.Name, other.Zone, false))
 	if err == nil {
 		gateway.applySuspensions()
 		gateway.mergeHeartbeat(reply, calledAt.Add(suspended-gateway.suspendedSinceStart()))
@@ -283,11 +283,14 @@
 }
 
 // heartbeatFor returns a heartbeat for the named VM in the given availability zone. Both are
-// empty if unknown.
-func (gateway *Gateway) heartbeatFor(name, zone string) peer.Heartbeat {
+// empty if unknown. hasSummaries is set if the VM receives summaries from another one.
+func (gateway *Gateway) heartbeatFor(name, zone string, hasSummaries bool) peer.Heartbeat {
 	heartbeat, now := gateway.newHeartbeat(zone), time.Now()
 	gateway.releases.addTo(&heartbeat, name, now)
-	gateway.addOwnZone(&heartbeat, name, zone, now)
+	if hasSummaries {
+		heartbeat.ZoneSummaries = nil
+	}
+	gateway.addOwnZone(&heartbeat, name, zone, hasSummaries, now)
 	return heartbeat
 }
 
@@ -388,10 +391,7 @@
 func (gateway *Gateway) HandleHeartbeat(heartbeat peer.Heartbeat) peer.Heartbeat {
 	gateway.applySuspensions()
 	gateway.mergeHeartbeat(heartbeat, gateway.earliestCall())
-	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone)
-	if heartbeat.HasSummaries {
-		reply.ZoneSummaries, reply.PeerAges = nil, nil
-	}
+	reply := gateway.heartbeatFor(heartbeat.Name, heartbeat.Zone, heartbeat.HasSummaries)
 	if gateway.disagrees(heartbeat, time.Now()) {
 		reply.PeerAges = toPeerAges(gateway.members.Statuses(time.Now()))
 	}
--- a/gateway/own_zone.go
+++ b/gateway/own_zone.go
@@ -44,8 +44,9 @@
 
 // addOwnZone adds to a heartbeat for a VM of this VM's zone what the zone's other VMs report, in
 // place of what this VM alone does. Representatives tell each other which VMs are alive, since
-// each may be cut off from some.
-func (gateway *Gateway) addOwnZone(heartbeat *peer.Heartbeat, receiver, zone string, now time.Time) {
+// each may be cut off from some. The sums take time in proportion to the zone, and are not made
+// for a receiver that has those of another representative.
+func (gateway *Gateway) addOwnZone(heartbeat *peer.Heartbeat, receiver, zone string, hasSummaries bool, now time.Time) {
 	if receiver == "" || zone != gateway.members.Zone || !gateway.crowded(now) {
 		return
 	}
@@ -54,11 +55,15 @@
 	if !heartbeat.IsRepresentative {
 		return
 	}
-	heartbeat.PeerAges = toPeerAges(gateway.members.Statuses(now))
+	if !hasSummaries {
+		heartbeat.PeerAges = toPeerAges(gateway.members.Statuses(now))
+	}
 	if isAmong(representatives, receiver) {
 		return
 	}
-	heartbeat.ZoneSummaries = append(heartbeat.ZoneSummaries, gateway.summarizeZone(receiver, now))
+	if !hasSummaries {
+		heartbeat.ZoneSummaries = append(heartbeat.ZoneSummaries, gateway.summarizeZone(receiver, now))
+	}
 	heartbeat.Spending, heartbeat.Backlogs, heartbeat.Demands, heartbeat.HotPrefixes = nil, nil, nil, nil
 }
 
--- a/gateway/own_zone_test.go
+++ b/gateway/own_zone_test.go
@@ -180,3 +180,27 @@
 }
 
 func samePeer(a, b membership.Peer) bool { return a.Name == b.Name }
+
+// Guards against processor time of representatives (SHORT): each made the sums of its zone for
+// each VM, and dropped them where the VM had those of the other representative.
+func TestSumsOfCrowdedZoneAreMadeByOneRepresentativeForEachVM(t *testing.T) {
+	const vms, zones, intervals = 80, 4, 10
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newLargeFleet(vms, zones)
+		fleet.run(5 * time.Second)
+		made := func() uint64 {
+			sum := uint64(0)
+			for _, gateway := range fleet.vms {
+				sum += gateway.zones.nextNumber()
+			}
+			return sum
+		}
+		before := made()
+		fleet.run(intervals * heartbeatInterval)
+		// For each VM, for one in turn by each representative, and for the other zones.
+		const maxMade = intervals*(vms+2*2*zones) + vms
+		if got := made() - before; got > maxMade {
+			t.Errorf("got %d sums made in %d intervals, want %d at most", got, intervals, maxMade)
+		}
+	})
+}
--- a/gateway/zones_test.go
+++ b/gateway/zones_test.go
@@ -102,7 +102,7 @@
 		if from.members.Zone != to.members.Zone {
 			fleet.crossZoneHeartbeats++
 		}
-		from.mergeHeartbeat(to.HandleHeartbeat(from.heartbeatFor(other.Name, other.Zone)), time.Now())
+		from.mergeHeartbeat(to.HandleHeartbeat(from.heartbeatFor(other.Name, other.Zone, false)), time.Now())
 	}
 	from.updateVMCount(time.Now())
 }
