--- a/roster/homes.go
+++ b/roster/homes.go
@@ -296,28 +296,6 @@
 	return loads
 }
 
-// PrefixLoadsWithout returns the total of SummedPrefixLoads without what the named VM, which
-// was one of those summed, reported last. Prefixes that nobody else sends requests with are
-// left out unless they need several homes.
-func (roster *Roster) PrefixLoadsWithout(total []PrefixLoad, vm string, now time.Time) []PrefixLoad {
-	roster.mu.Lock()
-	defer roster.mu.Unlock()
-	peer := roster.peerLoads[vm]
-	if now.Sub(peer.at) > peerLoadTime {
-		peer.loads = nil // it is not in the total
-	}
-	others := make([]PrefixLoad, 0, len(total))
-	for _, load := range total {
-		load.TokensPerSecond -= peer.get(load.Prefix).TokensPerSecond
-		if load.TokensPerSecond > 0 || load.Homes > 1 {
-			load.TokensPerSecond = max(0, load.TokensPerSecond)
-			others = append(others, load)
-		}
-	}
-	slices.SortFunc(others, compareLoads)
-	return others
-}
-
 // compareLoads orders loads by their tokens, the most first.
 func compareLoads(a, b PrefixLoad) int {
 	return cmp.Or(cmp.Compare(b.TokensPerSecond, a.TokensPerSecond), cmp.Compare(a.Prefix, b.Prefix))
--- a/roster/homes_test.go
+++ b/roster/homes_test.go
@@ -177,23 +177,3 @@
 		t.Errorf("got %v, want %v", got, want[:maxReportedLoads])
 	}
 }
-
-// Guards against a VM that gets its own loads back as those of others.
-func TestPrefixLoadsWithoutTheReceiver(t *testing.T) {
-	roster := New("a")
-	roster.SetPrefixLoads("vm-1", []PrefixLoad{{Prefix: 1, TokensPerSecond: 500}, {Prefix: 2, TokensPerSecond: 70}, {Prefix: 3, TokensPerSecond: 90}}, start)
-	total := []PrefixLoad{{Prefix: 1, TokensPerSecond: 900, Homes: 1}, {Prefix: 4, TokensPerSecond: 600, Homes: 1}, {Prefix: 2, TokensPerSecond: 70, Homes: 1}, {Prefix: 3, TokensPerSecond: 60, Homes: 2}}
-	for _, test := range []struct {
-		name, vm string
-		now      time.Time
-		want     []PrefixLoad
-	}{
-		{"reported", "vm-1", start, []PrefixLoad{total[1], {Prefix: 1, TokensPerSecond: 400, Homes: 1}, {Prefix: 3, Homes: 2}}},
-		{"reported long ago", "vm-1", start.Add(2 * peerLoadTime), total},
-		{"unknown", "vm-2", start, total},
-	} {
-		if got := roster.PrefixLoadsWithout(total, test.vm, test.now); !slices.Equal(got, test.want) {
-			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
-		}
-	}
-}
