--- a/gateway/zones.go
+++ b/gateway/zones.go
@@ -17,8 +17,7 @@
 // exchange the aggregates with the representatives of other zones, and distribute what
 // they receive in their own zone.
 
-// zoneTable holds the summaries of other availability zones. It is safe for concurrent
-// use.
+// zoneTable holds the summaries of availability zones. It is safe for concurrent use.
 type zoneTable struct {
 	summaries *membership.Summaries
 	// own admits the summaries of this VM's availability zone. forwarded is set while this
@@ -26,9 +25,9 @@
 	own       *membership.Summaries
 	forwarded atomic.Bool
 
-	mu     sync.Mutex // guards the fields below
-	latest map[string]admittedSummary
-	number uint64 // of this VM's last summary of its own zone
+	mu     sync.Mutex                 // guards the fields below
+	latest map[string]admittedSummary // of other zones
+	number uint64                     // of this VM's last summary of its own zone
 	// reporter is the representative whose summaries of this VM's own zone are in use, and
 	// reportedAt when the last one arrived.
 	reporter   string
@@ -41,7 +40,7 @@
 // sentSummaryMaxAge is how long a summary of this VM's zone is sent before another is made.
 const sentSummaryMaxAge = heartbeatInterval / 3
 
-// admittedSummary is the summary of a zone that is in use.
+// admittedSummary is the summary of a zone that is in use, and when it was made.
 type admittedSummary struct {
 	summary   peer.ZoneSummary
 	createdAt time.Time
