--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -349,7 +349,7 @@
 		if exact {
 			at = sentAt.Add(-named.Age)
 		} else {
-			gateway.weights.recordTold(named.Model, named.Version, now.Add(-named.Age))
+			gateway.weights.recordLatest(named.Model, named.Version, now.Add(-named.Age))
 		}
 		gateway.addNamedWeights(named.Model, named.Version, sourceVM, at)
 	}
--- a/gateway/roll.go
+++ b/gateway/roll.go
@@ -25,7 +25,7 @@
 	// leaseName is the object of the lease that allows one VM at a time to give orders.
 	leaseName = "orders"
 	// loadedInterval is the minimum time between two notices of completed loads: all VMs
-	// are told of each, however many targets there are.
+	// receive each, however many targets there are.
 	loadedInterval = 250 * time.Millisecond
 	// orderWindow is how long after a lease renewal orders may be sent.
 	orderWindow = 300 * time.Millisecond
@@ -46,10 +46,10 @@
 	// targetBuffer and modelBuffer are used by targets.
 	targetBuffer []rollout.Target
 	modelBuffer  []rollout.Weights
-	// loaded holds the completed loads that other VMs were not told of yet. They were last
-	// told of some at toldAt.
-	loaded []peer.TargetUpdate
-	toldAt time.Time
+	// loaded holds the completed loads of which other VMs have not been notified yet. They
+	// were last notified of some at notifiedAt.
+	loaded     []peer.TargetUpdate
+	notifiedAt time.Time
 }
 
 // callResult is the result of a poll or an order.
@@ -72,7 +72,7 @@
 		named, changed := gateway.weights.newest()
 		if rollLoop.advance(ctx, named) {
 			rollLoop.collectResults(ctx, time.Now().Add(rollInterval))
-			rollLoop.tellLoaded(ctx, time.Now())
+			rollLoop.notifyLoaded(ctx, time.Now())
 			continue
 		}
 		timer := time.NewTimer(idleInterval)
@@ -88,7 +88,7 @@
 
 // advance executes the steps that are due if a target lacks weights and this VM holds
 // the lease. It returns false if no target lacks weights, no call is in flight and other VMs
-// were told of all completed loads.
+// have been notified of all completed loads.
 func (rollLoop *rollLoop) advance(ctx context.Context, named []rollout.NamedWeights) bool {
 	now := time.Now()
 	targets := rollLoop.targets(now)
@@ -326,20 +326,20 @@
 	rollLoop.loaded = append(rollLoop.loaded, peer.TargetUpdate{Target: step.Target, Model: step.Model, Weights: step.Version})
 }
 
-// tellLoaded notifies other VMs of completed loads, if that is due.
-func (rollLoop *rollLoop) tellLoaded(ctx context.Context, now time.Time) {
+// notifyLoaded notifies other VMs of completed loads, if that is due.
+func (rollLoop *rollLoop) notifyLoaded(ctx context.Context, now time.Time) {
 	if updates := rollLoop.takeLoaded(now); len(updates) > 0 {
 		go rollLoop.gateway.runNotify(ctx, peer.Notice{Targets: updates})
 	}
 }
 
-// takeLoaded returns the completed loads that other VMs are told of now.
+// takeLoaded returns the completed loads of which other VMs are to be notified now.
 func (rollLoop *rollLoop) takeLoaded(now time.Time) []peer.TargetUpdate {
-	if len(rollLoop.loaded) == 0 || now.Sub(rollLoop.toldAt) < loadedInterval {
+	if len(rollLoop.loaded) == 0 || now.Sub(rollLoop.notifiedAt) < loadedInterval {
 		return nil
 	}
 	updates := rollLoop.loaded
-	rollLoop.loaded, rollLoop.toldAt = nil, now
+	rollLoop.loaded, rollLoop.notifiedAt = nil, now
 	return updates
 }
 
--- a/gateway/roll_test.go
+++ b/gateway/roll_test.go
@@ -10,9 +10,9 @@
 	"github.com/bramleygw/bramleygw/roster"
 )
 
-// Guards against requests that targets reject: the holder told all VMs of each completed
-// load, and in a large fleet VMs missed what it told 30 times a second.
-func TestCompletedLoadsAreToldInBatches(t *testing.T) {
+// Guards against requests that targets reject: the holder notified all VMs of each completed
+// load, and in a large fleet VMs missed some of 30 notices a second.
+func TestNoticesOfCompletedLoadsAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const targets = 153
 		rollLoop := newTakeoverFleet(1, 1).loops[0]
@@ -37,7 +37,7 @@
 			}
 			for _, update := range updates {
 				if got := time.Since(loadedAt[update.Target]); got > loadedInterval {
-					t.Errorf("%s: got told after %v, want %v at most", update.Target, got, loadedInterval)
+					t.Errorf("%s: got notified after %v, want %v at most", update.Target, got, loadedInterval)
 				}
 				delete(loadedAt, update.Target)
 			}
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -349,13 +349,13 @@
 // addNamedWeights records that a weight version was named at the given time or
 // earlier; a zero time means that the time is not known.
 func (gateway *Gateway) addNamedWeights(model string, version uint64, source string, at time.Time) {
-	at = gateway.weights.correctTime(model, version, at)
+	at = gateway.weights.capTime(model, version, at)
 	fields := []event.Field{event.F("model", model), event.F("weights", version), event.F("source", source), event.F("age_known", !at.IsZero())}
 	if !at.IsZero() {
 		fields = append(fields, event.F("age_ms", time.Since(at).Milliseconds()))
 	}
 	if at.IsZero() {
-		gateway.weights.recordTold(model, version, time.Now())
+		gateway.weights.recordLatest(model, version, time.Now())
 	}
 	newest, dated := gateway.weights.add(model, version, at)
 	if dated {
--- a/gateway/weights.go
+++ b/gateway/weights.go
@@ -25,9 +25,9 @@
 type namedWeights struct {
 	mu    sync.Mutex                        // guards the fields below
 	named map[string][]rollout.NamedWeights // by model, oldest first
-	// told holds the latest time at which a version can have been named of which this VM was
-	// told without the time of its naming.
-	told     map[rollout.Weights]time.Time
+	// latest holds the latest time at which a version can have been named that was reported to
+	// this VM without the time of its naming.
+	latest   map[rollout.Weights]time.Time
 	changed  chan struct{}
 	syncedAt time.Time // when the store last answered
 	// contactAt is when the store last answered or another VM was last heard. No gap in
@@ -39,7 +39,7 @@
 }
 
 func newNamedWeights() *namedWeights {
-	return &namedWeights{named: map[string][]rollout.NamedWeights{}, told: map[rollout.Weights]time.Time{}, changed: make(chan struct{})}
+	return &namedWeights{named: map[string][]rollout.NamedWeights{}, latest: map[rollout.Weights]time.Time{}, changed: make(chan struct{})}
 }
 
 // recordContact records an answer of the store or a heartbeat of another VM.
@@ -77,8 +77,8 @@
 func (namedWeights *namedWeights) moveBack(length time.Duration) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
-	for weights, at := range namedWeights.told {
-		namedWeights.told[weights] = at.Add(-length)
+	for weights, at := range namedWeights.latest {
+		namedWeights.latest[weights] = at.Add(-length)
 	}
 	times := []*time.Time{&namedWeights.syncedAt, &namedWeights.contactAt, &namedWeights.contactSince}
 	for _, versions := range namedWeights.named {
@@ -93,25 +93,25 @@
 	}
 }
 
-// recordTold records that this VM was told of a version without the time of its naming, which
+// recordLatest records that this VM was told of a version without the time of its naming, which
 // was at the given time or earlier.
-func (namedWeights *namedWeights) recordTold(model string, version uint64, latest time.Time) {
+func (namedWeights *namedWeights) recordLatest(model string, version uint64, latest time.Time) {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
 	weights := rollout.Weights{Model: model, Version: version}
-	if known, ok := namedWeights.told[weights]; !ok || latest.Before(known) {
-		namedWeights.told[weights] = latest
+	if known, ok := namedWeights.latest[weights]; !ok || latest.Before(known) {
+		namedWeights.latest[weights] = latest
 	}
 }
 
-// correctTime returns the time at which a version was named that the store or another VM
+// capTime returns the time at which a version was named that the store or another VM
 // showed as named at the given time: no later than what this VM was told before. A zero time
 // stays zero.
-func (namedWeights *namedWeights) correctTime(model string, version uint64, at time.Time) time.Time {
+func (namedWeights *namedWeights) capTime(model string, version uint64, at time.Time) time.Time {
 	namedWeights.mu.Lock()
 	defer namedWeights.mu.Unlock()
-	if told, ok := namedWeights.told[rollout.Weights{Model: model, Version: version}]; ok && told.Before(at) {
-		return told
+	if latest, ok := namedWeights.latest[rollout.Weights{Model: model, Version: version}]; ok && latest.Before(at) {
+		return latest
 	}
 	return at
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -144,7 +144,7 @@
 	// another VM to take over the lease and finish the roll.
 	paceShare = 0.7
 	// batchInterval is the minimum time between two batches of orders of a roll that is not
-	// late: all VMs are told of each, however many targets there are.
+	// late: all VMs are notified of each, however many targets there are.
 	batchInterval = 250 * time.Millisecond
 	// assumedLoadTime is how long a target is assumed to be loading after an order.
 	// The end of the load shows in its reports only later.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -183,7 +183,7 @@
 }
 
 // Guards against requests that targets reject: the holder tells all VMs before each batch of
-// orders, and in a large fleet VMs missed what it told 30 times a second.
+// orders, and in a large fleet VMs missed some of 30 notices a second.
 func TestOrdersOfManyTargetsAreSentInBatches(t *testing.T) {
 	simulation := newSimulation(153, 1)
 	batches := 0
