Take answers with a status that no answer has for broken ones

Callers saw: a target in trouble answered with status 000, and the answer reached its caller as status 200, with the target's body, also without a reason, in chunks, without length and as a stream. 001, 099, 600, 999 and an unrequested 101 were passed on as they were.

Cause: the HTTP library accepts any three digits, and StatusCode returns 200 for 0, so nothing behind it can tell 000 from 200.

Fix: connection.Client reads the status line of each head, of interim answers too, as its bytes arrive, and accepts 200 to 599. Everything else fails like a connection that breaks before the head: the outcome is unknown, the connection is closed, and the target counts as one that resets. Since the library encrypted above this point, Client does so itself now.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -75,18 +75,22 @@
 	http fasthttp.HostClient
 	conn *conn
 	used bool
+	tls  *tls.Config              // nil for plain TCP
 	open func() (net.Conn, error) // nil for a TCP connection to the address
 }
 
 // New returns a client for the address; it connects at the first request. A
 // nil tlsConfig means plain TCP.
 func New(address netip.AddrPort, tlsConfig *tls.Config) *Client {
-	client := &Client{conn: &conn{}}
+	if tlsConfig != nil && tlsConfig.ServerName == "" {
+		tlsConfig = tlsConfig.Clone()
+		tlsConfig.ServerName = address.Addr().String()
+	}
+	client := &Client{conn: &conn{}, tls: tlsConfig}
 	client.conn.onData = client.received
 	client.http = fasthttp.HostClient{
 		Addr:                          address.String(),
 		IsTLS:                         tlsConfig != nil,
-		TLSConfig:                     tlsConfig,
 		Dial:                          client.dial,
 		MaxConns:                      1,
 		MaxIdleConnDuration:           time.Hour, // the owner closes the connection
@@ -123,7 +127,7 @@
 		return nil, errors.Mark(err, ErrDial)
 	}
 	client.used = true
-	client.conn.open(inner)
+	client.conn.open(inner, client.tls)
 	return client.conn, nil
 }
 
@@ -152,10 +156,16 @@
 }
 
 // Do sends the request and reads the header of the response; the body is streamed.
-// Errors that occurred before the first byte was sent are marked ErrDial.
+// Errors that occurred before the first byte was sent are marked ErrDial, and answers that
+// are not used because of their heads give ErrMalformedHead.
 func (client *Client) Do(request *fasthttp.Request, response *fasthttp.Response) error {
 	response.StreamBody = true
-	return client.http.Do(request, response)
+	client.conn.head = headCheck{}
+	err := client.http.Do(request, response)
+	if client.conn.head.err != nil {
+		return client.conn.head.err // the library reports it as the end of the connection
+	}
+	return err
 }
 
 func (client *Client) received() {
@@ -177,20 +187,25 @@
 }
 
 // conn applies the deadline of the Client's owner to reads and writes instead of
-// the library's deadlines.
+// the library's deadlines, and checks the heads of answers.
 type conn struct {
-	net.Conn
-	onData func() // called after each read that returned data
+	net.Conn           // encrypts if the Client uses TLS
+	raw      net.Conn  // the connection without encryption
+	onData   func()    // called after each read that returned data
+	head     headCheck // of the answer to the current request
 
-	mu       sync.Mutex // guards deadline, aborted and assignments to Conn
+	mu       sync.Mutex // guards deadline, aborted and assignments to Conn and raw
 	deadline time.Time
 	aborted  bool
 }
 
-func (conn *conn) open(inner net.Conn) {
+func (conn *conn) open(inner net.Conn, tlsConfig *tls.Config) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.Conn = inner
+	conn.Conn, conn.raw = inner, inner
+	if tlsConfig != nil {
+		conn.Conn = tls.Client(inner, tlsConfig)
+	}
 	if conn.aborted {
 		_ = inner.Close()
 		return
@@ -219,9 +234,16 @@
 	if count > 0 {
 		conn.onData()
 	}
+	if headErr := conn.head.observe(buffer[:count]); headErr != nil {
+		return 0, headErr
+	}
 	return count, err
 }
 
+// Handshake makes the library take the connection for one that is already encrypted where
+// it should be: heads of answers are checked after decryption.
+func (conn *conn) Handshake() error { return nil }
+
 // Write implements net.Conn. It fails after the deadline even if the process was
 // paused while the deadline passed.
 func (conn *conn) Write(text []byte) (int, error) {
@@ -238,8 +260,8 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.aborted = true
-	if conn.Conn != nil {
-		_ = conn.Conn.Close()
+	if conn.raw != nil {
+		_ = conn.raw.Close() // closing by TLS may block
 	}
 }
 
--- /dev/null
+++ b/connection/head.go
@@ -0,0 +1,72 @@
+package connection
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformedHead marks errors of answers whose status no answer has.
+var ErrMalformedHead = errors.New("the head of the answer is malformed")
+
+const (
+	statusDigits          = 3
+	minInterimStatus      = 100
+	statusSwitchProtocols = 101 // never requested
+	minFinalStatus        = 200
+	maxStatus             = 599
+)
+
+// headCheck checks the head of an answer, and those of interim answers before it, as they
+// arrive. It is stricter than the HTTP library, which takes status 000 for 200.
+type headCheck struct {
+	line     []byte // the beginning of a line that is incomplete
+	inFields bool   // the status line is complete
+	interim  bool   // the head is that of an interim answer
+	done     bool
+	err      error
+}
+
+// observe checks the next part of the answer. Once it has returned an error, it returns the
+// same one for further parts.
+func (headCheck *headCheck) observe(text []byte) error {
+	for len(text) > 0 && !headCheck.done && headCheck.err == nil {
+		line, rest, complete := bytes.Cut(text, []byte("\n"))
+		if !complete {
+			headCheck.line = append(headCheck.line, line...)
+			break
+		}
+		if len(headCheck.line) > 0 {
+			line = append(headCheck.line, line...)
+			headCheck.line = nil
+		}
+		headCheck.err = headCheck.endLine(bytes.TrimSuffix(line, []byte("\r")))
+		text = rest
+	}
+	return headCheck.err
+}
+
+func (headCheck *headCheck) endLine(line []byte) error {
+	isBlank := len(line) == 0
+	switch {
+	case !headCheck.inFields && !isBlank:
+		headCheck.inFields = true
+		return headCheck.checkStatus(line)
+	case headCheck.inFields && isBlank:
+		headCheck.inFields, headCheck.done = false, !headCheck.interim
+	}
+	return nil
+}
+
+// checkStatus checks a status line.
+func (headCheck *headCheck) checkStatus(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(text))
+	if err != nil || len(text) != statusDigits || status < minInterimStatus || status == statusSwitchProtocols || status > maxStatus {
+		return errors.Wrapf(ErrMalformedHead, "status %.16q", text)
+	}
+	headCheck.interim = status < minFinalStatus
+	return nil
+}
--- /dev/null
+++ b/target/malformed_test.go
@@ -0,0 +1,63 @@
+package target
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against broken answers that reach callers: a target in trouble sends a head that no
+// answer has. Like a reset, it says nothing of whether the request ran.
+func TestMalformedHeadsAreBrokenAnswers(t *testing.T) {
+	const (
+		length  = "Content-Length: 4\r\n\r\nbody"
+		chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+		event   = "Content-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata: a\n\n"
+		ok      = "HTTP/1.1 200 OK\r\n"
+	)
+	for _, test := range []struct {
+		name, text string
+		want       error
+	}{
+		{"status 000", "HTTP/1.1 000 OK\r\n" + length, ErrConnectionLost},
+		{"status 000 without a reason", "HTTP/1.1 000\r\n" + length, ErrConnectionLost},
+		{"status 000 in chunks", "HTTP/1.1 000 OK\r\n" + chunked, ErrConnectionLost},
+		{"status 000 without length", "HTTP/1.1 000 OK\r\n\r\nbody", ErrConnectionLost},
+		{"status 000 of a stream", "HTTP/1.1 000 OK\r\n" + event, ErrConnectionLost},
+		{"status 000 after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n" + length, ErrConnectionLost},
+		{"status 001", "HTTP/1.1 001 OK\r\n" + length, ErrConnectionLost},
+		{"status 099", "HTTP/1.1 099 OK\r\n" + length, ErrConnectionLost},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", ErrConnectionLost},
+		{"status 600", "HTTP/1.1 600 OK\r\n" + length, ErrConnectionLost},
+		{"status 999", "HTTP/1.1 999 OK\r\n" + length, ErrConnectionLost},
+		{"status of one digit", "HTTP/1.1 0 OK\r\n" + length, ErrConnectionLost},
+		{"status of two digits", "HTTP/1.1 20 OK\r\n" + length, ErrConnectionLost},
+		{"status of four digits", "HTTP/1.1 0200 OK\r\n" + length, ErrConnectionLost},
+		{"negative status", "HTTP/1.1 -20 OK\r\n" + length, ErrConnectionLost},
+		{"status with a letter", "HTTP/1.1 2x0 OK\r\n" + length, ErrConnectionLost},
+		{"lowest status", ok + length, nil},
+		{"highest status", "HTTP/1.1 599 Any\r\n" + length, nil},
+		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + length, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server := startUnframed(t, test.text)
+			address := netip.MustParseAddrPort(server.listener.Addr().String())
+			client := NewWithDialect(address, &streamDialect{nativeDialect{address: address.String()}})
+			defer client.Close()
+			call := Call{Method: http.MethodPost, Path: "/", RequestID: "r1", Deadline: time.Now().Add(10 * time.Second)}
+			head, body, err := client.Forward(t.Context(), call, eventReceiver{})
+			if !errors.Is(err, test.want) {
+				t.Errorf("Forward: got status %d, %q, %v, want %v", head.Status, body, err, test.want)
+			}
+			if head, body, err = client.Do(t.Context(), call, nil); !errors.Is(err, test.want) {
+				t.Errorf("Do: got status %d, %q, %v, want %v", head.Status, body, err, test.want)
+			}
+			if _, err := client.Stream(t.Context(), call, func(Event) error { return nil }); test.want != nil && !errors.Is(err, test.want) {
+				t.Errorf("Stream: got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bramleygw/bramleygw/completion"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/standin"
 )
 
@@ -241,6 +243,15 @@
 // certificate of an unknown authority.
 func TestTLSTargetNeedsTrustedTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/malformed" {
+			conn, _, err := http.NewResponseController(writer).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody") // a lost part shows in what is read
+			_ = conn.Close()
+			return
+		}
 		writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	}))
 	defer server.Close()
@@ -252,6 +263,11 @@
 	if head, _, err := client.Do(t.Context(), call, nil); err != nil || head.Status != fasthttp.StatusOK {
 		t.Errorf("got %+v %v, want an answer", head, err)
 	}
+	malformed := call
+	malformed.Path = "/malformed"
+	if _, _, err := client.Do(t.Context(), malformed, nil); !errors.Is(err, connection.ErrMalformedHead) {
+		t.Errorf("got %v for status 000 over TLS, want ErrMalformedHead", err)
+	}
 	untrusting := New(address, &tls.Config{MinVersion: tls.VersionTLS12})
 	defer untrusting.Close()
 	if _, _, err := untrusting.Do(t.Context(), call, nil); err == nil {
