Take answers with blanks in the names of fields for broken ones

Callers saw: "X-A B: b" was passed on with that name, in a success, a failure and a stream; "X-A : b" lost its blank and was passed on. Where the line is framing, "Content-Length : 4", and "Content Length: 9" before or after the true length, gave a success, and "Transfer-Encoding : chunked" decided how the body was read. A line that begins with a blank or tab was added to the value before it, whatever name it held.

Cause: the HTTP library tolerates blanks in names and drops those before the colon, so nothing behind it can tell.

Fix: the check of heads in package connection also rejects names with a blank or control byte as their lines arrive, of interim answers too. A line that begins with a blank cannot be told from a folded value, which servers must not send and gateways may reject (RFC 9112, section 5.2): it is rejected too.

--- a/connection/head.go
+++ b/connection/head.go
@@ -7,7 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrMalformedHead marks errors of answers whose status no answer has.
+// ErrMalformedHead marks errors of answers whose heads have a status that no answer has, or a
+// blank or control byte in the name of a field.
 var ErrMalformedHead = errors.New("the head of the answer is malformed")
 
 const (
@@ -19,7 +20,8 @@
 )
 
 // headCheck checks the head of an answer, and those of interim answers before it, as they
-// arrive. It is stricter than the HTTP library, which takes status 000 for 200.
+// arrive. It is stricter than the HTTP library, which takes status 000 for 200 and drops
+// blanks after the names of fields, also of those that frame the body.
 type headCheck struct {
 	line     []byte // the beginning of a line that is incomplete
 	inFields bool   // the status line is complete
@@ -55,6 +57,8 @@
 		return headCheck.checkStatus(line)
 	case headCheck.inFields && isBlank:
 		headCheck.inFields, headCheck.done = false, !headCheck.interim
+	case headCheck.inFields:
+		return checkName(line)
 	}
 	return nil
 }
@@ -70,3 +74,18 @@
 	headCheck.interim = status < minFinalStatus
 	return nil
 }
+
+// checkName checks the name of a field in its line. A line that begins with a blank may be
+// the rest of the value before it, which servers must not send and gateways may reject
+// (RFC 9112, section 5.2), or a field whose name begins with one.
+func checkName(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if bytes.ContainsFunc(name, isBlankOrControl) {
+		return errors.Wrapf(ErrMalformedHead, "field name %.32q", name)
+	}
+	return nil
+}
+
+func isBlankOrControl(char rune) bool {
+	return char <= ' ' || char == '\x7f'
+}
