Test malformed heads at the other places that read answers

Each row failed on, with status 000 and with a blank in the name of a field:

- a completion, a stream and a call of package dispatch got the body as whole.

--- a/dispatch/cut_answer_test.go
+++ b/dispatch/cut_answer_test.go
@@ -7,15 +7,19 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bramleygw/bramleygw/catalog"
 	"github.com/bramleygw/bramleygw/completion"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/metric"
 	"github.com/bramleygw/bramleygw/placement"
 	"github.com/bramleygw/bramleygw/settings"
+	"github.com/bramleygw/bramleygw/target"
 )
 
 // serveOnce accepts connections, and answers the first request on each one with the text.
@@ -56,8 +60,8 @@
 	return dispatcher
 }
 
-// Guards against answers that break off in their heads or bodies and are taken for whole, on
-// the way of each kind of request.
+// Guards against answers that break off in their heads or bodies, or have heads that no answer
+// may have, and are taken for whole, on the way of each kind of request.
 func TestAnswersCutAtEachByteAreNotWhole(t *testing.T) {
 	const (
 		head   = "HTTP/1.1 200 OK\r\n"
@@ -99,6 +103,12 @@
 		{"call with neither and an empty body", head + "\r\n", "", call},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			for _, malformed := range []string{"HTTP/1.1 000 OK\r\n", head + "X-A : b\r\n"} {
+				dispatcher := startCutting(t, func() string { return strings.Replace(test.text, head, malformed, 1) })
+				if got, err := test.send(dispatcher); !errors.Is(err, target.ErrConnectionLost) {
+					t.Errorf("got %q, %v for an answer that begins with %q, want ErrConnectionLost", got, err, malformed)
+				}
+			}
 			cut := 0
 			dispatcher := startCutting(t, func() string { return test.text[:cut] })
 			for ; cut <= len(test.text); cut++ {
--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -106,6 +107,35 @@
 	}
 }
 
+// Guards against answers with heads that no answer may have, which count as proper ones.
+func TestMalformedHeadsCarryNoObjects(t *testing.T) {
+	for name, head := range map[string]string{"status": "HTTP/1.1 000 OK\r\n", "field name": "HTTP/1.1 200 OK\r\nX-A : b\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(writer).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, head+"Content-Length: 3\r\n\r\n{}\n") // a lost part shows in the result
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			client := objects.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+			defer client.Close()
+			if object, err := client.Get(t.Context(), objects.Configs, "a"); !errors.Is(err, objects.ErrUnknown) {
+				t.Errorf("got %+v, %v, want ErrUnknown", object, err)
+			}
+			err := client.Watch(t.Context(), objects.Configs, 1, func(event objects.WatchEvent) error {
+				t.Errorf("got event %+v, want none", event)
+				return nil
+			})
+			if !errors.Is(err, objects.ErrUnknown) {
+				t.Errorf("got %v from a watch, want ErrUnknown", err)
+			}
+		})
+	}
+}
+
 func TestReadsAboveRateAreThrottled(t *testing.T) {
 	client, _ := startPlatform(t, &standin.Platform{ReadsPerSecond: 5})
 	throttled := false
