Learn nothing from malformed heads that a VM carries for another

Seen: a VM that connects to a target for another one reads the head of the answer in passing, and used what it said of the target even if no answer may have such a head: after status 000, or a blank in the name of a field, beside "Server-Leaving: 1" it sent the target nothing more.

Cause: the head was read by the HTTP library alone, not by the check that the near end makes.

Fix: the same check comes first, for which package connection has CheckHead. An interim answer teaches nothing either: its fields are not those of the answer.

--- a/connection/head.go
+++ b/connection/head.go
@@ -30,6 +30,19 @@
 	err      error
 }
 
+// CheckHead returns ErrMalformedHead if a text does not begin with the head of a final answer
+// that Client.Do would use.
+func CheckHead(text []byte) error {
+	var headCheck headCheck
+	if err := headCheck.observe(text); err != nil {
+		return err
+	}
+	if !headCheck.done {
+		return errors.Wrap(ErrMalformedHead, "no final answer")
+	}
+	return nil
+}
+
 // observe checks the next part of the answer. Once it has returned an error, it returns the
 // same one for further parts.
 func (headCheck *headCheck) observe(text []byte) error {
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -202,7 +202,8 @@
 		return
 	}
 	var response fasthttp.Response
-	if response.Header.Read(bufio.NewReaderSize(bytes.NewReader(carriedConn.head), maxSniffedHead)) == nil {
+	// The VM at the near end logs an answer that is not used.
+	if connection.CheckHead(carriedConn.head) == nil && response.Header.Read(bufio.NewReaderSize(bytes.NewReader(carriedConn.head), maxSniffedHead)) == nil {
 		carriedConn.contact.observe(carriedConn.tunnels.gateway.TargetDialect.Head(&response))
 	}
 	carriedConn.sniffed, carriedConn.head = true, nil
