Let operator commands check the heads of answers

Seen: an operator command took an answer with status 000, or with a blank in the name of a field, for a VM's.

Cause: the operator client used the HTTP library's own client, whose status 000 is 200.

Fix: it calls through connection.Pool, whose connections may be made by a function now, for hosts with names and for TLS. Schemes other than http and https are rejected when the client is made.

Evidence: TestClientUsesWholeAnswersOnly failed in two rows ("got {Name:/prefix/v1/keys/a Version:0 Spec:[]}, <nil>, want the head of the answer is malformed"), and passes now.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 // use. It never retries a request.
 type Pool struct {
 	address netip.AddrPort
+	open    func() (net.Conn, error) // nil for TCP connections to the address
 
 	mu   sync.Mutex // guards idle
 	idle []*Client
@@ -26,6 +28,11 @@
 	return &Pool{address: address}
 }
 
+// NewPoolOver returns a pool whose connections are made by open. Its calls set a Host header.
+func NewPoolOver(open func() (net.Conn, error)) *Pool {
+	return &Pool{open: open}
+}
+
 // Address returns the address that the pool connects to.
 func (pool *Pool) Address() netip.AddrPort {
 	return pool.address
@@ -92,7 +99,7 @@
 		}
 		client.Close()
 	}
-	return New(pool.address, nil)
+	return NewOver(pool.address, pool.open)
 }
 
 func (pool *Pool) release(client *Client) {
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,7 +1,10 @@
 package operator
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strings"
 	"time"
@@ -9,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/refusal"
 )
 
@@ -20,56 +24,71 @@
 	// Key is the operator key.
 	Key string
 
-	http fasthttp.Client
+	host string
+	path string // begins the paths of all calls
+	pool *connection.Pool
 }
 
 // NewClient returns a client for the VM at the address, a URL with scheme and
 // host. It does not connect.
 func NewClient(address, key string) (*Client, error) {
 	parsed, err := url.Parse(address)
-	if err != nil || parsed.Scheme == "" || parsed.Host == "" {
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
 		return nil, errors.Newf("%q is not a URL with scheme and host; use for example http://192.0.2.1:8081", address)
 	}
-	client := &Client{URL: strings.TrimSuffix(address, "/"), Key: key}
-	client.http.MaxIdemponentCallAttempts = 1
+	client := &Client{URL: strings.TrimSuffix(address, "/"), Key: key, host: parsed.Host, path: strings.TrimSuffix(parsed.EscapedPath(), "/")}
+	client.pool = connection.NewPoolOver(func() (net.Conn, error) { return dial(parsed) })
 	return client, nil
 }
 
+// dial connects to the host of a URL, by TLS if its scheme is https.
+func dial(url *url.URL) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: callTimeout}
+	isTLS := url.Scheme == "https"
+	address := fasthttp.AddMissingPort(url.Host, isTLS)
+	if isTLS {
+		return (&tls.Dialer{NetDialer: dialer}).Dial("tcp", address)
+	}
+	return dialer.Dial("tcp", address)
+}
+
 // Do makes one call. If body is nil, the request has no body; if result is nil,
 // the response body is discarded. If the VM refuses the call, Do returns a
 // *refusal.Refusal.
 func (client *Client) Do(method, path string, body, result any) error {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(client.URL + APIPath + path)
-	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+client.Key)
+	var text []byte
 	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
 			return errors.Wrap(err, "encode the request body")
 		}
-		request.Header.SetContentType("application/json")
-		request.SetBodyRaw(text)
 	}
-	if err := client.http.DoDeadline(request, response, time.Now().Add(callTimeout)); err != nil {
+	status, answer, err := client.pool.Call(context.Background(), time.Now().Add(callTimeout), func(request *fasthttp.Request) {
+		request.Header.SetMethod(method)
+		request.SetRequestURI(client.path + APIPath + path)
+		request.Header.SetHost(client.host)
+		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+client.Key)
+		if text != nil {
+			request.Header.SetContentType("application/json")
+			request.SetBodyRaw(text)
+		}
+	})
+	if err != nil {
 		return errors.Wrap(err, "the VM did not respond; check --operator-url or use another VM")
 	}
-	if response.StatusCode() >= fasthttp.StatusBadRequest {
-		return responseError(response)
+	if status >= fasthttp.StatusBadRequest {
+		return responseError(status, answer)
 	}
 	if result == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(response.Body(), result), "cannot decode the response; check --operator-url")
+	return errors.Wrap(json.Unmarshal(answer, result), "cannot decode the response; check --operator-url")
 }
 
-func responseError(response *fasthttp.Response) error {
+func responseError(status int, answer []byte) error {
 	var body refusal.Body
-	if err := json.Unmarshal(response.Body(), &body); err != nil || body.Error.Code == "" {
-		return errors.Newf("the VM responded with status %d; check --operator-url", response.StatusCode())
+	if err := json.Unmarshal(answer, &body); err != nil || body.Error.Code == "" {
+		return errors.Newf("the VM responded with status %d; check --operator-url", status)
 	}
 	return refusal.New(body.Error.Code, body.Error.Message).WithOutcome(body.Error.Outcome)
 }
