Do not quote answers in the errors of broken ones

Seen: where the head of an answer cannot be parsed, the text of the error quoted up to 400 bytes of what had been read with it, bodies of callers' answers among them. That text is in the log lines attempt_failed and order_failed and in the steps of plans; callers get fixed texts, by reading of relay and dispatch.

Cause: the HTTP library quotes its buffer unless it is told not to.

Fix: it is told so for all connections to targets and stores.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -102,6 +102,7 @@
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
 		DisableHeaderNamesNormalizing: false,
+		SecureErrorLogMessage:         true, // errors are logged, and must not quote answers
 	}
 	return client
 }
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +84,20 @@
 		})
 	}
 }
+
+// Guards against answers of callers in the log, which gets the errors of attempts.
+func TestErrorsDoNotQuoteBodies(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX-A: b\x01\r\nContent-Length: 6\r\n\r\nsecret",
+		"HTTP/1.1 200 OK\r\nContent-Length: 6x\r\n\r\nsecret",
+		"HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nsecret",
+		"HTTX/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret",
+		`{"a":"secret"}`,
+	} {
+		client := New(netip.MustParseAddrPort(startUnframed(t, text).listener.Addr().String()), nil)
+		_, _, err := client.Do(t.Context(), Call{Path: "/", Deadline: time.Now().Add(10 * time.Second)}, nil)
+		if err == nil || strings.Contains(err.Error(), "secret") {
+			t.Errorf("got %v for %q, want an error that does not quote the body", err, text)
+		}
+	}
+}
