--- a/connection/connection.go
+++ b/connection/connection.go
@@ -4,7 +4,7 @@
 // for a complete response. A Client restricts the library to one connection without
 // retries, so that the owner of the Client can limit the time between two reads,
 // abort a read from another goroutine, and decide whether the connection may be
-// reused.
+// reused. It also rejects answers with malformed heads that the library accepts.
 //
 // # Usage
 //
