--- a/operator/client.go
+++ b/operator/client.go
@@ -42,10 +42,10 @@
 }
 
 // dial connects to the host of a URL, by TLS if its scheme is https.
-func dial(url *url.URL) (net.Conn, error) {
+func dial(server *url.URL) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: callTimeout}
-	isTLS := url.Scheme == "https"
-	address := fasthttp.AddMissingPort(url.Host, isTLS)
+	isTLS := server.Scheme == "https"
+	address := fasthttp.AddMissingPort(server.Host, isTLS)
 	if isTLS {
 		return (&tls.Dialer{NetDialer: dialer}).Dial("tcp", address)
 	}
