--- a/connection/head.go
+++ b/connection/head.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrMalformedHead marks errors of answers whose heads have a status that no answer has, or a
@@ -12,11 +13,8 @@
 var ErrMalformedHead = errors.New("the head of the answer is malformed")
 
 const (
-	statusDigits          = 3
-	minInterimStatus      = 100
-	statusSwitchProtocols = 101 // never requested
-	minFinalStatus        = 200
-	maxStatus             = 599
+	statusDigits = 3
+	maxStatus    = 599
 )
 
 // headCheck checks the head of an answer, and those of interim answers before it, as they
@@ -81,10 +79,11 @@
 	_, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.Atoi(string(text))
-	if err != nil || len(text) != statusDigits || status < minInterimStatus || status == statusSwitchProtocols || status > maxStatus {
+	isKnown := status >= fasthttp.StatusContinue && status <= maxStatus
+	if err != nil || len(text) != statusDigits || !isKnown || status == fasthttp.StatusSwitchingProtocols { // never requested
 		return errors.Wrapf(ErrMalformedHead, "status %.16q", text)
 	}
-	headCheck.interim = status < minFinalStatus
+	headCheck.interim = status < fasthttp.StatusOK
 	return nil
 }
 
