Check and decode a head in one call

A VM that carries an answer checked its head and then had the library decode it, by two calls that belong together: ReadHead does both, so no caller decodes a head without the check. TestCarryingVMLearnsNothingFromMalformedHeads passes unchanged.

--- a/connection/head.go
+++ b/connection/head.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bufio"
 	"bytes"
 	"strconv"
 
@@ -28,9 +29,9 @@
 	err      error
 }
 
-// CheckHead returns ErrMalformedHead if a text does not begin with the head of a final answer
-// that Client.Do would use.
-func CheckHead(text []byte) error {
+// ReadHead decodes the head that a text begins with. It returns ErrMalformedHead if that is
+// not the head of a final answer that Client.Do would use.
+func ReadHead(text []byte, header *fasthttp.ResponseHeader) error {
 	var headCheck headCheck
 	if err := headCheck.observe(text); err != nil {
 		return err
@@ -38,7 +39,7 @@
 	if !headCheck.done {
 		return errors.Wrap(ErrMalformedHead, "no final answer")
 	}
-	return nil
+	return header.Read(bufio.NewReaderSize(bytes.NewReader(text), len(text)))
 }
 
 // observe checks the next part of the answer. Once it has returned an error, it returns the
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"math/rand/v2"
@@ -202,8 +201,7 @@
 		return
 	}
 	var response fasthttp.Response
-	// The VM at the near end logs an answer that is not used.
-	if connection.CheckHead(carriedConn.head) == nil && response.Header.Read(bufio.NewReaderSize(bytes.NewReader(carriedConn.head), maxSniffedHead)) == nil {
+	if connection.ReadHead(carriedConn.head, &response.Header) == nil { // else the VM at the near end logs why
 		carriedConn.contact.observe(carriedConn.tunnels.gateway.TargetDialect.Head(&response))
 	}
 	carriedConn.sniffed, carriedConn.head = true, nil
