--- a/operator/client.go
+++ b/operator/client.go
@@ -19,33 +19,33 @@
 // Client calls the administration API.
 type Client struct {
 	// URL is the address at which a VM serves operators, such as
-	// http://192.0.2.1:8081.
+	// http://192.0.2.1:8081. NewClient sets it; later changes have no effect.
 	URL string
 	// Key is the operator key.
 	Key string
 
-	host string
-	path string // begins the paths of all calls
-	pool *connection.Pool
+	server *url.URL // URL, parsed
+	pool   *connection.Pool
 }
 
 // NewClient returns a client for the VM at the address, a URL with scheme and
 // host. It does not connect.
 func NewClient(address, key string) (*Client, error) {
-	parsed, err := url.Parse(address)
-	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+	address = strings.TrimSuffix(address, "/")
+	server, err := url.Parse(address)
+	if err != nil || server.Scheme != "http" && server.Scheme != "https" || server.Host == "" {
 		return nil, errors.Newf("%q is not a URL with scheme and host; use for example http://192.0.2.1:8081", address)
 	}
-	client := &Client{URL: strings.TrimSuffix(address, "/"), Key: key, host: parsed.Host, path: strings.TrimSuffix(parsed.EscapedPath(), "/")}
-	client.pool = connection.NewPoolOver(func() (net.Conn, error) { return dial(parsed) })
+	client := &Client{URL: address, Key: key, server: server}
+	client.pool = connection.NewPoolOver(client.dial)
 	return client, nil
 }
 
-// dial connects to the host of a URL, by TLS if its scheme is https.
-func dial(server *url.URL) (net.Conn, error) {
+// dial connects to the VM, by TLS if the scheme is https.
+func (client *Client) dial() (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: callTimeout}
-	isTLS := server.Scheme == "https"
-	address := fasthttp.AddMissingPort(server.Host, isTLS)
+	isTLS := client.server.Scheme == "https"
+	address := fasthttp.AddMissingPort(client.server.Host, isTLS)
 	if isTLS {
 		return (&tls.Dialer{NetDialer: dialer}).Dial("tcp", address)
 	}
@@ -65,8 +65,8 @@
 	}
 	status, answer, err := client.pool.Call(context.Background(), time.Now().Add(callTimeout), func(request *fasthttp.Request) {
 		request.Header.SetMethod(method)
-		request.SetRequestURI(client.path + APIPath + path)
-		request.Header.SetHost(client.host)
+		request.SetRequestURI(client.server.EscapedPath() + APIPath + path)
+		request.Header.SetHost(client.server.Host)
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+client.Key)
 		if text != nil {
 			request.Header.SetContentType("application/json")
