--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -112,12 +111,7 @@
 	for name, head := range map[string]string{"status": "HTTP/1.1 000 OK\r\n", "field name": "HTTP/1.1 200 OK\r\nX-A : b\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(writer).Hijack()
-				if err != nil {
-					panic(err)
-				}
-				_, _ = io.WriteString(conn, head+"Content-Length: 3\r\n\r\n{}\n") // a lost part shows in the result
-				_ = conn.Close()
+				standin.WriteRaw(writer, head+"Content-Length: 3\r\n\r\n{}\n")
 			}))
 			defer server.Close()
 			client := objects.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -9,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/standin"
 )
 
 func TestClientUsesWholeAnswersOnly(t *testing.T) {
@@ -21,13 +21,7 @@
 		{"field name", "HTTP/1.1 200 OK\r\nX-A : b\r\n", connection.ErrMalformedHead},
 	} {
 		handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-			conn, _, err := http.NewResponseController(writer).Hijack()
-			if err != nil {
-				panic(err)
-			}
-			body := `{"name":"` + request.URL.Path + `"}`
-			_, _ = io.WriteString(conn, test.head+"\r\n"+body) // a lost part shows in the result
-			_ = conn.Close()
+			standin.WriteRaw(writer, test.head+"\r\n"+`{"name":"`+request.URL.Path+`"}`)
 		})
 		t.Run(test.name, func(t *testing.T) {
 			server := httptest.NewServer(handler)
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -244,12 +243,7 @@
 func TestTLSTargetNeedsTrustedTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/malformed" {
-			conn, _, err := http.NewResponseController(writer).Hijack()
-			if err != nil {
-				panic(err)
-			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody") // a lost part shows in what is read
-			_ = conn.Close()
+			standin.WriteRaw(writer, "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody")
 			return
 		}
 		writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
