Reuse the memory of a stream's events

The text of events was appended to a slice whose beginning was cut off after each event, so that each event of more than 4 KB allocated several times its size.

--- a/target/forward.go
+++ b/target/forward.go
@@ -86,11 +86,15 @@
 	for {
 		count, err := body.Read(part)
 		pending = append(pending, part[:count]...)
-		for end := eventEnd(pending, searched); end > 0; end = eventEnd(pending, searched) {
-			if handleErr := receiver.Event(pending[:end]); handleErr != nil {
+		passed := 0
+		for end := eventEnd(pending, searched); end > 0; end = eventEnd(pending[passed:], searched) {
+			if handleErr := receiver.Event(pending[passed : passed+end]); handleErr != nil {
 				return handleErr
 			}
-			pending, searched = pending[end:], 0
+			passed, searched = passed+end, 0
+		}
+		if passed > 0 { // reuses the memory, as callers may read slowly
+			pending = pending[:copy(pending, pending[passed:])]
 		}
 		searched = max(0, len(pending)-maxBlank+1) // a blank line may arrive in two parts
 		switch {
