--- a/buffer/buffer.go
+++ b/buffer/buffer.go
@@ -4,7 +4,8 @@
 // All of them share one Budget. A single text is bounded by what the budget has left:
 // however many targets send without end, each of their answers is given up as soon as it
 // holds more than is free, and the largest ones first. Texts of up to FreeSize bytes are
-// not counted, so that the usual requests are served meanwhile.
+// not counted, so that the usual requests are served meanwhile; those of callers count
+// as memory of their connections (package occupancy).
 //
 // # Usage
 //
@@ -18,6 +19,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -38,6 +40,10 @@
 
 // Budget is the memory for all texts. It is safe for concurrent use.
 type Budget struct {
+	// OnDenied, if set, is called with the size of a text that was not given what it
+	// needed. It is set before the first share.
+	OnDenied func(size int64)
+
 	limit int64
 
 	mu     sync.Mutex // guards the fields below
@@ -74,6 +80,16 @@
 // resize changes what a text holds from one number of counted bytes to another. It returns
 // false if less than that would be left.
 func (budget *Budget) resize(from, to int64) bool {
+	if budget.tryResize(from, to) {
+		return true
+	}
+	if budget.OnDenied != nil {
+		budget.OnDenied(to)
+	}
+	return false
+}
+
+func (budget *Budget) tryResize(from, to int64) bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	used := budget.used + to - from
@@ -85,9 +101,20 @@
 	return true
 }
 
+// Holder bounds what the connection holds to which a text belongs.
+type Holder interface {
+	// Grow adds bytes. It returns false, and adds nothing, if there is no room.
+	Grow(bytes int64, now time.Time) bool
+}
+
 // Share is the part of a budget that one text holds. It is not safe for concurrent use.
 type Share struct {
+	// Holder, if set, is asked for all bytes of the text, those up to FreeSize as well. It
+	// gets them back when the request ends.
+	Holder Holder
+
 	budget *Budget
+	size   int   // the largest so far, as the holder knows it
 	held   int64 // bytes that are counted
 }
 
@@ -98,7 +125,10 @@
 	if size <= FreeSize {
 		counted = 0
 	}
-	if share == nil || share.budget == nil || counted == share.held {
+	if share == nil || !share.grow(size) {
+		return share == nil
+	}
+	if share.budget == nil || counted == share.held {
 		return true
 	}
 	if !share.budget.resize(share.held, counted) {
@@ -108,6 +138,18 @@
 	return true
 }
 
+// grow asks the holder for what the text needs beyond its largest size so far.
+func (share *Share) grow(size int) bool {
+	if share.Holder == nil || size <= share.size {
+		return true
+	}
+	if !share.Holder.Grow(int64(size-share.size), time.Now()) {
+		return false
+	}
+	share.size = size
+	return true
+}
+
 // Close returns what the text holds.
 func (share *Share) Close() {
 	share.Resize(0)
--- a/front/front.go
+++ b/front/front.go
@@ -34,6 +34,7 @@
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
@@ -53,6 +54,9 @@
 	// longer than callers keep idle connections, so that the server does not close
 	// a connection on which a request is being sent.
 	idleTimeout = 60 * time.Second
+	// longestBody bounds the time in which a caller sends the body, if its time budget is not
+	// shorter.
+	longestBody = 2 * time.Minute
 	// refusalTime is the time for writing refusals to requests that are cancelled when
 	// the process ends.
 	refusalTime = 150 * time.Millisecond
@@ -85,6 +89,7 @@
 	Relay    Relay
 	Log      *event.Log
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
+	// What connections hold is bounded if Listener is a connection.BoundedListener.
 	Buffers *buffer.Budget
 
 	draining    atomic.Bool
@@ -152,10 +157,12 @@
 	return nil
 }
 
-func (server *Server) countConnections(_ net.Conn, state http.ConnState) {
+func (server *Server) countConnections(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		server.connections.Add(1)
+	case http.StateIdle:
+		connection.EntryOf(conn).Enter(occupancy.Waiting, time.Now())
 	case http.StateClosed, http.StateHijacked:
 		server.connections.Add(-1)
 	}
@@ -175,19 +182,27 @@
 		writer.Header().Set("Connection", "close")
 	}
 	now := time.Now()
+	conn, _ := httpRequest.Context().Value(connKey{}).(net.Conn)
+	entry := connection.EntryOf(conn)
+	hasRoom := entry.Receive(now.Add(longestBody), now) // net/http reads bodies of refused requests too
 	request, err := server.Dialect.Decode(httpRequest, now)
+	if err == nil && !hasRoom {
+		err = noMemory(now)
+	}
 	share := server.Buffers.Share()
 	defer share.Close()
+	share.Holder = entry
 	if err == nil {
+		entry.SetDeadline(bodyDeadline(request, now))
 		request.Body, err = readBody(httpRequest, share)
 	}
 	if err == nil && server.closed.Load() {
 		writer.Header().Set("Connection", "close")
 		err = refusal.New(refusal.NotReady, "this VM stops; retry elsewhere").WithRetryAt(now)
 	}
-	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
-	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
+	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining, conn: conn, entry: entry}
 	if err == nil {
+		entry.Enter(occupancy.Running, time.Now())
 		ctx, stopMonitor := monitorDeparture(httpRequest.Context(), answer.conn)
 		defer stopMonitor()
 		err = server.Relay.Serve(ctx, request, answer)
@@ -218,8 +233,20 @@
 	panic(http.ErrAbortHandler)
 }
 
+// bodyDeadline returns the time until which a caller may send the body.
+func bodyDeadline(request *relay.Request, now time.Time) time.Time {
+	latest := now.Add(longestBody)
+	if request.Deadline.IsZero() || request.Deadline.After(latest) {
+		return latest
+	}
+	return request.Deadline
+}
+
 // readBody reads the complete body. The error is a refusal.
 func readBody(httpRequest *http.Request, share *buffer.Share) ([]byte, error) {
+	if httpRequest.ContentLength == 0 {
+		return nil, nil
+	}
 	if httpRequest.ContentLength > maxBodyBytes {
 		return nil, tooLarge()
 	}
@@ -228,13 +255,17 @@
 	case errors.Is(err, buffer.ErrTooLong):
 		return nil, tooLarge()
 	case errors.Is(err, buffer.ErrFull):
-		return nil, refusal.New(refusal.Overloaded, "this VM has no memory left for the body; retry after the time in Retry-After").WithRetryAt(time.Now().Add(delivery.RetryAfter))
+		return nil, noMemory(time.Now())
 	case err != nil:
 		return nil, refusal.New(refusal.CallerGone, "the body broke off")
 	}
 	return body, nil
 }
 
+func noMemory(now time.Time) error {
+	return refusal.New(refusal.Overloaded, "this VM has no memory left for the request; retry after the time in Retry-After").WithRetryAt(now.Add(delivery.RetryAfter))
+}
+
 func tooLarge() error {
 	return refusal.New(refusal.TooLarge, "the body is too large; shorten it")
 }
@@ -244,6 +275,7 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	conn       net.Conn // nil if unknown
+	entry      *occupancy.Entry
 	draining   *atomic.Bool
 	status     int
 	stream     bool
@@ -285,6 +317,8 @@
 
 // Write sends the next part of a stream, or the complete body of another answer.
 func (answer *answer) Write(text []byte) error {
+	answer.entry.SetAnswer(int64(len(text)))
+	defer answer.entry.SetAnswer(0)
 	if !answer.stream {
 		answer.headSent = true
 		answer.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/target"
@@ -165,3 +168,74 @@
 		t.Errorf("got %q and the end of the connection, want it reset", got)
 	}
 }
+
+// Guards against bodies that stop and are held for good: one of them ends at its deadline
+// although nothing is full.
+func TestBodyThatStopsEndsAtItsDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		remaining time.Duration // that the caller states; 0 is none
+		want      time.Duration // until the connection is closed
+	}{
+		{"the caller's deadline", 20 * time.Second, 20 * time.Second},
+		{"no deadline", 0, longestBody},
+		{"a far deadline", time.Hour, longestBody},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			table, decoded := occupancy.NewTable(occupancy.Limits{}), make(chan time.Time, 1)
+			server := &Server{
+				Listener: &connection.BoundedListener{Listener: listener, Table: table, Heads: true},
+				Dialect:  deadlineDialect{remaining: test.remaining, decoded: decoded},
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- server.Run(ctx, t.Context()) }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }() // closed by the server
+			if _, err := conn.Write([]byte("POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\n123456789")); err != nil {
+				t.Fatal(err)
+			}
+			received := <-decoded
+			for table.Usage().Bytes <= occupancy.ConnectionBytes+minBody { // the body is being read
+				runtime.Gosched()
+			}
+			table.Sweep(received.Add(test.want - 1))
+			if got := table.Usage().Closed; got != 0 {
+				t.Fatalf("got %d connections closed before the deadline, want none", got)
+			}
+			table.Sweep(received.Add(test.want))
+			if _, err := conn.Read(make([]byte, 1)); err == nil {
+				t.Error("got an answer, want the connection closed")
+			}
+			stop()
+			if err := <-ended; err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// minBody is less than the memory in which a body is received.
+const minBody = 2 << 10
+
+// deadlineDialect states a deadline for each request and reports when it began.
+type deadlineDialect struct {
+	plainDialect
+	remaining time.Duration
+	decoded   chan<- time.Time
+}
+
+func (dialect deadlineDialect) Decode(_ *http.Request, now time.Time) (*relay.Request, error) {
+	dialect.decoded <- now
+	if dialect.remaining == 0 {
+		return &relay.Request{}, nil
+	}
+	return &relay.Request{Deadline: now.Add(dialect.remaining)}, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 
 	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/buffer"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/lease"
@@ -37,6 +38,7 @@
 	"github.com/bramleygw/bramleygw/metric"
 	"github.com/bramleygw/bramleygw/mirror"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
@@ -112,6 +114,7 @@
 	tunnels     *tunnels
 	metrics     *metric.Set
 
+	callers         *occupancy.Table
 	callerServer    *front.Server
 	readinessServer *statusServer
 	metricsServer   *statusServer // on the separate metrics address; nil if none is set
@@ -143,6 +146,11 @@
 	// limit on memory.
 	bufferShare    = 0.1
 	defaultBuffers = 64 << 20 // bytes
+	// callerMemory is the share of the VM's memory for the connections of callers with their
+	// requests, callerSockets the share of its sockets for them. The rest is for targets, other
+	// VMs, the store and checks.
+	callerMemory  = 0.25
+	callerSockets = 0.5
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection while the
 	// heap is far below its limit.
 	gcPercent = 200
@@ -210,6 +218,7 @@
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.relay.Buffers = gateway.newBuffers()
+	gateway.relay.Buffers.OnDenied = func(size int64) { gateway.callers.Reclaim(2*size, time.Now()) }
 	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
@@ -224,6 +233,14 @@
 	return buffer.NewBudget(int64(float64(gateway.Settings.MemoryBytes) * bufferShare))
 }
 
+// callerLimits returns what the connections of callers may hold together.
+func (gateway *Gateway) callerLimits() occupancy.Limits {
+	vm := gateway.Settings
+	return occupancy.Limits{
+		Connections: int(callerSockets * float64(vm.Sockets())), Bytes: int64(callerMemory * float64(vm.MemoryBytes)),
+	}
+}
+
 // openListeners opens the listeners. Port 0 selects a free port; the settings then
 // hold the addresses in use.
 func (gateway *Gateway) openListeners() error {
@@ -240,6 +257,8 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
+	gateway.callers = occupancy.NewTable(gateway.callerLimits())
+	callerListener = &connection.BoundedListener{Listener: callerListener, Table: gateway.callers, Heads: true}
 	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
 	gateway.readinessServer = &statusServer{listener: readinessListener, ready: gateway.Ready}
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
@@ -405,6 +424,7 @@
 
 func (sweeper *sweeper) sweep(ctx context.Context, now time.Time) {
 	sweeper.roster.Sweep(now)
+	sweeper.callers.Sweep(now)
 	sweeper.origins.sweep(now)
 	sweeper.parts.Sweep(now)
 	sweeper.reportParts(ctx, now)
@@ -442,11 +462,17 @@
 	return ok
 }
 
-// updateTargetMetrics sets the numbers of targets by state and the use of the buffers.
+// updateTargetMetrics sets the numbers of targets by state, and the use of the buffers and
+// of callers' connections.
 func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) {
 	buffers := gateway.relay.Buffers.Usage()
 	gateway.metrics.BufferedBytes.Set(buffers.Bytes)
 	gateway.metrics.BuffersDenied.Set(buffers.Denied)
+	callers := gateway.callers.Usage()
+	gateway.metrics.CallerConnections.Set(int64(callers.Connections))
+	gateway.metrics.CallerBytes.Set(callers.Bytes)
+	gateway.metrics.CallersClosed.Set(callers.Closed)
+	gateway.metrics.CallersRefused.Set(callers.Refused)
 	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
 	var unreachable, ejected, leaving, resting, brittle, limited int64
 	count := func(counter *int64, counts bool) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -73,13 +73,19 @@
 	OriginsReloaded  expvar.Int
 	BufferedBytes    expvar.Int // bytes of answers and bodies that are held, beyond the first of each
 	BuffersDenied    expvar.Int // answers and bodies given up because memory for them ran out
-	Tunneled         expvar.Int // targets that are reached through other VMs
-	TunnelsOpened    expvar.Int
-	TunnelsCarried   expvar.Int
-	OriginLookups    *expvar.Map // of streams taken up, by what was known of where they began
-	ByRoute          *Rows
-	ByAccount        *Rows
-	ByTarget         *Rows
+	// Callers' connections: what they hold, how many were closed because they stopped, and
+	// connections and requests that were refused because there was no room.
+	CallerConnections expvar.Int
+	CallerBytes       expvar.Int
+	CallersClosed     expvar.Int
+	CallersRefused    expvar.Int
+	Tunneled          expvar.Int // targets that are reached through other VMs
+	TunnelsOpened     expvar.Int
+	TunnelsCarried    expvar.Int
+	OriginLookups     *expvar.Map // of streams taken up, by what was known of where they began
+	ByRoute           *Rows
+	ByAccount         *Rows
+	ByTarget          *Rows
 }
 
 // The maximum numbers of rows: as many accounts and targets as the largest
@@ -153,6 +159,8 @@
 		{"connections_opened", set.Connections},
 		{"requests_over_room", &set.OverRoom}, {"requests_too_late", &set.TooLate}, {"requests_abandoned", &set.Abandoned},
 		{"buffered_bytes", &set.BufferedBytes}, {"buffers_denied", &set.BuffersDenied},
+		{"caller_connections", &set.CallerConnections}, {"caller_bytes", &set.CallerBytes},
+		{"callers_closed", &set.CallersClosed}, {"callers_refused", &set.CallersRefused},
 		{"targets_preferred", &set.Preferred},
 		{"requests_outside_subset", &set.OutsideSubset},
 		{"prefixes_hot", &set.HotPrefixes},
--- a/settings/platform_vm.go
+++ b/settings/platform_vm.go
@@ -22,6 +22,9 @@
 	// MemoryBytes is the memory use at which the platform kills the process; 0 means
 	// no limit.
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may open; 0 means no
+	// limit.
+	MaxDescriptors int
 	// FirstStart is set when this process starts together with the whole system, which
 	// has not run before.
 	FirstStart bool
@@ -35,6 +38,14 @@
 	Ignored []string
 }
 
+// fileDescriptors is the number of descriptors that the platform reserves for files.
+const fileDescriptors = 200
+
+// Sockets returns how many sockets the process may open; 0 means no limit.
+func (vm PlatformVM) Sockets() int {
+	return max(0, vm.MaxDescriptors-fileDescriptors)
+}
+
 // Bounds contains the limits that the platform sets and the fleet must observe.
 type Bounds struct {
 	// Grace is the time from SIGTERM to SIGKILL.
