--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,7 +260,7 @@
 	gateway.callers = occupancy.NewTable(gateway.callerLimits())
 	callerListener = &connection.BoundedListener{Listener: callerListener, Table: gateway.callers, Heads: true}
 	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
-	gateway.readinessServer = &statusServer{listener: readinessListener, ready: gateway.Ready}
+	gateway.readinessServer = newStatusServer(readinessListener, gateway.Ready)
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
 	gateway.listenForMetrics()
 	return nil
@@ -277,7 +277,7 @@
 		gateway.Log.Emit(event.MetricsNotServed, event.F("address", gateway.Settings.Metrics.String()), event.Err(err))
 		return
 	}
-	gateway.metricsServer = &statusServer{listener: listener, ready: gateway.Ready}
+	gateway.metricsServer = newStatusServer(listener, gateway.Ready)
 }
 
 func listenTCP(address *netip.AddrPort) (net.Listener, error) {
--- a/gateway/status_server.go
+++ b/gateway/status_server.go
@@ -8,10 +8,20 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/occupancy"
 )
 
-// readHeaderTimeout bounds reading the header of one readiness check.
-const readHeaderTimeout = time.Second
+// The bounds of the connections for readiness checks and metrics. Load balancers and
+// collectors use a few connections, and ask at least every minute.
+const (
+	readHeaderTimeout    = time.Second
+	statusIdleTimeout    = 2 * time.Minute
+	statusWriteTimeout   = 10 * time.Second
+	maxStatusConnections = 64
+	maxStatusHeaderBytes = 8 << 10
+)
 
 // metricsPath is the path of the counters. All other paths are readiness checks.
 const metricsPath = "/metrics"
@@ -23,9 +33,17 @@
 	ready    func() bool
 }
 
+func newStatusServer(listener net.Listener, ready func() bool) *statusServer {
+	table := occupancy.NewTable(occupancy.Limits{Connections: maxStatusConnections})
+	return &statusServer{listener: &connection.BoundedListener{Listener: listener, Table: table}, ready: ready}
+}
+
 // run serves until the context ends.
 func (statusServer *statusServer) run(ctx context.Context) error {
-	server := &http.Server{Handler: statusServer, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: statusServer, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: statusIdleTimeout, WriteTimeout: statusWriteTimeout,
+		MaxHeaderBytes: maxStatusHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // an interrupted check counts as failed
 	defer stop()
 	err := server.Serve(statusServer.listener)
