--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,10 +147,11 @@
 	bufferShare    = 0.1
 	defaultBuffers = 64 << 20 // bytes
 	// callerMemory is the share of the VM's memory for the connections of callers with their
-	// requests, callerSockets the share of its sockets for them. The rest is for targets, other
-	// VMs, the store and checks.
+	// requests, callerSockets and peerSockets are the shares of its sockets for callers and
+	// for other VMs. The rest is for targets, the store and checks.
 	callerMemory  = 0.25
 	callerSockets = 0.5
+	peerSockets   = 0.25
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection while the
 	// heap is far below its limit.
 	gcPercent = 200
@@ -258,7 +259,9 @@
 		return errors.Wrap(err, "peer")
 	}
 	gateway.callers = occupancy.NewTable(gateway.callerLimits())
+	peers := occupancy.NewTable(occupancy.Limits{Connections: int(peerSockets * float64(vm.Sockets()))})
 	callerListener = &connection.BoundedListener{Listener: callerListener, Table: gateway.callers, Heads: true}
+	peerListener = &connection.BoundedListener{Listener: peerListener, Table: peers}
 	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
 	gateway.readinessServer = newStatusServer(readinessListener, gateway.Ready)
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,6 +46,8 @@
 	keepaliveTimeout    = 3 * time.Second
 	snapshotPartObjects = 256 // objects per message of a snapshot stream
 	maxMessageBytes     = 16 << 20
+	maxHeaderListBytes  = 16 << 10
+	handshakeTimeout    = 5 * time.Second
 	// streamWindow and connWindow bound the bytes that a receiver has not read yet. They are
 	// static because pings follow the messages where windows adapt, and so large that
 	// heartbeats need few updates of them.
@@ -322,6 +324,8 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StaticStreamWindowSize(streamWindow),
 		grpc.StaticConnWindowSize(connWindow),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinimum, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
