Log requests and connections that end before a route is looked for

Package front wrote nothing about requests that it refused or whose bodies broke off, and nothing about connections that it closed while a request was being received, so that the hypotheses about requests without answer beside planned work could not be told apart. Connections of callers record what has been received of the current request; request_not_taken and caller_cut say where a request was and who closed the connection, and caller_cuts counts by both. No decision changes.

--- a/connection/closed.go
+++ b/connection/closed.go
@@ -20,6 +20,12 @@
 	return inspect(conn) == noData
 }
 
+// Pending reports whether the peer has sent data that is still unread, and has not closed the
+// connection. It is always false for connections that are not based on TCP.
+func Pending(conn net.Conn) bool {
+	return inspect(conn) == dataPending
+}
+
 // readState is the state of a connection's receive side, determined without reading.
 type readState int
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -152,5 +152,7 @@
 	TargetSilent    = register(905, "target_silent", LevelInfo, "a target has sent nothing for longer than it should; the request stays there because no other target can take it now", "check the target if many lines name it")
 	HandlerPanicked = register(904, "handler_panicked", LevelError, "the handling of a request panicked; the caller's connection was closed", "report the stack in the fields")
 	OriginLookup    = register(906, "origin_lookup", LevelInfo, "this VM looked up at which service and software version a stream began that a caller takes up; the stream continues if the result is known or single", "if many results are unknown, check the network between the VMs")
+	RequestNotTaken = register(907, "request_not_taken", LevelInfo, "a request was refused, or its connection closed, before a route was looked for; at most 50 lines a second are written, the number of skipped lines is reported in the next one", "look up the refusal code in docs/OPERATORS.md")
+	CallerCut       = register(908, "caller_cut", LevelInfo, "the connection of a caller ended while a request was being received, or this VM closed it while data had arrived on it; at most 50 lines a second are written, the number of skipped lines is reported in the next one", "if this VM closed it, see the phase and docs/OPERATIONS.md; none if the caller did")
 	AttemptFailed   = register(902, "attempt_failed", LevelInfo, "an attempt to run a request at a target failed", "check the target if many lines name it")
 )
--- a/front/front.go
+++ b/front/front.go
@@ -86,10 +86,16 @@
 	Log      *event.Log
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
 	Buffers *buffer.Budget
+	// Cuts, if set, counts connections that ended before the answer, by phase and by who
+	// closed them.
+	Cuts Counter
 
 	draining    atomic.Bool
 	closed      atomic.Bool // whether new requests are refused
 	connections atomic.Int64
+
+	cutSampler      event.Sampler
+	notTakenSampler event.Sampler
 }
 
 // Drain makes the server close each connection after its current or next answer.
@@ -124,7 +130,7 @@
 	defer stopAbort()
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http) })
-	err := http.Serve(server.Listener)
+	err := http.Serve(&listener{Listener: server.Listener, wrap: server.wrap})
 	if stop() {
 		return errors.Wrap(err, "serve callers")
 	}
@@ -152,22 +158,21 @@
 	return nil
 }
 
-func (server *Server) countConnections(_ net.Conn, state http.ConnState) {
+func (server *Server) wrap(inner net.Conn) net.Conn {
+	return newConn(inner, time.Now(), server.recordEnding)
+}
+
+func (server *Server) countConnections(wrapped net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		server.connections.Add(1)
+	case http.StateIdle:
+		wrapped.(*conn).enter(phaseIdle, time.Now())
 	case http.StateClosed, http.StateHijacked:
 		server.connections.Add(-1)
 	}
 }
 
-// connKey is the key under which the context of a request holds the caller's connection.
-type connKey struct{}
-
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	defer server.logPanic(httpRequest)
@@ -175,6 +180,8 @@
 		writer.Header().Set("Connection", "close")
 	}
 	now := time.Now()
+	wrapped, _ := httpRequest.Context().Value(connKey{}).(*conn)
+	wrapped.enter(phaseBody, now)
 	request, err := server.Dialect.Decode(httpRequest, now)
 	share := server.Buffers.Share()
 	defer share.Close()
@@ -187,10 +194,13 @@
 	}
 	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
 	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
+	wrapped.enter(phaseRunning, time.Now())
 	if err == nil {
 		ctx, stopMonitor := monitorDeparture(httpRequest.Context(), answer.conn)
 		defer stopMonitor()
 		err = server.Relay.Serve(ctx, request, answer)
+	} else {
+		server.logNotTaken(httpRequest, request, refusal.From(err), now)
 	}
 	if err == nil {
 		return
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -61,6 +61,7 @@
 	OutsideSubset expvar.Int  // requests for which it left them
 	HotPrefixes   expvar.Int  // prefixes with several homes
 	Connections   *expvar.Map // connections opened to targets, by cause
+	CallerCuts    *expvar.Map // connections of callers that ended before the answer, by phase and by who closed them
 	StoreCalls    *expvar.Map // calls to the store by verb and collection
 	// Records of where streams began, sent to other VMs and received from them, and
 	// batches of them that a VM did not confirm.
@@ -107,8 +108,8 @@
 func New(vm string) *Set {
 	set := &Set{
 		Refusals: new(expvar.Map).Init(), FirstTokenMS: new(expvar.Map).Init(), Weights: new(expvar.Map).Init(),
-		Connections: new(expvar.Map).Init(),
-		StoreCalls:  new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(), ReleaseEnds: new(expvar.Map).Init(),
+		Connections: new(expvar.Map).Init(), CallerCuts: new(expvar.Map).Init(),
+		StoreCalls: new(expvar.Map).Init(), OriginLookups: new(expvar.Map).Init(), Availability: new(expvar.Map).Init(), ReleaseEnds: new(expvar.Map).Init(),
 		ByRoute: NewRows(maxRoutes), ByAccount: NewRows(maxAccounts), ByTarget: NewRows(maxTargets),
 	}
 	name := "bramleygw." + vm
@@ -150,7 +151,7 @@
 		{"targets_brittle", &set.Brittle},
 		{"requests_not_admitted", &set.NotAdmitted},
 		{"parts_blocked", &set.BlockedParts},
-		{"connections_opened", set.Connections},
+		{"connections_opened", set.Connections}, {"caller_cuts", set.CallerCuts},
 		{"requests_over_room", &set.OverRoom}, {"requests_too_late", &set.TooLate}, {"requests_abandoned", &set.Abandoned},
 		{"buffered_bytes", &set.BufferedBytes}, {"buffers_denied", &set.BuffersDenied},
 		{"targets_preferred", &set.Preferred},
