Take the limit on bodies from the configuration

Callers got 413 for bodies of up to 6 MiB that the operators' configuration allowed: its limits were decoded into a map that nothing read, and the caller server used constants. In the other direction, a limit that was lowered was not applied.

The limits (head, body, time for the head, idle time) are now part of the routing table; limits that are missing, 0, negative or no number keep the defaults, which are the former constants. The caller server takes the limit on bodies when it begins to read one, so that a body that is being sent keeps the limit under which it began. The other three limits are decoded but not applied yet.

--- a/front/front.go
+++ b/front/front.go
@@ -37,13 +37,11 @@
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
+	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
-	// maxBodyBytes is the maximum size of a request's body, which is the
-	// platform's maximum.
-	maxBodyBytes = 4 << 20
 	// maxHeaderBytes is the maximum size of a request's head. net/http adds some
 	// slack to it.
 	maxHeaderBytes = 16 << 10
@@ -78,12 +76,20 @@
 	Serve(ctx context.Context, request *relay.Request, answer relay.Answer) error
 }
 
+// Limits provides the operators' limits on what callers may send.
+type Limits interface {
+	// Limits returns the limits for requests that begin now.
+	Limits() routing.Limits
+}
+
 // Server serves callers. The exported fields are set before Run.
 type Server struct {
 	Listener net.Listener
 	Dialect  Dialect
 	Relay    Relay
 	Log      *event.Log
+	// Limits may be nil; then the default limits apply.
+	Limits Limits
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
 	Buffers *buffer.Budget
 
@@ -179,7 +185,7 @@
 	share := server.Buffers.Share()
 	defer share.Close()
 	if err == nil {
-		request.Body, err = readBody(httpRequest, share)
+		request.Body, err = readBody(httpRequest, share, server.limits().MaxBodyBytes)
 	}
 	if err == nil && server.closed.Load() {
 		writer.Header().Set("Connection", "close")
@@ -218,9 +224,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+func (server *Server) limits() routing.Limits {
+	if server.Limits == nil {
+		return routing.DefaultLimits()
+	}
+	return server.Limits.Limits()
+}
+
 // readBody reads the complete body. The error is a refusal.
-func readBody(httpRequest *http.Request, share *buffer.Share) ([]byte, error) {
-	if httpRequest.ContentLength > maxBodyBytes {
+func readBody(httpRequest *http.Request, share *buffer.Share, maxBodyBytes int) ([]byte, error) {
+	if httpRequest.ContentLength > int64(maxBodyBytes) {
 		return nil, tooLarge()
 	}
 	body, err := share.ReadAll(httpRequest.Body, maxBodyBytes)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,6 +213,7 @@
 	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
+	gateway.callerServer.Limits = callerLimits{gateway.relay}
 	gateway.buildReleases()
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -156,6 +156,8 @@
 	Routes   []Route
 	Accounts []Account
 	Services []Service
+	// Limits holds 0 where the defaults apply.
+	Limits Limits
 }
 
 // Table is one version of the configuration.
@@ -169,6 +171,7 @@
 	services       map[string]*Service
 	cacheStores    []*Service
 	leastWaits     map[string]settings.Span // by service
+	limits         Limits
 }
 
 // NewTable indexes a configuration and sets MaxWait of its routes. The table keeps
@@ -180,6 +183,7 @@
 		accountsByKey:  map[[sha256.Size]byte]*Account{},
 		accountsByName: map[string]*Account{},
 		services:       map[string]*Service{},
+		limits:         config.Limits.withDefaults(),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
