--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,6 +214,7 @@
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
 	gateway.callerServer.Cuts = gateway.metrics.CallerCuts
+	gateway.callerServer.Limits = callerLimits{gateway.relay}
 	gateway.buildReleases()
 }
 
