--- a/front/front.go
+++ b/front/front.go
@@ -38,13 +38,11 @@
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
+	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/target"
 )
 
 const (
-	// maxBodyBytes is the maximum size of a request's body, which is the
-	// platform's maximum.
-	maxBodyBytes = 4 << 20
 	// maxHeaderBytes is the maximum size of a request's head. net/http adds some
 	// slack to it.
 	maxHeaderBytes = 16 << 10
@@ -82,19 +80,33 @@
 	Serve(ctx context.Context, request *relay.Request, answer relay.Answer) error
 }
 
+// Limits provides the operators' limits on what callers may send.
+type Limits interface {
+	// Limits returns the limits for requests that begin now.
+	Limits() routing.Limits
+}
+
 // Server serves callers. The exported fields are set before Run.
 type Server struct {
 	Listener net.Listener
 	Dialect  Dialect
 	Relay    Relay
 	Log      *event.Log
+	// Limits may be nil; then the default limits apply.
+	Limits Limits
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
 	// What connections hold is bounded if Listener is a connection.BoundedListener.
 	Buffers *buffer.Budget
+	// Cuts, if set, counts connections that ended before the answer, by phase and by who
+	// closed them.
+	Cuts Counter
 
 	draining    atomic.Bool
 	closed      atomic.Bool // whether new requests are refused
 	connections atomic.Int64
+
+	cutSampler      event.Sampler
+	notTakenSampler event.Sampler
 }
 
 // Drain makes the server close each connection after its current or next answer.
@@ -129,7 +141,7 @@
 	defer stopAbort()
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http) })
-	err := http.Serve(server.Listener)
+	err := http.Serve(&listener{Listener: server.Listener, wrap: server.wrap})
 	if stop() {
 		return errors.Wrap(err, "serve callers")
 	}
@@ -157,24 +169,23 @@
 	return nil
 }
 
-func (server *Server) countConnections(conn net.Conn, state http.ConnState) {
+func (server *Server) wrap(inner net.Conn) net.Conn {
+	return newConn(inner, time.Now(), server.recordEnding)
+}
+
+func (server *Server) countConnections(wrapped net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		server.connections.Add(1)
 	case http.StateIdle:
-		connection.EntryOf(conn).Enter(occupancy.Waiting, time.Now())
+		now := time.Now()
+		wrapped.(*conn).enter(phaseIdle, now)
+		connection.EntryOf(wrapped).Enter(occupancy.Waiting, now)
 	case http.StateClosed, http.StateHijacked:
 		server.connections.Add(-1)
 	}
 }
 
-// connKey is the key under which the context of a request holds the caller's connection.
-type connKey struct{}
-
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	defer server.logPanic(httpRequest)
@@ -182,8 +193,10 @@
 		writer.Header().Set("Connection", "close")
 	}
 	now := time.Now()
-	conn, _ := httpRequest.Context().Value(connKey{}).(net.Conn)
-	entry := connection.EntryOf(conn)
+	caller, _ := httpRequest.Context().Value(connKey{}).(net.Conn)
+	wrapped, _ := caller.(*conn)
+	wrapped.enter(phaseBody, now)
+	entry := connection.EntryOf(caller)
 	hasRoom := entry.Receive(now.Add(longestBody), now) // net/http reads bodies of refused requests too
 	request, err := server.Dialect.Decode(httpRequest, now)
 	if err == nil && !hasRoom {
@@ -194,18 +207,21 @@
 	share.Holder = entry
 	if err == nil {
 		entry.SetDeadline(bodyDeadline(request, now))
-		request.Body, err = readBody(httpRequest, share)
+		request.Body, err = readBody(httpRequest, share, server.limits().MaxBodyBytes)
 	}
 	if err == nil && server.closed.Load() {
 		writer.Header().Set("Connection", "close")
 		err = refusal.New(refusal.NotReady, "this VM stops; retry elsewhere").WithRetryAt(now)
 	}
-	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining, conn: conn, entry: entry}
+	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining, conn: caller, entry: entry}
+	wrapped.enter(phaseRunning, time.Now())
 	if err == nil {
 		entry.Enter(occupancy.Running, time.Now())
 		ctx, stopMonitor := monitorDeparture(httpRequest.Context(), answer.conn)
 		defer stopMonitor()
 		err = server.Relay.Serve(ctx, request, answer)
+	} else {
+		server.logNotTaken(httpRequest, request, refusal.From(err), now)
 	}
 	if err == nil {
 		return
@@ -242,12 +258,19 @@
 	return request.Deadline
 }
 
+func (server *Server) limits() routing.Limits {
+	if server.Limits == nil {
+		return routing.DefaultLimits()
+	}
+	return server.Limits.Limits()
+}
+
 // readBody reads the complete body. The error is a refusal.
-func readBody(httpRequest *http.Request, share *buffer.Share) ([]byte, error) {
+func readBody(httpRequest *http.Request, share *buffer.Share, maxBodyBytes int) ([]byte, error) {
 	if httpRequest.ContentLength == 0 {
 		return nil, nil
 	}
-	if httpRequest.ContentLength > maxBodyBytes {
+	if httpRequest.ContentLength > int64(maxBodyBytes) {
 		return nil, tooLarge()
 	}
 	body, err := share.ReadAll(httpRequest.Body, maxBodyBytes)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,6 +223,8 @@
 	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
+	gateway.callerServer.Cuts = gateway.metrics.CallerCuts
+	gateway.callerServer.Limits = callerLimits{gateway.relay}
 	gateway.buildReleases()
 }
 
