Answer requests that arrive on open connections while a VM stops

What callers saw: a request on a kept connection ended with the connection, with neither an answer nor a refusal, 2.6 s after a planned stop began, and no VM wrote a line about it.

Cause: the stop closed all idle connections at that moment (SetKeepAlivesEnabled and Shutdown of the HTTP library), while callers were still using them: nothing told them how long they may reuse one. Shutdown also drops a request whose head it has read in part or whole, and closes a connection after a stream that began before the stop.

Fix: answers tell callers to reuse a connection for 2 s at most (Keep-Alive), which ends before the stop closes idle connections; from SIGTERM on they say Connection: close. Connections are ended by the server itself, idle ones only once the time for their reuse has passed, and not if a request has arrived.

--- a/front/conn.go
+++ b/front/conn.go
@@ -2,20 +2,24 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/routing"
 )
 
 // phase is how far a connection is with its current request.
 type phase int
 
 const (
-	phaseIdle    phase = iota // nothing of the next request has been read
+	phaseNew     phase = iota // nothing has been read yet
+	phaseIdle                 // nothing of the next request has been read
 	phaseHead                 // the head is being received
 	phaseBody                 // the body is being received
 	phaseRunning              // the request has been received and is not answered yet
@@ -23,20 +27,48 @@
 
 // String returns the phase's name for logs.
 func (phase phase) String() string {
-	return [...]string{"idle", "head", "body", "running"}[phase]
+	return [...]string{"new", "idle", "head", "body", "running"}[phase]
 }
 
+// waits reports whether nothing of a request has been read.
+func (phase phase) waits() bool {
+	return phase == phaseNew || phase == phaseIdle
+}
+
+// Answers to requests whose heads arrive too late or are too large. The HTTP library's own limits
+// cannot follow the configuration.
+const (
+	lateHead  = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	largeHead = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+const (
+	// readAhead is the number of bytes of a body that the HTTP library may read together
+	// with the head.
+	readAhead = 4 << 10
+	// After the answer to a head that is not read to its end, up to maxDiscarded bytes are
+	// read for discardTime: unread ones would reset the connection, and the caller would
+	// lose the answer.
+	discardTime       = 500 * time.Millisecond
+	maxDiscarded      = 256 << 10
+	discardBufferSize = 512
+)
+
 // conn is a connection of a caller. It records what the caller has sent of its current
-// request.
+// request, and can be ended without losing a request that has arrived.
 type conn struct {
 	net.Conn
-	onClose func(ending)
+	limits  func() routing.Limits
+	onClose func(*conn, ending)
 
 	mu    sync.Mutex // guards the fields below
 	phase phase
 	since time.Time // when the phase began
 	// received is the number of bytes that were read since the last request was answered.
 	received int64
+	maxHead  int64 // bytes of the current head
+	// interrupted is set while reads are to end; the read deadline has passed then.
+	interrupted bool
 	// peerEnded is set once a read has found the end of the connection.
 	peerEnded bool
 	closed    bool
@@ -51,10 +83,6 @@
 	byCaller bool
 }
 
-func newConn(inner net.Conn, now time.Time, onClose func(ending)) *conn {
-	return &conn{Conn: inner, onClose: onClose, since: now}
-}
-
 // NetConn returns the connection beneath.
 func (conn *conn) NetConn() net.Conn {
 	return conn.Conn
@@ -62,18 +90,80 @@
 
 // Read implements net.Conn.
 func (conn *conn) Read(buffer []byte) (int, error) {
-	count, err := conn.Conn.Read(buffer)
+	for {
+		count, err := conn.Conn.Read(buffer)
+		if conn.resumes(count, err) {
+			continue
+		}
+		if answer := conn.recordRead(count, err); answer != "" {
+			conn.refuseHead(answer)
+			return 0, io.EOF
+		}
+		return count, err
+	}
+}
+
+// resumes reports whether a read has to be repeated: it was interrupted while the connection
+// waited for a request, and data has arrived nevertheless.
+func (conn *conn) resumes(count int, err error) bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if !conn.interrupted || !conn.phase.waits() || count > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !connection.Pending(conn.Conn) {
+		return false
+	}
+	conn.resumeLocked()
+	return true
+}
+
+// resumeLocked lets reads go on. The caller holds mu.
+func (conn *conn) resumeLocked() {
+	conn.interrupted = false
+	_ = conn.Conn.SetReadDeadline(time.Time{}) // a read fails if the connection is closed
+}
+
+// recordRead records the result of a read. It returns the answer to a head that is late or too
+// large, or an empty string.
+func (conn *conn) recordRead(count int, err error) string {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.received += int64(count)
-	if count > 0 && conn.phase == phaseIdle {
-		conn.phase, conn.since = phaseHead, time.Now()
+	if count > 0 && conn.phase.waits() {
+		conn.phase, conn.since, conn.maxHead = phaseHead, time.Now(), int64(conn.limits().MaxHeaderBytes)
+		if conn.interrupted {
+			conn.resumeLocked()
+		}
 	}
-	var netErr net.Error
-	if err != nil && !errors.Is(err, net.ErrClosed) && !(errors.As(err, &netErr) && netErr.Timeout()) {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !late && !errors.Is(err, net.ErrClosed) {
 		conn.peerEnded = true
 	}
-	return count, err
+	switch {
+	case conn.phase != phaseHead:
+		return ""
+	case late && conn.interrupted:
+		return lateHead
+	case conn.received > conn.maxHead+readAhead:
+		return largeHead
+	}
+	return ""
+}
+
+// refuseHead answers a request whose head is not read any further.
+func (conn *conn) refuseHead(answer string) {
+	_ = conn.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // the write fails too then
+	if _, err := io.WriteString(conn.Conn, answer); err != nil {
+		return // the caller has left or does not read
+	}
+	_ = conn.CloseWrite()                                      // the connection is closed next
+	_ = conn.Conn.SetReadDeadline(time.Now().Add(discardTime)) // the read fails too then
+	buffer := make([]byte, discardBufferSize)
+	for read := 0; read < maxDiscarded; {
+		count, err := conn.Conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		read += count
+	}
 }
 
 // enter records the begin of a phase of the current request.
@@ -87,6 +177,22 @@
 	if phase == phaseIdle {
 		conn.received = 0
 	}
+	if conn.interrupted {
+		conn.resumeLocked()
+	}
+}
+
+// interrupt ends the connection if it has been in a phase since before the given time: the
+// pending read ends, and the HTTP library closes the connection. A request that has arrived on a
+// connection that waits for one is read nevertheless.
+func (conn *conn) interrupt(phase phase, before time.Time) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.phase != phase || conn.since.After(before) {
+		return
+	}
+	conn.interrupted = true
+	_ = conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
 }
 
 // Close implements net.Conn.
@@ -98,7 +204,7 @@
 	conn.mu.Unlock()
 	if first {
 		ending.unread = connection.Pending(conn.Conn)
-		conn.onClose(ending)
+		conn.onClose(conn, ending)
 	}
 	return conn.Conn.Close()
 }
@@ -120,21 +226,6 @@
 	return nil
 }
 
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	wrap func(net.Conn) net.Conn
-}
-
-// Accept implements net.Listener.
-func (listener *listener) Accept() (net.Conn, error) {
-	inner, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return listener.wrap(inner), nil
-}
-
 // connKey is the key under which the context of a request holds the caller's connection.
 type connKey struct{}
 
--- a/front/front.go
+++ b/front/front.go
@@ -42,23 +42,22 @@
 )
 
 const (
-	// maxHeaderBytes is the maximum size of a request's head. net/http adds some
-	// slack to it.
-	maxHeaderBytes = 16 << 10
-	// headerTimeout bounds the time in which a caller sends the head.
-	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long a connection stays open without a request. It is
-	// longer than callers keep idle connections, so that the server does not close
-	// a connection on which a request is being sent.
-	idleTimeout = 60 * time.Second
-	// refusalTime is the time for writing refusals to requests that are cancelled when
-	// the process ends.
-	refusalTime = 150 * time.Millisecond
+	// maxHeaderBytes bounds heads whatever the configuration allows.
+	maxHeaderBytes = 1 << 20
+	// keepAliveTime is how long callers are told that they may reuse an idle connection, in
+	// whole seconds. It is shorter than the time from Drain to the end of Run's context, so
+	// that no caller uses a connection that is closed then.
+	keepAliveTime = 2 * time.Second
+	// reuseTime is how long after an answer a request may arrive on the connection. It is
+	// longer than keepAliveTime by the time that the answer and the request take.
+	reuseTime = keepAliveTime + 500*time.Millisecond
 	// lateRequestTime is how long after the listener was closed callers that have opened a
 	// connection but sent nothing may still send a request, and get a refusal. Callers
 	// send at once when they have connected.
-	lateRequestTime  = time.Second
-	stopPollInterval = 20 * time.Millisecond
+	lateRequestTime = time.Second
+	// refusalTime is the time for writing refusals to requests that are cancelled when
+	// the process ends.
+	refusalTime = 150 * time.Millisecond
 )
 
 // Dialect decodes the heads of requests and writes refusals.
@@ -96,9 +95,8 @@
 	// closed them.
 	Cuts Counter
 
-	draining    atomic.Bool
-	closed      atomic.Bool // whether new requests are refused
-	connections atomic.Int64
+	draining atomic.Bool
+	closed   atomic.Bool // whether new requests are refused
 
 	cutSampler      event.Sampler
 	notTakenSampler event.Sampler
@@ -120,71 +118,55 @@
 // cancelled too, and refused with its cause if that is a refusal.
 func (server *Server) Run(ctx, abort context.Context) error {
 	http := &http.Server{
-		Handler:           server,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // drops messages on callers' broken connections
-		BaseContext:       func(net.Listener) context.Context { return abort },
-		ConnContext:       withConn,
-		ConnState:         server.countConnections,
+		Handler:        server,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       log.New(io.Discard, "", 0), // drops messages on callers' broken connections
+		BaseContext:    func(net.Listener) context.Context { return abort },
+		ConnContext:    withConn,
+		ConnState:      recordIdle,
 	}
+	conns := newConns(server.Listener, server.limits, server.recordEnding)
 	// Requests that abort cancels still get their refusals.
 	closing, closeNow := context.WithCancel(context.Background())
 	defer closeNow()
 	stopAbort := context.AfterFunc(abort, func() { time.AfterFunc(refusalTime, closeNow) })
 	defer stopAbort()
 	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http) })
-	err := http.Serve(&listener{Listener: server.Listener, wrap: server.wrap})
+	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http, conns) })
+	go conns.runSweep(closing)
+	err := http.Serve(conns)
 	if stop() {
 		return errors.Wrap(err, "serve callers")
 	}
-	if err := <-stopped; err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "stop serving callers"), http.Close())
-	}
-	return nil
+	return errors.Wrap(<-stopped, "stop serving callers")
 }
 
-// stop closes the listener and the idle connections, and waits until no connection is left
-// or the context ends. Shutdown would at once drop requests that it has not read yet, so
-// that their callers would not know whether they ran.
-func (server *Server) stop(ctx context.Context, http *http.Server) error {
+// stop closes the listener and waits until no connection is left or the context ends. Idle
+// connections are closed once no request is to be expected on them. http.Server.Shutdown would
+// close them at once and drop requests that it has read, so that their callers would not know
+// whether they ran.
+func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns) error {
 	server.closed.Store(true)
-	_ = server.Listener.Close() // Shutdown reports errors
-	http.SetKeepAlivesEnabled(false)
-	for until := time.Now().Add(lateRequestTime); server.connections.Load() > 0 && time.Now().Before(until); {
+	_ = server.Listener.Close() // Close below reports errors
+	lateRequests := time.Now().Add(lateRequestTime)
+	for conns.interrupt(phaseIdle, time.Now().Add(-reuseTime)) > 0 {
+		if now := time.Now(); now.After(lateRequests) {
+			conns.interrupt(phaseNew, now)
+		}
 		if !retry.Wait(ctx, time.Now().Add(stopPollInterval)) {
 			break
 		}
 	}
-	if err := http.Shutdown(ctx); !errors.Is(err, net.ErrClosed) { // the listener's
+	if err := http.Close(); !errors.Is(err, net.ErrClosed) { // the listener's
 		return err
 	}
 	return nil
 }
 
-func (server *Server) wrap(inner net.Conn) net.Conn {
-	return newConn(inner, time.Now(), server.recordEnding)
-}
-
-func (server *Server) countConnections(wrapped net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		server.connections.Add(1)
-	case http.StateIdle:
-		wrapped.(*conn).enter(phaseIdle, time.Now())
-	case http.StateClosed, http.StateHijacked:
-		server.connections.Add(-1)
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	defer server.logPanic(httpRequest)
-	if server.draining.Load() {
-		writer.Header().Set("Connection", "close")
-	}
+	server.setReuse(writer.Header())
 	now := time.Now()
 	wrapped, _ := httpRequest.Context().Value(connKey{}).(*conn)
 	wrapped.enter(phaseBody, now)
@@ -195,10 +177,9 @@
 		request.Body, err = readBody(httpRequest, share, server.limits().MaxBodyBytes)
 	}
 	if err == nil && server.closed.Load() {
-		writer.Header().Set("Connection", "close")
 		err = refusal.New(refusal.NotReady, "this VM stops; retry elsewhere").WithRetryAt(now)
 	}
-	answer := &answer{writer: writer, controller: http.NewResponseController(writer), draining: &server.draining}
+	answer := &answer{writer: writer, controller: http.NewResponseController(writer), setReuse: server.setReuse}
 	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
 	wrapped.enter(phaseRunning, time.Now())
 	if err == nil {
@@ -218,9 +199,20 @@
 		}
 		panic(http.ErrAbortHandler) // closes the connection
 	}
+	server.setReuse(writer.Header())
 	server.Dialect.Refuse(writer, httpRequest, refused, time.Now())
 }
 
+// setReuse tells the caller whether, and for how long, it may reuse the connection.
+func (server *Server) setReuse(header http.Header) {
+	if server.draining.Load() || server.closed.Load() {
+		header.Set("Connection", "close")
+		header.Del("Keep-Alive")
+		return
+	}
+	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(keepAliveTime/time.Second)))
+}
+
 // logPanic logs a panic of the handler other than http.ErrAbortHandler, and lets it
 // close the connection.
 func (server *Server) logPanic(httpRequest *http.Request) {
@@ -267,7 +259,7 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	conn       net.Conn // nil if unknown
-	draining   *atomic.Bool
+	setReuse   func(http.Header)
 	status     int
 	stream     bool
 	headSent   bool // nothing but the rest of the answer may follow
@@ -282,9 +274,7 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents net/http from guessing one
 	}
-	if answer.draining.Load() {
-		header.Set("Connection", "close")
-	}
+	answer.setReuse(header) // the VM may have begun to stop
 	answer.status, answer.stream = head.Status, head.Stream
 	if answer.stream {
 		answer.headSent = true
--- a/front/log.go
+++ b/front/log.go
@@ -29,7 +29,7 @@
 // or on which data had arrived that was not read. Requests that were received completely are
 // logged by whoever answers them.
 func (server *Server) recordEnding(ending ending) {
-	if ending.phase == phaseRunning || ending.phase == phaseIdle && (!ending.unread || ending.byCaller) {
+	if ending.phase == phaseRunning || ending.phase.waits() && (!ending.unread || ending.byCaller) {
 		return
 	}
 	if server.Cuts != nil {
