--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -58,7 +58,7 @@
 
 func (pipeListener *pipeListener) connect() *testCaller {
 	near, far := net.Pipe()
-	_ = near.SetDeadline(time.Now().Add(time.Minute)) // never fails on a pipe
+	_ = near.SetDeadline(time.Now().Add(5 * time.Minute)) // never fails on a pipe
 	pipeListener.accepted <- far
 	return &testCaller{near, bufio.NewReader(near)}
 }
