--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,12 +146,6 @@
 	// limit on memory.
 	bufferShare    = 0.1
 	defaultBuffers = 64 << 20 // bytes
-	// callerMemory is the share of the VM's memory for the connections of callers with their
-	// requests, callerSockets and peerSockets are the shares of its sockets for callers and
-	// for other VMs. The rest is for targets, the store and checks.
-	callerMemory  = 0.25
-	callerSockets = 0.5
-	peerSockets   = 0.25
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection while the
 	// heap is far below its limit.
 	gcPercent = 200
@@ -236,14 +230,6 @@
 	return buffer.NewBudget(int64(float64(gateway.Settings.MemoryBytes) * bufferShare))
 }
 
-// callerLimits returns what the connections of callers may hold together.
-func (gateway *Gateway) callerLimits() occupancy.Limits {
-	vm := gateway.Settings
-	return occupancy.Limits{
-		Connections: int(callerSockets * float64(vm.Sockets())), Bytes: int64(callerMemory * float64(vm.MemoryBytes)),
-	}
-}
-
 // openListeners opens the listeners. Port 0 selects a free port; the settings then
 // hold the addresses in use.
 func (gateway *Gateway) openListeners() error {
@@ -260,10 +246,9 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	gateway.callers = occupancy.NewTable(gateway.callerLimits())
-	peers := occupancy.NewTable(occupancy.Limits{Connections: int(peerSockets * float64(vm.Sockets()))})
+	gateway.callers = occupancy.NewTable(callerOccupancy(*vm))
 	callerListener = &connection.BoundedListener{Listener: callerListener, Table: gateway.callers, Heads: true}
-	peerListener = &connection.BoundedListener{Listener: peerListener, Table: peers}
+	peerListener = &connection.BoundedListener{Listener: peerListener, Table: occupancy.NewTable(peerOccupancy(*vm))}
 	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
 	gateway.readinessServer = newStatusServer(readinessListener, gateway.Ready)
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
@@ -415,8 +400,10 @@
 // sweeper is the state of the loop that removes expired state.
 type sweeper struct {
 	*Gateway
-	detector membership.FailureDetector
-	services lostServices
+	callersLogged occupancy.Usage // as last logged
+	callerSampler event.Sampler
+	detector      membership.FailureDetector
+	services      lostServices
 	// entries holds the listed targets, adaptive whether each is adaptive, by ID. Both are
 	// used by one sweep at a time.
 	entries  []roster.Entry
@@ -429,7 +416,7 @@
 
 func (sweeper *sweeper) sweep(ctx context.Context, now time.Time) {
 	sweeper.roster.Sweep(now)
-	sweeper.callers.Sweep(now)
+	sweeper.sweepCallers(now)
 	sweeper.origins.sweep(now)
 	sweeper.parts.Sweep(now)
 	sweeper.reportParts(ctx, now)
@@ -467,17 +454,11 @@
 	return ok
 }
 
-// updateTargetMetrics sets the numbers of targets by state, and the use of the buffers and
-// of callers' connections.
+// updateTargetMetrics sets the numbers of targets by state and the use of the buffers.
 func (gateway *Gateway) updateTargetMetrics(entries []roster.Entry) {
 	buffers := gateway.relay.Buffers.Usage()
 	gateway.metrics.BufferedBytes.Set(buffers.Bytes)
 	gateway.metrics.BuffersDenied.Set(buffers.Denied)
-	callers := gateway.callers.Usage()
-	gateway.metrics.CallerConnections.Set(int64(callers.Connections))
-	gateway.metrics.CallerBytes.Set(callers.Bytes)
-	gateway.metrics.CallersClosed.Set(callers.Closed)
-	gateway.metrics.CallersRefused.Set(callers.Refused)
 	gateway.metrics.Tunneled.Set(int64(gateway.roster.Tunneled()))
 	var unreachable, ejected, leaving, resting, brittle, limited int64
 	count := func(counter *int64, counts bool) {
