--- a/front/conn.go
+++ b/front/conn.go
@@ -154,8 +154,11 @@
 	if _, err := io.WriteString(conn.Conn, answer); err != nil {
 		return // the caller has left or does not read
 	}
-	_ = conn.CloseWrite()                                      // the connection is closed next
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(discardTime)) // the read fails too then
+	_ = conn.CloseWrite() // the connection is closed next
+	now := time.Now()
+	if until := now.Add(discardTime); !connection.EntryOf(conn.Conn).Receive(until, now) || conn.Conn.SetReadDeadline(until) != nil {
+		return
+	}
 	buffer := make([]byte, discardBufferSize)
 	for read := 0; read < maxDiscarded; {
 		count, err := conn.Conn.Read(buffer)
--- a/front/conns.go
+++ b/front/conns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/routing"
 )
@@ -77,6 +79,8 @@
 // recordIdle records that the request on a connection was answered.
 func recordIdle(wrapped net.Conn, state http.ConnState) {
 	if conn, ok := wrapped.(*conn); ok && state == http.StateIdle {
-		conn.enter(phaseIdle, time.Now())
+		now := time.Now()
+		conn.enter(phaseIdle, now)
+		connection.EntryOf(conn.Conn).Enter(occupancy.Waiting, now)
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -34,6 +34,7 @@
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/retry"
@@ -51,6 +52,9 @@
 	// reuseTime is how long after an answer a request may arrive on the connection. It is
 	// longer than keepAliveTime by the time that the answer and the request take.
 	reuseTime = keepAliveTime + 500*time.Millisecond
+	// longestBody bounds the time in which a caller sends the body, if its time budget is not
+	// shorter.
+	longestBody = 2 * time.Minute
 	// lateRequestTime is how long after the listener was closed callers that have opened a
 	// connection but sent nothing may still send a request, and get a refusal. Callers
 	// send at once when they have connected.
@@ -90,6 +94,7 @@
 	// Limits may be nil; then the default limits apply.
 	Limits Limits
 	// Buffers is the memory in which bodies are held; it may be nil, and is unbounded then.
+	// What connections hold is bounded if Listener is a connection.BoundedListener.
 	Buffers *buffer.Budget
 	// Cuts, if set, counts connections that ended before the answer, by phase and by who
 	// closed them.
@@ -168,21 +173,29 @@
 	defer server.logPanic(httpRequest)
 	server.setReuse(writer.Header())
 	now := time.Now()
-	wrapped, _ := httpRequest.Context().Value(connKey{}).(*conn)
+	caller, _ := httpRequest.Context().Value(connKey{}).(net.Conn)
+	wrapped, _ := caller.(*conn)
 	wrapped.enter(phaseBody, now)
+	entry := connection.EntryOf(caller)
+	hasRoom := entry.Receive(now.Add(longestBody), now) // net/http reads bodies of refused requests too
 	request, err := server.Dialect.Decode(httpRequest, now)
+	if err == nil && !hasRoom {
+		err = noMemory(now)
+	}
 	share := server.Buffers.Share()
 	defer share.Close()
+	share.Holder = entry
 	if err == nil {
+		entry.SetDeadline(bodyDeadline(request, now))
 		request.Body, err = readBody(httpRequest, share, server.limits().MaxBodyBytes)
 	}
 	if err == nil && server.closed.Load() {
 		err = refusal.New(refusal.NotReady, "this VM stops; retry elsewhere").WithRetryAt(now)
 	}
-	answer := &answer{writer: writer, controller: http.NewResponseController(writer), setReuse: server.setReuse}
-	answer.conn, _ = httpRequest.Context().Value(connKey{}).(net.Conn)
+	answer := &answer{writer: writer, controller: http.NewResponseController(writer), setReuse: server.setReuse, conn: caller, entry: entry}
 	wrapped.enter(phaseRunning, time.Now())
 	if err == nil {
+		entry.Enter(occupancy.Running, time.Now())
 		ctx, stopMonitor := monitorDeparture(httpRequest.Context(), answer.conn)
 		defer stopMonitor()
 		err = server.Relay.Serve(ctx, request, answer)
@@ -226,6 +239,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// bodyDeadline returns the time until which a caller may send the body.
+func bodyDeadline(request *relay.Request, now time.Time) time.Time {
+	latest := now.Add(longestBody)
+	if request.Deadline.IsZero() || request.Deadline.After(latest) {
+		return latest
+	}
+	return request.Deadline
+}
+
 func (server *Server) limits() routing.Limits {
 	if server.Limits == nil {
 		return routing.DefaultLimits()
@@ -235,6 +257,9 @@
 
 // readBody reads the complete body. The error is a refusal.
 func readBody(httpRequest *http.Request, share *buffer.Share, maxBodyBytes int) ([]byte, error) {
+	if httpRequest.ContentLength == 0 {
+		return nil, nil
+	}
 	if httpRequest.ContentLength > int64(maxBodyBytes) {
 		return nil, tooLarge()
 	}
@@ -243,13 +268,17 @@
 	case errors.Is(err, buffer.ErrTooLong):
 		return nil, tooLarge()
 	case errors.Is(err, buffer.ErrFull):
-		return nil, refusal.New(refusal.Overloaded, "this VM has no memory left for the body; retry after the time in Retry-After").WithRetryAt(time.Now().Add(delivery.RetryAfter))
+		return nil, noMemory(time.Now())
 	case err != nil:
 		return nil, refusal.New(refusal.CallerGone, "the body broke off")
 	}
 	return body, nil
 }
 
+func noMemory(now time.Time) error {
+	return refusal.New(refusal.Overloaded, "this VM has no memory left for the request; retry after the time in Retry-After").WithRetryAt(now.Add(delivery.RetryAfter))
+}
+
 func tooLarge() error {
 	return refusal.New(refusal.TooLarge, "the body is too large; shorten it")
 }
@@ -259,6 +288,7 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	conn       net.Conn // nil if unknown
+	entry      *occupancy.Entry
 	setReuse   func(http.Header)
 	status     int
 	stream     bool
@@ -298,6 +328,8 @@
 
 // Write sends the next part of a stream, or the complete body of another answer.
 func (answer *answer) Write(text []byte) error {
+	answer.entry.SetAnswer(int64(len(text)))
+	defer answer.entry.SetAnswer(0)
 	if !answer.stream {
 		answer.headSent = true
 		answer.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
