Deliver the end of the last answer to callers that sent more than was read

Callers got 109 to 215 KB of a whole answer of 512 KB, and then a reset, if it was the last answer on their connection and they had sent bytes that nobody read: an end of line behind the body, or another request. The system resets a connection that is closed with unread data, and drops what its peer has not received yet. Callers of a VM that drains get such last answers too.

Callers' connections now end their sending side first if something is undelivered, and discard what arrives until the caller closes its side too, for at most two seconds. Such a connection holds a goroutine and half a kilobyte.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 
 	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/buffer"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/lease"
@@ -241,7 +242,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
+	gateway.callerServer = &front.Server{Listener: connection.Lingering(callerListener), Dialect: gateway.FrontDialect, Log: gateway.Log}
 	gateway.readinessServer = &statusServer{listener: readinessListener, ready: gateway.Ready}
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
 	gateway.listenForMetrics()
