--- a/connection/closed.go
+++ b/connection/closed.go
@@ -36,6 +36,23 @@
 )
 
 func inspect(conn net.Conn) readState {
+	state := noData
+	if err := control(conn, func(fd uintptr) { state = peek(int(fd)) }); err != nil {
+		return closedByPeer
+	}
+	return state
+}
+
+// Undelivered reports whether the peer has not received everything that was written. It is always
+// false for connections that are not based on TCP.
+func Undelivered(conn net.Conn) bool {
+	count := 0
+	err := control(conn, func(fd uintptr) { count, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) // 0 if it fails
+	return err == nil && count > 0
+}
+
+// control calls operate with the descriptor of the TCP connection beneath, if there is one.
+func control(conn net.Conn, operate func(fd uintptr)) error {
 	for {
 		wrapped, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -45,18 +62,14 @@
 	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return noData
+		return nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return closedByPeer
+		return err
 	}
-	state := noData
 	// Control, unlike Read, does not fail once the read deadline has passed.
-	if err := raw.Control(func(fd uintptr) { state = peek(int(fd)) }); err != nil {
-		return closedByPeer
-	}
-	return state
+	return raw.Control(operate)
 }
 
 func peek(fd int) readState {
