Run the tests of crowds by themselves

They measure the memory of a process on the same machine; make test ran them beside three other packages. The race step passes them over by name, and the new step crowds runs them, also with KNOWN-RED.txt applied.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO ?= go
 
-.PHONY: all build test race lint fmt generate events demo bench bench-decisions bench-path fuzz soak clean
+.PHONY: all build test race crowds lint fmt generate events demo bench bench-decisions bench-path fuzz soak clean
 
 all: build
 
@@ -10,14 +10,20 @@
 	$(GO) build -o bin/bramleygw .
 
 # What CI runs.
-test: lint race build
+test: lint race crowds build
 
 # Tests that KNOWN-RED.txt lists in lines "test: NAME" are passed over by this exact name.
 KNOWN_RED := $(shell sed -n 's/^test: \([A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
+# Tests of crowds measure the memory of a process, and run by themselves.
+CROWDS := TestCrowd.*
+
 # Four packages at once: each scenario is a fleet of its own.
 race:
-	$(GO) test -race -p 4 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -race -p 4 -skip '^($(CROWDS)$(if $(KNOWN_RED),|$(KNOWN_RED)))$$' ./...
+
+crowds:
+	$(GO) test -run '^$(CROWDS)$$' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./platform
 
 lint: bin/staticcheck
 	test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run make fmt"; exit 1; }
