Do not end requests whose heads were read by the time for heads

What callers saw: a request whose head arrived as its time ended could get 408, which promises that it does not run, while its handler ran it, or no answer at all.

Cause: the time for heads was enforced until the handler recorded that it had been called. The HTTP library begins a read of its own before that, to notice that the caller leaves. If that read was interrupted, the connection wrote 408, or the library took the caller for gone. The library reports the end of a head by StateActive before that read; from then on, neither the time nor the size of the head ends anything.

--- a/front/conn.go
+++ b/front/conn.go
@@ -67,6 +67,9 @@
 	// received is the number of bytes that were read since the last request was answered.
 	received int64
 	maxHead  int64 // bytes of the current head
+	// headEnded is set once the current head was read or refused: its limits end no read
+	// from then on.
+	headEnded bool
 	// interrupted is set while reads are to end; the read deadline has passed then.
 	interrupted bool
 	// peerEnded is set once a read has found the end of the connection.
@@ -138,16 +141,30 @@
 		conn.peerEnded = true
 	}
 	switch {
-	case conn.phase != phaseHead:
+	case conn.phase != phaseHead || conn.headEnded:
 		return ""
 	case late && conn.interrupted:
+		conn.headEnded = true
 		return lateHead
 	case conn.received > conn.maxHead+readAhead:
+		conn.headEnded = true
 		return largeHead
 	}
 	return ""
 }
 
+// endHead records that the HTTP library has read a head, or has failed to. It calls endHead
+// before it reads anything else: such a read must not end by an interruption, which would end
+// the request too.
+func (conn *conn) endHead() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.headEnded = true
+	if conn.interrupted {
+		conn.resumeLocked()
+	}
+}
+
 // refuseHead answers a request whose head is not read any further.
 func (conn *conn) refuseHead(answer string) {
 	_ = conn.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // the write fails too then
@@ -173,7 +190,7 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.phase, conn.since = phase, now
+	conn.phase, conn.since, conn.headEnded = phase, now, false
 	if phase == phaseIdle {
 		conn.received = 0
 	}
@@ -188,7 +205,7 @@
 func (conn *conn) interrupt(phase phase, before time.Time) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.phase != phase || conn.since.After(before) {
+	if conn.phase != phase || conn.headEnded || conn.since.After(before) {
 		return
 	}
 	conn.interrupted = true
--- a/front/conns.go
+++ b/front/conns.go
@@ -74,9 +74,17 @@
 	}
 }
 
-// recordIdle records that the request on a connection was answered.
-func recordIdle(wrapped net.Conn, state http.ConnState) {
-	if conn, ok := wrapped.(*conn); ok && state == http.StateIdle {
+// recordState records that the head of a request on a connection was read, or that the request
+// was answered.
+func recordState(wrapped net.Conn, state http.ConnState) {
+	conn, ok := wrapped.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.endHead()
+	case http.StateIdle:
 		conn.enter(phaseIdle, time.Now())
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -123,7 +123,7 @@
 		ErrorLog:       log.New(io.Discard, "", 0), // drops messages on callers' broken connections
 		BaseContext:    func(net.Listener) context.Context { return abort },
 		ConnContext:    withConn,
-		ConnState:      recordIdle,
+		ConnState:      recordState,
 	}
 	conns := newConns(server.Listener, server.limits, server.recordEnding)
 	// Requests that abort cancels still get their refusals.
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -57,9 +57,14 @@
 }
 
 func (pipeListener *pipeListener) connect() *testCaller {
+	return pipeListener.connectThrough(func(conn net.Conn) net.Conn { return conn })
+}
+
+// connectThrough is connect with the server's end wrapped.
+func (pipeListener *pipeListener) connectThrough(wrap func(net.Conn) net.Conn) *testCaller {
 	near, far := net.Pipe()
 	_ = near.SetDeadline(time.Now().Add(5 * time.Minute)) // never fails on a pipe
-	pipeListener.accepted <- far
+	pipeListener.accepted <- wrap(far)
 	return &testCaller{near, bufio.NewReader(near)}
 }
 
