Test that interrupted connections read requests that have arrived

Pipes, which the tests of the stop use, never report data that has arrived. Without the check for such data (conn.resumes) all tests of package front passed; this one fails.

--- a/front/conn_test.go
+++ b/front/conn_test.go
@@ -5,13 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
+	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/settings"
 	"github.com/bramleygw/bramleygw/target"
 )
@@ -90,3 +93,44 @@
 		}
 	})
 }
+
+// Guards against LOST: a request that has arrived when its connection is ended as idle is dropped.
+func TestInterruptedConnectionsReadWhatHasArrived(t *testing.T) {
+	for _, phase := range []phase{phaseNew, phaseIdle} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns := newConns(listener, routing.DefaultLimits, func(ending) {})
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := conns.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted.(*conn).enter(phase, time.Now())
+		if _, err := io.WriteString(caller, request); err != nil {
+			t.Fatal(err)
+		}
+		for !connection.Pending(accepted) {
+			runtime.Gosched()
+		}
+		conns.interrupt(phase, time.Now())
+		buffer := make([]byte, len(request))
+		if _, err := io.ReadFull(accepted, buffer); err != nil || string(buffer) != request {
+			t.Errorf("%s: got %q and error %v, want the request", phase, buffer, err)
+		}
+		conns.interrupt(phase, time.Now()) // the request is being read
+		if _, err := io.WriteString(caller, "a"); err != nil {
+			t.Fatal(err)
+		}
+		if count, err := accepted.Read(buffer); count != 1 || err != nil {
+			t.Errorf("%s: got %d bytes and error %v, want the rest", phase, count, err)
+		}
+		for _, open := range []io.Closer{caller, accepted, listener} {
+			_ = open.Close() // nothing is left on it
+		}
+	}
+}
