Answer on the connection that is accepted as a stop closes the listener

What callers saw: the first request of a connection that was accepted as the VM closed its listener ended without an answer, if the VM had no other connection.

Cause: the stop counted connections while the server might still be accepting one, found none, and closed everything. It now counts once the server has ended to accept.

--- a/front/front.go
+++ b/front/front.go
@@ -131,23 +131,25 @@
 	defer closeNow()
 	stopAbort := context.AfterFunc(abort, func() { time.AfterFunc(refusalTime, closeNow) })
 	defer stopAbort()
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http, conns) })
+	served, stopped := make(chan struct{}), make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http, conns, served) })
 	go conns.runSweep(closing)
 	err := http.Serve(conns)
+	close(served)
 	if stop() {
 		return errors.Wrap(err, "serve callers")
 	}
 	return errors.Wrap(<-stopped, "stop serving callers")
 }
 
-// stop closes the listener and waits until no connection is left or the context ends. Idle
-// connections are closed once no request is to be expected on them. http.Server.Shutdown would
-// close them at once and drop requests that it has read, so that their callers would not know
-// whether they ran.
-func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns) error {
+// stop closes the listener and waits until no connection is left or the context ends. It counts
+// connections once Serve has ended, because that may still be accepting one. Idle connections are
+// closed once no request is to be expected on them. http.Server.Shutdown would close them at once
+// and drop requests that it has read, so that their callers would not know whether they ran.
+func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns, served <-chan struct{}) error {
 	server.closed.Store(true)
 	_ = server.Listener.Close() // Close below reports errors
+	<-served
 	lateRequests := time.Now().Add(lateRequestTime)
 	for conns.interrupt(phaseIdle, time.Now().Add(-reuseTime)) > 0 {
 		if now := time.Now(); now.After(lateRequests) {
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -194,3 +194,43 @@
 		})
 	}
 }
+
+// lateListener accepts its last connection in the moment in which it is closed.
+type lateListener struct {
+	*pipeListener
+	last net.Conn
+}
+
+func (lateListener *lateListener) Accept() (net.Conn, error) {
+	conn, err := lateListener.pipeListener.Accept()
+	if err == nil || lateListener.last == nil {
+		return conn, err
+	}
+	<-time.After(time.Millisecond) // the stop goes on
+	conn, lateListener.last = lateListener.last, nil
+	return conn, nil
+}
+
+// Guards against LOST in a planned stop: the connection that is accepted as the listener is closed
+// is closed without an answer.
+func TestStopAnswersOnTheLastConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		server := &Server{
+			Listener: &lateListener{newPipeListener(), far}, Dialect: statusDialect{}, Relay: patientRelay{}, Log: event.New(io.Discard, "vm", event.LevelInfo),
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- server.Run(ctx, t.Context()) }()
+		synctest.Wait()
+		stop()
+		caller := &testCaller{near, bufio.NewReader(near)}
+		caller.send(request)
+		if response := caller.answer(); response == nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("got answer %v, want status 503", response)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("got error %v from Run, want none", err)
+		}
+	})
+}
