Accept the connections that have arrived before a stop closes the listener

What callers saw: connections that were queued at the listener when the stop closed it were reset, with the requests that had been sent on them. The load balancer sends connections until then where it has no other VM.

Cause: the kernel resets what the listener has queued. The stop now lets the server accept until nothing is queued, for a second at most; the requests get the refusals of a VM that stops.

--- a/connection/closed.go
+++ b/connection/closed.go
@@ -26,6 +26,24 @@
 	return inspect(conn) == dataPending
 }
 
+// Queued reports whether a connection waits to be accepted. It is always false for listeners
+// that are not based on TCP.
+func Queued(listener net.Listener) bool {
+	inner, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	if err := raw.Control(func(fd uintptr) { queued = polls(int(fd), unix.POLLIN, unix.POLLIN) }); err != nil {
+		return false
+	}
+	return queued
+}
+
 // readState is the state of a connection's receive side, determined without reading.
 type readState int
 
@@ -78,7 +96,12 @@
 // hungUp reports whether the peer has closed the connection behind data that is still
 // unread.
 func hungUp(fd int) bool {
-	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	return polls(fd, unix.POLLRDHUP, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// polls reports whether one of the wanted events is found when the given ones are polled.
+func polls(fd int, events, wanted int16) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
 	count, err := unix.Poll(polled, 0)
-	return err == nil && count > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err == nil && count > 0 && polled[0].Revents&wanted != 0
 }
--- a/front/conns.go
+++ b/front/conns.go
@@ -15,6 +15,8 @@
 const (
 	sweepInterval    = 200 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
+	// acceptPollInterval is the interval at which the listener's queue is looked at in a stop.
+	acceptPollInterval = time.Millisecond
 )
 
 // conns holds the open connections of callers. It is the listener that accepts them.
--- a/front/front.go
+++ b/front/front.go
@@ -142,12 +142,19 @@
 	return errors.Wrap(<-stopped, "stop serving callers")
 }
 
-// stop closes the listener and waits until no connection is left or the context ends. It counts
-// connections once Serve has ended, because that may still be accepting one. Idle connections are
+// stop closes the listener, once it has accepted the connections that have arrived, and waits until
+// no connection is left or the context ends. It counts connections once Serve has ended, because
+// that may still be accepting one. Idle connections are
 // closed once no request is to be expected on them. http.Server.Shutdown would close them at once
 // and drop requests that it has read, so that their callers would not know whether they ran.
 func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns, served <-chan struct{}) error {
 	server.closed.Store(true)
+	// Those that the listener has queued would be reset.
+	for until := time.Now().Add(lateRequestTime); connection.Queued(server.Listener) && time.Now().Before(until); {
+		if !retry.Wait(ctx, time.Now().Add(acceptPollInterval)) {
+			break
+		}
+	}
 	_ = server.Listener.Close() // Close below reports errors
 	<-served
 	lateRequests := time.Now().Add(lateRequestTime)
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -234,3 +235,51 @@
 		}
 	})
 }
+
+// slowListener accepts nothing before ready is closed.
+type slowListener struct {
+	*net.TCPListener
+	ready chan struct{}
+}
+
+func (slowListener slowListener) Accept() (net.Conn, error) {
+	<-slowListener.ready
+	return slowListener.TCPListener.Accept()
+}
+
+// Guards against LOST in a planned stop: connections that wait to be accepted as the listener is
+// closed are reset, with the requests that were sent on them.
+func TestStopAnswersOnQueuedConnections(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := slowListener{inner.(*net.TCPListener), make(chan struct{})}
+	server := &Server{Listener: listener, Dialect: statusDialect{}, Relay: patientRelay{}, Log: event.New(io.Discard, "vm", event.LevelInfo)}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx, t.Context()) }()
+	callers := make([]*testCaller, 20)
+	for i := range callers {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }() // the server has closed its end
+		callers[i] = &testCaller{conn, bufio.NewReader(conn)}
+		callers[i].send(request)
+	}
+	stop()
+	for !server.closed.Load() {
+		runtime.Gosched()
+	}
+	close(listener.ready)
+	for i, caller := range callers {
+		if response := caller.answer(); response == nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("connection %d: got answer %v, want status 503", i, response)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("got error %v from Run, want none", err)
+	}
+}
