Tell callers of the product's own interface how long they may reuse connections

A planned stop closes idle connections after the drain notice, and nothing told callers how long they may use one. In addition, refusals lost their Connection: close while the VM was draining, because they reset the headers.

Answers now carry a Keep-Alive that ends half a second before the drain notice would, and every answer of a draining VM says Connection: close. A drain notice under 1.5 s leaves no whole second; then nothing is said, as before.

--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	// writeMargin is added to the request deadline to get the deadline for writing
 	// the answer.
 	writeMargin = 10 * time.Second
+	// reuseMargin is the time that an answer and the next request take.
+	reuseMargin = 500 * time.Millisecond
 )
 
 // Server serves callers. The exported fields are set before Run.
@@ -141,9 +144,7 @@
 
 // serve routes a request by its path.
 func (server *Server) serve(ctx *fasthttp.RequestCtx) {
-	if server.draining.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer server.setReuse(ctx) // refusals reset the headers
 	path := string(ctx.Path())
 	switch path {
 	case HealthPath:
@@ -163,6 +164,19 @@
 	}
 }
 
+// setReuse tells the caller whether, and for how long, it may reuse the connection. That time ends
+// before a planned stop closes idle connections.
+func (server *Server) setReuse(ctx *fasthttp.RequestCtx) {
+	if server.draining.Load() {
+		ctx.SetConnectionClose()
+		return
+	}
+	reuse := min(time.Duration(server.Limits.DrainNotice), idleTimeout) - reuseMargin
+	if reuse >= time.Second {
+		ctx.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(reuse/time.Second)))
+	}
+}
+
 func (server *Server) serveHealth(ctx *fasthttp.RequestCtx) {
 	switch {
 	case server.draining.Load():
