--- a/connection/bounded.go
+++ b/connection/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,15 @@
 	Heads bool
 }
 
+// SyscallConn implements syscall.Conn if the listener beneath does.
+func (listener *BoundedListener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := listener.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the listener has no descriptor")
+	}
+	return inner.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (listener *BoundedListener) Accept() (net.Conn, error) {
 	for {
--- a/front/conns.go
+++ b/front/conns.go
@@ -17,6 +17,8 @@
 const (
 	sweepInterval    = 200 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
+	// acceptPollInterval is the interval at which the listener's queue is looked at in a stop.
+	acceptPollInterval = time.Millisecond
 )
 
 // conns holds the open connections of callers. It is the listener that accepts them.
@@ -76,9 +78,17 @@
 	}
 }
 
-// recordIdle records that the request on a connection was answered.
-func recordIdle(wrapped net.Conn, state http.ConnState) {
-	if conn, ok := wrapped.(*conn); ok && state == http.StateIdle {
+// recordState records that the head of a request on a connection was read, or that the request
+// was answered.
+func recordState(wrapped net.Conn, state http.ConnState) {
+	conn, ok := wrapped.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.endHead()
+	case http.StateIdle:
 		now := time.Now()
 		conn.enter(phaseIdle, now)
 		connection.EntryOf(conn.Conn).Enter(occupancy.Waiting, now)
--- a/front/front.go
+++ b/front/front.go
@@ -128,7 +128,7 @@
 		ErrorLog:       log.New(io.Discard, "", 0), // drops messages on callers' broken connections
 		BaseContext:    func(net.Listener) context.Context { return abort },
 		ConnContext:    withConn,
-		ConnState:      recordIdle,
+		ConnState:      recordState,
 	}
 	conns := newConns(server.Listener, server.limits, server.recordEnding)
 	// Requests that abort cancels still get their refusals.
@@ -136,23 +136,32 @@
 	defer closeNow()
 	stopAbort := context.AfterFunc(abort, func() { time.AfterFunc(refusalTime, closeNow) })
 	defer stopAbort()
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http, conns) })
+	served, stopped := make(chan struct{}), make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { stopped <- server.stop(closing, http, conns, served) })
 	go conns.runSweep(closing)
 	err := http.Serve(conns)
+	close(served)
 	if stop() {
 		return errors.Wrap(err, "serve callers")
 	}
 	return errors.Wrap(<-stopped, "stop serving callers")
 }
 
-// stop closes the listener and waits until no connection is left or the context ends. Idle
-// connections are closed once no request is to be expected on them. http.Server.Shutdown would
-// close them at once and drop requests that it has read, so that their callers would not know
-// whether they ran.
-func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns) error {
+// stop closes the listener, once it has accepted the connections that have arrived, and waits until
+// no connection is left or the context ends. It counts connections once Serve has ended, because
+// that may still be accepting one. Idle connections are
+// closed once no request is to be expected on them. http.Server.Shutdown would close them at once
+// and drop requests that it has read, so that their callers would not know whether they ran.
+func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns, served <-chan struct{}) error {
 	server.closed.Store(true)
+	// Those that the listener has queued would be reset.
+	for until := time.Now().Add(lateRequestTime); connection.Queued(server.Listener) && time.Now().Before(until); {
+		if !retry.Wait(ctx, time.Now().Add(acceptPollInterval)) {
+			break
+		}
+	}
 	_ = server.Listener.Close() // Close below reports errors
+	<-served
 	lateRequests := time.Now().Add(lateRequestTime)
 	for conns.interrupt(phaseIdle, time.Now().Add(-reuseTime)) > 0 {
 		if now := time.Now(); now.After(lateRequests) {
