Let a VM that stops complete the requests that other VMs send through it

Callers of a VM that is cut off from its targets got broken streams when another VM was stopped as planned: as soon as that one had answered its own callers it stopped serving other VMs, and with that cut the tunnels that it carried for them, although its grace was not over.

It now waits until it carries no tunnel, at most until the time at which its own requests are aborted, and denies new ones meanwhile, so that the other VMs look for another way. A tunnel carries one request and ends with it, so that the stop is not prolonged otherwise.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -340,19 +340,21 @@
 }
 
 // stop shuts down gracefully. It fails readiness checks, waits until the load balancer
-// has detected it, lets requests in flight finish and removes this VM's entry from the
-// store.
+// has detected it, lets requests in flight finish, also those of other VMs, and removes
+// this VM's entry from the store.
 func (gateway *Gateway) stop(stopServing, abortRequests context.CancelFunc, serveDone <-chan error) error {
 	start := time.Now()
 	gateway.Log.Emit(event.Draining, event.F("running", gateway.relay.Running()))
 	gateway.callerServer.Drain()
-	abortTimer := time.AfterFunc(time.Until(gateway.Settings.Bounds.Grace.After(start).Add(-exitMargin)), abortRequests)
+	end := gateway.Settings.Bounds.Grace.After(start).Add(-exitMargin)
+	abortTimer := time.AfterFunc(time.Until(end), abortRequests)
 	defer abortTimer.Stop()
 	detectionTimer := time.NewTimer(balancerDetectionTime)
 	defer detectionTimer.Stop()
 	<-detectionTimer.C
 	stopServing()
 	err := <-serveDone
+	gateway.tunnels.finish(end)
 	unregisterCtx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer cancel()
 	gateway.unregister(unregisterCtx)
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/membership"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 )
 
@@ -32,6 +34,9 @@
 	tunnelAttempts = 2
 	// maxTunnels is the number of tunnels that a VM carries for others at once.
 	maxTunnels = 512
+	// tunnelsCheckInterval is the interval at which a VM that stops looks whether it still
+	// carries tunnels.
+	tunnelsCheckInterval = 20 * time.Millisecond
 	// maxSniffedHead is the number of bytes of an answer in which its head is looked for.
 	maxSniffedHead = 16 << 10
 	// causeCarried is the cause under which connections for other VMs are counted.
@@ -41,7 +46,45 @@
 // tunnels connects to targets through other VMs, and for them.
 type tunnels struct {
 	gateway *Gateway
-	carried atomic.Int64 // tunnels that this VM carries for others
+
+	mu      sync.Mutex // guards the fields below
+	carried int        // tunnels that this VM carries for others
+	closed  bool       // whether it carries no more
+}
+
+// finish waits until this VM carries no tunnel, or the deadline has passed. More tunnels are
+// denied: the other VMs look for another way.
+func (tunnels *tunnels) finish(deadline time.Time) {
+	tunnels.mu.Lock()
+	tunnels.closed = true
+	tunnels.mu.Unlock()
+	for now := time.Now(); tunnels.used() && now.Before(deadline); now = time.Now() {
+		retry.Wait(context.Background(), now.Add(tunnelsCheckInterval))
+	}
+}
+
+func (tunnels *tunnels) used() bool {
+	tunnels.mu.Lock()
+	defer tunnels.mu.Unlock()
+	return tunnels.carried > 0
+}
+
+// reserve counts a tunnel that is about to be carried. It returns false if it must not be.
+func (tunnels *tunnels) reserve() bool {
+	tunnels.mu.Lock()
+	defer tunnels.mu.Unlock()
+	if tunnels.closed || tunnels.carried >= maxTunnels {
+		return false
+	}
+	tunnels.carried++
+	return true
+}
+
+// release counts a tunnel that has ended.
+func (tunnels *tunnels) release() {
+	tunnels.mu.Lock()
+	defer tunnels.mu.Unlock()
+	tunnels.carried--
 }
 
 // Open implements relay.Tunnels.
@@ -155,13 +198,12 @@
 	if !ok || !contact.Reached() {
 		return nil, errTunnelDenied
 	}
-	if tunnels.carried.Add(1) > maxTunnels {
-		tunnels.carried.Add(-1)
+	if !tunnels.reserve() {
 		return nil, errTunnelDenied
 	}
 	conn, err := connection.Dialer().DialContext(ctx, "tcp", contact.Address.String())
 	if err != nil {
-		tunnels.carried.Add(-1)
+		tunnels.release()
 		return nil, errors.CombineErrors(errTunnelDenied, err)
 	}
 	gateway.metrics.TunnelsCarried.Add(1)
@@ -210,7 +252,7 @@
 // Close implements net.Conn.
 func (carriedConn *carriedConn) Close() error {
 	if carriedConn.closed.CompareAndSwap(false, true) {
-		carriedConn.tunnels.carried.Add(-1)
+		carriedConn.tunnels.release()
 	}
 	return carriedConn.Conn.Close()
 }
