Write large answers to callers in parts of 32 KB

A caller that reads little is cut after 30 s without progress, and progress is known where a part was written: with smaller parts it may be slower.

--- a/connection/bounded.go
+++ b/connection/bounded.go
@@ -16,7 +16,7 @@
 	fieldBytes = 128
 	// writeSize is the size of the parts in which an answer is written, so that its
 	// progress is known.
-	writeSize = 64 << 10
+	writeSize = 32 << 10
 )
 
 // errNoRoom is returned for a head for which there is no room.
