--- a/connection/bounded.go
+++ b/connection/bounded.go
@@ -85,7 +85,7 @@
 	if phase == occupancy.Waiting && conn.heads && !conn.Entry.Grow(headBytes(buffer[:count]), now) {
 		return 0, errors.CombineErrors(errNoRoom, conn.Close())
 	}
-	conn.Entry.Progress(now)
+	conn.Entry.Received(count, now)
 	return count, err
 }
 
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -31,6 +31,9 @@
 	// before it counts as stopped.
 	stoppedBody   = 500 * time.Millisecond
 	stoppedAnswer = 2 * time.Second
+	// progressBytes is what a peer has to send to make progress, so that it cannot hold
+	// memory by a byte now and then.
+	progressBytes = 1 << 10
 	// requestShare is the part of both limits that connections with requests may use. The
 	// rest is for connections that bring new ones, which get refusals.
 	requestShare = 0.75
@@ -87,7 +90,8 @@
 	// The fields below are guarded by the table's mutex.
 	phase    Phase
 	before   Phase         // the phase that Writing interrupted
-	progress time.Time     // the last time at which the peer did something
+	progress time.Time     // the last time at which the peer got on
+	received int           // bytes of the phase since then, from 1 once there were some
 	deadline time.Time     // of the body; zero if none
 	bytes    int64         // with ConnectionBytes
 	answer   int64         // bytes of the answer that is being written
@@ -236,14 +240,20 @@
 	entry.answer = bytes
 }
 
-// Progress records that the peer sent or read something.
-func (entry *Entry) Progress(now time.Time) {
+// Received records that the peer sent bytes. The first ones of a phase are progress, later
+// ones are each progressBytes.
+func (entry *Entry) Received(bytes int, now time.Time) {
 	if entry == nil {
 		return
 	}
 	entry.table.mu.Lock()
 	defer entry.table.mu.Unlock()
+	if entry.received > 0 && entry.received+bytes < progressBytes {
+		entry.received += bytes
+		return
+	}
 	entry.enter(entry.phase, now)
+	entry.received = 1
 }
 
 // Phase returns the current phase.
@@ -350,7 +360,7 @@
 	if entry.closed {
 		return
 	}
-	entry.phase, entry.progress = phase, now
+	entry.phase, entry.progress, entry.received = phase, now, 0
 	waiting := &entry.table.waiting
 	switch {
 	case phase == Running && entry.element != nil:
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -21,6 +21,10 @@
 	return func(entry *Entry, now time.Time) { entry.Grow(bytes, now) }
 }
 
+func receiveBytes(bytes int) func(*Entry, time.Time) {
+	return func(entry *Entry, now time.Time) { entry.Received(bytes, now) }
+}
+
 func receive(limit time.Duration) func(*Entry, time.Time) {
 	return func(entry *Entry, now time.Time) { entry.Receive(now.Add(limit), now) }
 }
@@ -28,7 +32,8 @@
 // Guards against a process out of memory or descriptors: connections that stopped are
 // closed, oldest first, and those that move are not.
 func TestConnectionsThatStoppedMakeRoom(t *testing.T) {
-	write, progress := (*Entry).Write, (*Entry).Progress
+	write, progress := (*Entry).Write, receiveBytes(progressBytes)
+	drip := receiveBytes(1)
 	const spare = 10 * ConnectionBytes
 	for _, test := range []struct {
 		name        string
@@ -45,6 +50,9 @@
 		{"body that moves", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {stoppedBody - 1, "a", progress}, {stoppedBody - 1, "b", progress}}, 0, false, nil},
 		{"body that stopped", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {stoppedBody, "b", progress}}, 0, true, []string{"a"}},
 		{"answer that is read", 2, []step{{0, "a", write}, {0, "b", enter(Running)}, {stoppedAnswer - 1, "b", progress}}, 0, false, nil},
+		{"body that begins late", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {stoppedBody - 1, "a", drip}, {1, "b", drip}}, 0, false, nil},
+		{"body that drips", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {0, "a", drip}, {stoppedBody - 1, "a", drip}, {1, "a", drip}}, 0, true, []string{"a"}},
+		{"head that drips", 2, []step{{0, "a", drip}, {1, "b", drip}, {1, "a", drip}}, 0, true, []string{"a"}},
 		{"unread answer", 2, []step{{0, "a", write}, {0, "b", enter(Running)}, {stoppedAnswer, "b", progress}}, 0, true, []string{"a"}},
 		{"bytes of one", 4, []step{{0, "a", grow(spare / 2)}, {0, "b", progress}}, spare - 2*ConnectionBytes, true, []string{"a"}},
 		{"bytes of all", 4, []step{{0, "a", grow(spare / 2)}, {0, "b", grow(spare / 4)}}, spare - ConnectionBytes, true, []string{"a", "b"}},
