--- a/front/front.go
+++ b/front/front.go
@@ -148,10 +148,9 @@
 }
 
 // stop closes the listener, once it has accepted the connections that have arrived, and waits until
-// no connection is left or the context ends. It counts connections once Serve has ended, because
-// that may still be accepting one. Idle connections are
-// closed once no request is to be expected on them. http.Server.Shutdown would close them at once
-// and drop requests that it has read, so that their callers would not know whether they ran.
+// no connection is left or the context ends. Idle connections are closed once no request is to be
+// expected on them. http.Server.Shutdown would close them at once and drop requests that it has
+// read, so that their callers would not know whether they ran.
 func (server *Server) stop(ctx context.Context, http *http.Server, conns *conns, served <-chan struct{}) error {
 	server.closed.Store(true)
 	// Those that the listener has queued would be reset.
@@ -161,7 +160,7 @@
 		}
 	}
 	_ = server.Listener.Close() // Close below reports errors
-	<-served
+	<-served                    // it may still have been accepting a connection
 	lateRequests := time.Now().Add(lateRequestTime)
 	for conns.interrupt(phaseIdle, time.Now().Add(-reuseTime)) > 0 {
 		if now := time.Now(); now.After(lateRequests) {
