Do not leave a goroutine behind for an hour with each connection

What was seen: a VM whose store was away held 35 MB of heap and 46 MB of stacks after 27 minutes, used two fifths of a core for collecting garbage, and had no connection open; it had made 23,719 calls to the store. VMs open a connection to targets for most requests, so that their memory grows in the same way.

Cause: each Client has an HTTP client of the library with one connection, and the library starts a goroutine with it that sleeps for MaxIdleConnDuration at a time, an hour, before it looks whether the connection was closed. The class of fault: what the library holds for a connection is not bounded by the connection's life. The library now closes idle connections after 10 s, which bounds it.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -37,6 +37,9 @@
 	// short compared to the time that a caller waits for a first answer.
 	dialTimeout    = 200 * time.Millisecond
 	readBufferSize = 16 << 10 // bytes
+	// maxIdleTime is the longest time for which a connection is kept idle. A goroutine of the
+	// library outlives each connection by up to that time.
+	maxIdleTime = 10 * time.Second
 	// A connection whose peer disappears without a reset fails after keepAliveIdle
 	// plus keepAliveProbes times keepAliveInterval. Both durations must be whole
 	// seconds.
@@ -93,7 +96,7 @@
 		IsTLS:                         tlsConfig != nil,
 		Dial:                          client.dial,
 		MaxConns:                      1,
-		MaxIdleConnDuration:           time.Hour, // the owner closes the connection
+		MaxIdleConnDuration:           maxIdleTime,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    neverRetry,
 		StreamResponseBody:            true,
