--- a/connection/bounded.go
+++ b/connection/bounded.go
@@ -99,8 +99,12 @@
 	return count, err
 }
 
-// headBytes returns the memory that a part of a head takes.
+// headBytes returns the memory that a part of a head takes, without the beginning of a body
+// that was read with it.
 func headBytes(part []byte) int64 {
+	if end := bytes.Index(part, []byte("\r\n\r\n")); end >= 0 {
+		part = part[:end]
+	}
 	return int64(2*len(part) + fieldBytes*bytes.Count(part, []byte("\n")))
 }
 
--- a/front/conn.go
+++ b/front/conn.go
@@ -179,9 +179,8 @@
 	}
 	_ = conn.CloseWrite() // the connection is closed next
 	now := time.Now()
-	if until := now.Add(discardTime); connection.EntryOf(conn.Conn).Receive(until, now) {
-		conn.discard(until, maxDiscarded)
-	}
+	connection.EntryOf(conn.Conn).Enter(occupancy.Refusing, now)
+	conn.discard(now.Add(discardTime), maxDiscarded)
 }
 
 // enter records the begin of a phase of the current request.
@@ -229,8 +228,11 @@
 	ending.unread = connection.Pending(conn.Conn)
 	if !resets && connection.Undelivered(conn.Conn) && conn.CloseWrite() == nil {
 		now := time.Now()
-		connection.EntryOf(conn.Conn).Enter(occupancy.Waiting, now) // makes room if others need it
-		go conn.runDiscard(now.Add(maxLinger), ending)
+		deadline := now.Add(maxLinger)
+		entry := connection.EntryOf(conn.Conn)
+		entry.SetDeadline(deadline)
+		entry.Enter(occupancy.Refusing, now) // makes room if others need it
+		go conn.runDiscard(deadline, ending)
 		return nil
 	}
 	return conn.finish(ending)
--- a/front/front.go
+++ b/front/front.go
@@ -186,7 +186,7 @@
 	wrapped, _ := caller.(*conn)
 	wrapped.enter(phaseBody, now)
 	entry := connection.EntryOf(caller)
-	hasRoom := entry.Receive(now.Add(longestBody), now) // net/http reads bodies of refused requests too
+	hasRoom := entry.Receive(now.Add(longestBody), now)
 	request, err := server.Dialect.Decode(httpRequest, now)
 	if err == nil && !hasRoom {
 		err = noMemory(now)
@@ -209,6 +209,7 @@
 		defer stopMonitor()
 		err = server.Relay.Serve(ctx, request, answer)
 	} else {
+		entry.Enter(occupancy.Refusing, time.Now()) // net/http reads the rest of the body
 		server.logNotTaken(httpRequest, request, refusal.From(err), now)
 	}
 	if err == nil {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -12,9 +12,11 @@
 	// callerMemory is the share of the VM's memory for the connections of callers with their
 	// requests, callerSockets and peerSockets are the shares of its sockets for callers and
 	// for other VMs. The rest is for targets, the store and checks.
-	callerMemory  = 0.25
+	callerMemory  = 0.2
 	callerSockets = 0.5
 	peerSockets   = 0.25
+	// reclaimFactor is the memory that is reclaimed for a text, in multiples of its size.
+	reclaimFactor = 4
 )
 
 // callerOccupancy returns what the connections of callers may hold together.
@@ -29,6 +31,12 @@
 	return occupancy.Limits{Connections: int(peerSockets * float64(vm.Sockets()))}
 }
 
+// reclaim closes connections of callers that stopped, so that a text of the size finds room
+// in the buffers when it comes again. A text that grows needs room for its next sizes too.
+func (gateway *Gateway) reclaim(size int64) {
+	gateway.callers.Reclaim(reclaimFactor*size, time.Now())
+}
+
 // sweepCallers closes connections that stopped for too long, and reports what was closed
 // and refused.
 func (sweeper *sweeper) sweepCallers(now time.Time) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,7 +213,7 @@
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.relay.Buffers = gateway.newBuffers()
-	gateway.relay.Buffers.OnDenied = func(size int64) { gateway.callers.Reclaim(2*size, time.Now()) }
+	gateway.relay.Buffers.OnDenied = gateway.reclaim
 	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
--- a/occupancy/occupancy.go
+++ b/occupancy/occupancy.go
@@ -48,6 +48,7 @@
 const (
 	Waiting   Phase = iota // for a request, or for the rest of its head
 	Receiving              // for the rest of a body
+	Refusing               // for the rest of what is dropped, or of an answer's delivery
 	Running                // for nothing that the peer does
 	Writing                // for the peer to read
 )
@@ -139,7 +140,7 @@
 	closeAll(stopped)
 }
 
-// Reclaim closes connections with stopped bodies or answers, until they held the number
+// Reclaim closes connections with stopped bodies or answers, until those held the number
 // of bytes.
 func (table *Table) Reclaim(bytes int64, now time.Time) {
 	table.mu.Lock()
@@ -148,7 +149,7 @@
 		func(entry *Entry) bool {
 			stopped := entry.phase != Waiting && entry.stopped(now)
 			if stopped {
-				freed += entry.bytes + entry.answer
+				freed += entry.bytes - ConnectionBytes + entry.answer
 			}
 			return stopped
 		},
@@ -266,7 +267,7 @@
 	return entry.phase
 }
 
-// Enter begins a phase. Waiting ends the request, and returns its memory.
+// Enter begins a phase. Waiting and Refusing end the request, and return its memory.
 func (entry *Entry) Enter(phase Phase, now time.Time) {
 	if entry == nil {
 		return
@@ -276,7 +277,7 @@
 	if entry.closed {
 		return
 	}
-	if phase == Waiting {
+	if phase == Waiting || phase == Refusing {
 		entry.add(ConnectionBytes - entry.bytes)
 		entry.setRequest(false)
 	}
@@ -411,7 +412,7 @@
 // stopped reports whether the connection may be closed to make room.
 func (entry *Entry) stopped(now time.Time) bool {
 	switch entry.phase {
-	case Waiting:
+	case Waiting, Refusing:
 		return true
 	case Receiving:
 		return !now.Before(entry.progress.Add(stoppedBody))
@@ -424,7 +425,7 @@
 // expired reports whether the connection has to be closed although there is room.
 func (entry *Entry) expired(now time.Time) bool {
 	switch entry.phase {
-	case Receiving:
+	case Receiving, Refusing:
 		return !entry.deadline.IsZero() && !now.Before(entry.deadline)
 	case Writing:
 		return !now.Before(entry.progress.Add(longestUnread))
--- a/occupancy/occupancy_test.go
+++ b/occupancy/occupancy_test.go
@@ -52,6 +52,7 @@
 		{"answer that is read", 2, []step{{0, "a", write}, {0, "b", enter(Running)}, {stoppedAnswer - 1, "b", progress}}, 0, false, nil},
 		{"body that begins late", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {stoppedBody - 1, "a", drip}, {1, "b", drip}}, 0, false, nil},
 		{"body that drips", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {0, "a", drip}, {stoppedBody - 1, "a", drip}, {1, "a", drip}}, 0, true, []string{"a"}},
+		{"refused body", 2, []step{{0, "a", receive(time.Hour)}, {0, "b", enter(Running)}, {0, "a", enter(Refusing)}}, 0, true, []string{"a"}},
 		{"head that drips", 2, []step{{0, "a", drip}, {1, "b", drip}, {1, "a", drip}}, 0, true, []string{"a"}},
 		{"unread answer", 2, []step{{0, "a", write}, {0, "b", enter(Running)}, {stoppedAnswer, "b", progress}}, 0, true, []string{"a"}},
 		{"bytes of one", 4, []step{{0, "a", grow(spare / 2)}, {0, "b", progress}}, spare - 2*ConnectionBytes, true, []string{"a"}},
