--- a/Makefile
+++ b/Makefile
@@ -52,13 +52,15 @@
 	test/path/run.sh
 
 # Real processes under faults drawn by a seed: make soak SEED=7 LENGTH=5m
-# FAULTS names the kinds that are drawn: FAULTS='partition-*,kill'
+# FAULTS names the kinds that are drawn: FAULTS='partition-*,kill'; FAULTS=planned draws
+# planned work alone
 SEED ?= 1
 LENGTH ?= 1m
 FAULTS ?= default
+VMS ?= 16
 soak:
 	$(GO) test -tags soak -run TestSoak -count=1 -timeout 0 ./platform -v -args \
-		-seed $(SEED) -length $(LENGTH) -faults '$(FAULTS)'
+		-seed $(SEED) -length $(LENGTH) -faults '$(FAULTS)' -vms $(VMS)
 
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./completion
