--- a/front/conn.go
+++ b/front/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/connection"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/routing"
 )
 
@@ -52,6 +54,9 @@
 	discardTime       = 500 * time.Millisecond
 	maxDiscarded      = 256 << 10
 	discardBufferSize = 512
+	// maxLinger is how long a closed connection is kept until its caller has received
+	// everything.
+	maxLinger = 2 * time.Second
 )
 
 // conn is a connection of a caller. It records what the caller has sent of its current
@@ -71,6 +76,7 @@
 	interrupted bool
 	// peerEnded is set once a read has found the end of the connection.
 	peerEnded bool
+	resets    bool // whether Close is to reset the connection
 	closed    bool
 }
 
@@ -154,15 +160,10 @@
 	if _, err := io.WriteString(conn.Conn, answer); err != nil {
 		return // the caller has left or does not read
 	}
-	_ = conn.CloseWrite()                                      // the connection is closed next
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(discardTime)) // the read fails too then
-	buffer := make([]byte, discardBufferSize)
-	for read := 0; read < maxDiscarded; {
-		count, err := conn.Conn.Read(buffer)
-		if err != nil {
-			return
-		}
-		read += count
+	_ = conn.CloseWrite() // the connection is closed next
+	now := time.Now()
+	if until := now.Add(discardTime); connection.EntryOf(conn.Conn).Receive(until, now) {
+		conn.discard(until, maxDiscarded)
 	}
 }
 
@@ -195,20 +196,49 @@
 	_ = conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection on which data has arrived that nobody reads is kept until
+// its caller has received the last answer, for maxLinger at most: the system would reset it, and
+// the caller would lose the end of the answer. It counts as open until then.
 func (conn *conn) Close() error {
 	conn.mu.Lock()
-	first := !conn.closed
+	if conn.closed {
+		conn.mu.Unlock()
+		return net.ErrClosed
+	}
 	conn.closed = true
 	ending := ending{phase: conn.phase, since: conn.since, received: conn.received, byCaller: conn.peerEnded}
+	resets := conn.resets
 	conn.mu.Unlock()
-	if first {
-		ending.unread = connection.Pending(conn.Conn)
-		conn.onClose(conn, ending)
+	ending.unread = connection.Pending(conn.Conn)
+	if !resets && connection.Undelivered(conn.Conn) && conn.CloseWrite() == nil {
+		now := time.Now()
+		connection.EntryOf(conn.Conn).Enter(occupancy.Waiting, now) // makes room if others need it
+		go conn.runDiscard(now.Add(maxLinger), ending)
+		return nil
 	}
+	return conn.finish(ending)
+}
+
+func (conn *conn) finish(ending ending) error {
+	conn.onClose(conn, ending)
 	return conn.Conn.Close()
 }
 
+// runDiscard reads until the caller closes the connection too.
+func (conn *conn) runDiscard(deadline time.Time, ending ending) {
+	conn.discard(deadline, math.MaxInt)
+	_ = conn.finish(ending) // the caller has closed it, or does not in time
+}
+
+// discard reads up to a number of bytes until the deadline.
+func (conn *conn) discard(deadline time.Time, longest int) {
+	buffer := make([]byte, discardBufferSize)
+	err := conn.Conn.SetReadDeadline(deadline)
+	for count := 0; err == nil && longest > 0; longest -= count {
+		count, err = conn.Conn.Read(buffer)
+	}
+}
+
 // CloseWrite closes the sending side, so that a caller that is still sending reads the answer
 // before it finds the connection closed.
 func (conn *conn) CloseWrite() error {
@@ -220,6 +250,9 @@
 
 // SetLinger sets what Close does with data that has not been sent.
 func (conn *conn) SetLinger(seconds int) error {
+	conn.mu.Lock()
+	conn.resets = seconds == 0
+	conn.mu.Unlock()
 	if inner, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return inner.SetLinger(seconds)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 
 	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/buffer"
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/front"
 	"github.com/bramleygw/bramleygw/lease"
@@ -37,6 +38,7 @@
 	"github.com/bramleygw/bramleygw/metric"
 	"github.com/bramleygw/bramleygw/mirror"
 	"github.com/bramleygw/bramleygw/objects"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/peer"
 	"github.com/bramleygw/bramleygw/quarantine"
 	"github.com/bramleygw/bramleygw/quota"
@@ -112,6 +114,7 @@
 	tunnels     *tunnels
 	metrics     *metric.Set
 
+	callers         *occupancy.Table
 	callerServer    *front.Server
 	readinessServer *statusServer
 	metricsServer   *statusServer // on the separate metrics address; nil if none is set
@@ -210,6 +213,7 @@
 		Budgets: relay.NewBudgets(vm.Bounds, gateway.fleetSize), Origins: gateway.origins, Tunnels: gateway.tunnels, Metrics: gateway.metrics, Log: gateway.Log,
 	}
 	gateway.relay.Buffers = gateway.newBuffers()
+	gateway.relay.Buffers.OnDenied = func(size int64) { gateway.callers.Reclaim(2*size, time.Now()) }
 	gateway.callerServer.Buffers = gateway.relay.Buffers
 	gateway.relay.Admission = &admission.Services{Self: vm.Name, Started: gateway.started, Room: gateway.relay.Room}
 	gateway.callerServer.Relay = gateway.relay
@@ -242,8 +246,11 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
+	gateway.callers = occupancy.NewTable(callerOccupancy(*vm))
+	callerListener = &connection.BoundedListener{Listener: callerListener, Table: gateway.callers, Heads: true}
+	peerListener = &connection.BoundedListener{Listener: peerListener, Table: occupancy.NewTable(peerOccupancy(*vm))}
 	gateway.callerServer = &front.Server{Listener: callerListener, Dialect: gateway.FrontDialect, Log: gateway.Log}
-	gateway.readinessServer = &statusServer{listener: readinessListener, ready: gateway.Ready}
+	gateway.readinessServer = newStatusServer(readinessListener, gateway.Ready)
 	gateway.peerServer = &peer.Server{Listener: peerListener, Handler: gateway}
 	gateway.listenForMetrics()
 	return nil
@@ -260,7 +267,7 @@
 		gateway.Log.Emit(event.MetricsNotServed, event.F("address", gateway.Settings.Metrics.String()), event.Err(err))
 		return
 	}
-	gateway.metricsServer = &statusServer{listener: listener, ready: gateway.Ready}
+	gateway.metricsServer = newStatusServer(listener, gateway.Ready)
 }
 
 func listenTCP(address *netip.AddrPort) (net.Listener, error) {
@@ -393,8 +400,10 @@
 // sweeper is the state of the loop that removes expired state.
 type sweeper struct {
 	*Gateway
-	detector membership.FailureDetector
-	services lostServices
+	callersLogged occupancy.Usage // as last logged
+	callerSampler event.Sampler
+	detector      membership.FailureDetector
+	services      lostServices
 	// entries holds the listed targets, adaptive whether each is adaptive, by ID. Both are
 	// used by one sweep at a time.
 	entries  []roster.Entry
@@ -407,6 +416,7 @@
 
 func (sweeper *sweeper) sweep(ctx context.Context, now time.Time) {
 	sweeper.roster.Sweep(now)
+	sweeper.sweepCallers(now)
 	sweeper.origins.sweep(now)
 	sweeper.parts.Sweep(now)
 	sweeper.reportParts(ctx, now)
