--- a/connection/bounded.go
+++ b/connection/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 	fieldBytes = 128
 	// writeSize is the size of the parts in which an answer is written, so that its
 	// progress is known.
-	writeSize = 64 << 10
+	writeSize = 32 << 10
 )
 
 // errNoRoom is returned for a head for which there is no room.
@@ -32,6 +33,15 @@
 	Heads bool
 }
 
+// SyscallConn implements syscall.Conn if the listener beneath does.
+func (listener *BoundedListener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := listener.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the listener has no descriptor")
+	}
+	return inner.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (listener *BoundedListener) Accept() (net.Conn, error) {
 	for {
@@ -85,7 +95,7 @@
 	if phase == occupancy.Waiting && conn.heads && !conn.Entry.Grow(headBytes(buffer[:count]), now) {
 		return 0, errors.CombineErrors(errNoRoom, conn.Close())
 	}
-	conn.Entry.Progress(now)
+	conn.Entry.Received(count, now)
 	return count, err
 }
 
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleygw/bramleygw/connection"
 	"github.com/bramleygw/bramleygw/event"
+	"github.com/bramleygw/bramleygw/occupancy"
 	"github.com/bramleygw/bramleygw/refusal"
 	"github.com/bramleygw/bramleygw/relay"
 	"github.com/bramleygw/bramleygw/routing"
@@ -57,9 +60,14 @@
 }
 
 func (pipeListener *pipeListener) connect() *testCaller {
+	return pipeListener.connectThrough(func(conn net.Conn) net.Conn { return conn })
+}
+
+// connectThrough is connect with the server's end wrapped.
+func (pipeListener *pipeListener) connectThrough(wrap func(net.Conn) net.Conn) *testCaller {
 	near, far := net.Pipe()
 	_ = near.SetDeadline(time.Now().Add(5 * time.Minute)) // never fails on a pipe
-	pipeListener.accepted <- far
+	pipeListener.accepted <- wrap(far)
 	return &testCaller{near, bufio.NewReader(near)}
 }
 
@@ -189,3 +197,92 @@
 		})
 	}
 }
+
+// lateListener accepts its last connection in the moment in which it is closed.
+type lateListener struct {
+	*pipeListener
+	last net.Conn
+}
+
+func (lateListener *lateListener) Accept() (net.Conn, error) {
+	conn, err := lateListener.pipeListener.Accept()
+	if err == nil || lateListener.last == nil {
+		return conn, err
+	}
+	<-time.After(time.Millisecond) // the stop goes on
+	conn, lateListener.last = lateListener.last, nil
+	return conn, nil
+}
+
+// Guards against LOST in a planned stop: the connection that is accepted as the listener is closed
+// is closed without an answer.
+func TestStopAnswersOnTheLastConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		server := &Server{
+			Listener: &lateListener{newPipeListener(), far}, Dialect: statusDialect{}, Relay: patientRelay{}, Log: event.New(io.Discard, "vm", event.LevelInfo),
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- server.Run(ctx, t.Context()) }()
+		synctest.Wait()
+		stop()
+		caller := &testCaller{near, bufio.NewReader(near)}
+		caller.send(request)
+		if response := caller.answer(); response == nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("got answer %v, want status 503", response)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("got error %v from Run, want none", err)
+		}
+	})
+}
+
+// slowListener accepts nothing before ready is closed.
+type slowListener struct {
+	*net.TCPListener
+	ready chan struct{}
+}
+
+func (slowListener slowListener) Accept() (net.Conn, error) {
+	<-slowListener.ready
+	return slowListener.TCPListener.Accept()
+}
+
+// Guards against LOST in a planned stop: connections that wait to be accepted as the listener is
+// closed are reset, with the requests that were sent on them.
+func TestStopAnswersOnQueuedConnections(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := slowListener{inner.(*net.TCPListener), make(chan struct{})}
+	bounded := &connection.BoundedListener{Listener: listener, Table: occupancy.NewTable(occupancy.Limits{}), Heads: true}
+	server := &Server{Listener: bounded, Dialect: statusDialect{}, Relay: patientRelay{}, Log: event.New(io.Discard, "vm", event.LevelInfo)}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx, t.Context()) }()
+	callers := make([]*testCaller, 20)
+	for i := range callers {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }() // the server has closed its end
+		callers[i] = &testCaller{conn, bufio.NewReader(conn)}
+		callers[i].send(request)
+	}
+	stop()
+	for !server.closed.Load() {
+		runtime.Gosched()
+	}
+	close(listener.ready)
+	for i, caller := range callers {
+		if response := caller.answer(); response == nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("connection %d: got answer %v, want status 503", i, response)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("got error %v from Run, want none", err)
+	}
+}
