Log what ended a request, the time that it had and the versions that bound it

request_refused had the time that a request took and by how much it exceeded its deadline. It did not tell a route's timeout from the caller's time budget, nor which version of the configuration set it, so that cuts beside a change of the configuration could not be told apart.

--- a/relay/fields.go
+++ b/relay/fields.go
@@ -52,10 +52,10 @@
 	return fields
 }
 
-// endFields returns the log fields that tell where a request was when its caller left, and
-// how late it is refused after its deadline.
+// endFields returns the log fields that tell where a request was when its caller left, what
+// ended it, and how late it is refused after its deadline.
 func (job *job) endFields(refused *refusal.Refusal) []event.Field {
-	var fields []event.Field
+	fields := job.deadlineFields()
 	if refused.Code == refusal.CallerGone {
 		where := job.callerLeft
 		if where == "" {
--- a/relay/job.go
+++ b/relay/job.go
@@ -51,7 +51,10 @@
 	blockedPart string
 
 	deadline time.Time
-	charged  float64 // tokens deducted from the account's limit
+	// limitedBy is who set the deadline, endedBy what ended the request without a complete
+	// answer, for the log.
+	limitedBy, endedBy string
+	charged            float64 // tokens deducted from the account's limit
 
 	tried []string
 	// holdDeadline is the time until which the request may wait for a target. It is
@@ -152,8 +155,9 @@
 func (relay *Relay) newJob(request *Request, answer Answer, table *routing.Table, route *routing.Route, account *routing.Account) *job {
 	job := &job{
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
-		deadline: limitDeadline(request, route), lastEventID: request.LastEventID, parts: request.sharedParts(), progress: &eventProgress{},
+		lastEventID: request.LastEventID, parts: request.sharedParts(), progress: &eventProgress{},
 	}
+	job.deadline, job.limitedBy = limitDeadline(request, route)
 	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
 	if account != nil {
@@ -207,6 +211,7 @@
 	if err == nil {
 		return nil
 	}
+	job.recordEnd(ctx)
 	job.delayRetry(refusal.From(err), time.Now())
 	if job.delivery.Runs() == 0 && job.charged > 0 {
 		job.relay.Limits.Refund(job.account.Name, job.charged, time.Now())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -307,24 +307,6 @@
 	relay.Log.Emit(event.RequestRefused, fields...)
 }
 
-// limitDeadline returns the earlier of the caller's deadline and the route's.
-func limitDeadline(request *Request, route *routing.Route) time.Time {
-	deadline := request.Deadline
-	if route.Timeout > 0 {
-		if latest := route.Timeout.After(request.Arrived); deadline.IsZero() || latest.Before(deadline) {
-			deadline = latest
-		}
-	}
-	if deadline.IsZero() {
-		deadline = request.Arrived.Add(defaultDeadline)
-	}
-	return deadline
-}
-
-// defaultDeadline applies to requests for which neither the caller nor the route
-// sets a time limit.
-const defaultDeadline = 30 * time.Second
-
 // client returns the client for the assigned target.
 func (relay *Relay) client(assignment *roster.Assignment) *target.Client {
 	return relay.Clients.Get(assignment.ID, assignment.Address)
