Keep the way back to a silent target until it is used

Callers saw a stream end although its target was sound: the target paused, the stream was moved to another one, and that one closed the connection, failed or rejected it. With two attempts on the route both were used then; with more, the retry that was kept for the return was spent on a third target, which rejected the request too.

The retry for the return now pays for the return alone, and the return needs no attempt, because the target has run the request already. Other targets are tried first while attempts and the retry budget last. A complete answer that reports a failure is still passed on if nothing was sent before.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -92,6 +92,9 @@
 	Repeatable bool
 	// Attempts is the maximum number of targets that may run the request.
 	Attempts int
+	// AllowReturn, if set, reports whether the request may return to a target that ran it and
+	// was left before it had failed. After Attempts it is sent to no other target.
+	AllowReturn func(now time.Time) bool
 
 	runs       int
 	rejections int
@@ -192,6 +195,9 @@
 	case outcome != NotRun && !delivery.Repeatable:
 		return AtMostOnce
 	case outcome != NotRun && delivery.runs >= delivery.Attempts:
+		if delivery.AllowReturn != nil && delivery.AllowReturn(time.Now()) {
+			return ""
+		}
 		return AttemptsUsed
 	case !delivery.Sender.AllowRetry(outcome, time.Now()):
 		return RetryNotAllowed
--- a/relay/job.go
+++ b/relay/job.go
@@ -108,6 +108,8 @@
 	// out of the budget at spareRetryAt, which is zero if there is none.
 	left         []string
 	spareRetryAt time.Time
+	// returnsTo, if set, are those of them to which alone the request may return.
+	returnsTo []string
 	// retryDenial is what last denied a retry, for the log.
 	retryDenial string
 
@@ -194,7 +196,7 @@
 	defer job.releaseNext()
 	defer job.releaseReservation()
 	defer func() { job.failedShare.Close() }()
-	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts}
+	job.delivery = delivery.Delivery{Sender: job, Repeatable: job.route.Kind.Repeatable(), Attempts: job.route.Attempts, AllowReturn: job.allowReturn}
 	err := job.checkCaller(ctx)
 	if err == nil {
 		err = job.checkAdmission(time.Now())
@@ -275,7 +277,7 @@
 			}
 			return true, job.checkWait(&job.attempt.assignment)
 		}
-		if job.retryLeft() {
+		if job.retryLeft() || job.widen() {
 			continue
 		}
 		if !job.mayWait(now) || !retry.Wait(ctx, now.Add(holdPollInterval)) {
@@ -320,7 +322,7 @@
 // criteria returns what the request requires of a target.
 func (job *job) criteria(now time.Time) roster.Criteria {
 	criteria := roster.Criteria{
-		Service: job.service.Name, Route: job.route.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Rejected: job.targetFull, Reservation: job.reservation,
+		Service: job.service.Name, Route: job.route.Name, Repeatable: job.route.Kind.Repeatable(), Tried: job.tried, Among: job.returnsTo, Rejected: job.targetFull, Reservation: job.reservation,
 		PreferLogged: job.route.Kind == routing.ResumableStream,
 	}
 	if software := job.software.Load(); software != nil {
@@ -367,7 +369,7 @@
 		job.recordDeparture(ctx, leftAtTarget)
 	}
 	defer func() { job.endSample(ctx, outcome, result) }()
-	job.recordSilence(assignment, result, outcome, now)
+	job.recordSilence(assignment, result, now)
 	job.relay.Metrics.ByTarget.Count(assignment.ID, outcome.String())
 	switch outcome {
 	case delivery.Answered:
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -58,7 +58,7 @@
 func (attempt *silentAttempt) end() {
 	job := attempt.job
 	job.next = attempt.monitor.stop()
-	job.recordSilence(&job.attempt.assignment, context.Cause(attempt.cancelled), delivery.Broken, time.Now())
+	job.recordSilence(&job.attempt.assignment, context.Cause(attempt.cancelled), time.Now())
 	job.attempt.assignment.End()
 	job.tried = append(job.tried, job.attempt.assignment.ID)
 }
@@ -155,3 +155,35 @@
 		}
 	})
 }
+
+// Guards against LOST: a sound target was left because it was silent, and the retries run out at
+// others, which do not take the request, before it returns.
+func TestRetryForReturningToASilentTargetIsKept(t *testing.T) {
+	for _, outcome := range []delivery.Outcome{delivery.NotRun, delivery.Broken} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				attempt := newSilentAttempt(t, 2, "a", "b", "c")
+				job := attempt.job
+				first := job.attempt.assignment.ID
+				<-time.After(longSilence)
+				attempt.end()
+				for last := ""; last != first; last = job.attempt.assignment.ID {
+					if !job.AllowRetry(outcome, time.Now()) {
+						t.Fatalf("got no retry after %v, want one at %s", job.tried, first)
+					}
+					if ok, err := job.ChooseTarget(t.Context()); !ok || err != nil {
+						t.Fatalf("got %t, %v after %v, want a target", ok, err, job.tried)
+					}
+					assignment := &job.attempt.assignment
+					job.recordSilence(assignment, nil, time.Now())
+					assignment.End()
+					job.tried = append(job.tried, assignment.ID)
+				}
+				job.releaseNext()
+				if got := attempt.retriesLeft(); got != 0 {
+					t.Errorf("got %d retries left, want none", got)
+				}
+			})
+		})
+	}
+}
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -24,16 +24,14 @@
 // AllowRetry implements delivery.Sender. The retries at a reserved target and back at
 // the silent one were taken out of the budget before.
 func (job *job) AllowRetry(outcome delivery.Outcome, now time.Time) bool {
-	switch {
-	case job.next != nil && !job.blocked(now):
-		job.relay.Metrics.Retries.Add(1)
-		return true
-	case !job.spareRetryAt.IsZero() && outcome == delivery.NotRun:
-		job.spareRetryAt = time.Time{}
+	if job.next != nil && !job.blocked(now) {
 		job.relay.Metrics.Retries.Add(1)
 		return true
 	}
 	job.retryDenial = job.takeRetry(outcome, now)
+	if job.retryDenial == deniedByBudget && job.returnToLeft() {
+		return true
+	}
 	if job.retryDenial != "" {
 		return false
 	}
@@ -41,6 +39,37 @@
 	return true
 }
 
+// allowReturn implements delivery.Delivery.AllowReturn. A complete answer is passed on
+// instead, even if it reports a failure.
+func (job *job) allowReturn(now time.Time) bool {
+	return (job.started || job.failedHead == nil) && !job.blocked(now) && job.returnToLeft()
+}
+
+// returnToLeft makes the request return to a target that was left because it was silent,
+// with the retry that was taken for that. It returns false if there is none.
+func (job *job) returnToLeft() bool {
+	if job.spareRetryAt.IsZero() {
+		return false
+	}
+	returnsTo := job.left
+	if !job.retryLeft() {
+		return false
+	}
+	job.returnsTo, job.spareRetryAt, job.retryDenial = returnsTo, time.Time{}, ""
+	job.relay.Metrics.Retries.Add(1)
+	return true
+}
+
+// widen makes targets eligible that the request did not leave, if it found none of those
+// that it left and further targets may run it.
+func (job *job) widen() bool {
+	if job.returnsTo == nil || job.delivery.Runs() >= job.delivery.Attempts {
+		return false
+	}
+	job.returnsTo = nil
+	return true
+}
+
 // takeRetry takes a retry out of the budget. It returns what denies it, or an empty
 // string.
 func (job *job) takeRetry(outcome delivery.Outcome, now time.Time) string {
@@ -112,13 +141,11 @@
 	return true
 }
 
-// recordSilence records that a target was left because it was silent. After an attempt
-// that was not rejected, the retry for returning to such a target is given back.
-func (job *job) recordSilence(assignment *roster.Assignment, result error, outcome delivery.Outcome, now time.Time) {
-	if outcome != delivery.NotRun && outcome != delivery.NotSent {
-		job.returnSpareRetry(now)
-	}
+// recordSilence records that a target was left because it was silent. The retry for
+// returning to an earlier one is given back.
+func (job *job) recordSilence(assignment *roster.Assignment, result error, now time.Time) {
 	if errors.Is(result, errTimeout) && job.next != nil {
+		job.returnSpareRetry(now)
 		job.left = append(job.left, assignment.ID)
 		job.spareRetryAt = job.next.reservedAt
 	}
@@ -145,13 +172,13 @@
 // releaseNext gives up a reserved target and the reserved retries that are not used.
 func (job *job) releaseNext() {
 	now := time.Now()
-	if job.next == nil {
-		job.returnSpareRetry(now)
-		return
-	}
-	job.next.assignment.Withdraw()
-	for range 2 { // as many as reserveNext took
-		job.relay.Budgets.Return(job.service.Name, job.next.reservedAt, now)
-	}
-	job.next, job.spareRetryAt = nil, time.Time{}
+	if next := job.next; next != nil {
+		next.assignment.Withdraw()
+		job.relay.Budgets.Return(job.service.Name, next.reservedAt, now)
+		if !job.spareRetryAt.Equal(next.reservedAt) { // the target was not left
+			job.relay.Budgets.Return(job.service.Name, next.reservedAt, now)
+		}
+		job.next = nil
+	}
+	job.returnSpareRetry(now)
 }
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -77,7 +77,7 @@
 	if job.softwareDeadline.IsZero() {
 		job.softwareDeadline = now.Add(softwareWait)
 	}
-	criteria := roster.Criteria{Service: job.service.Name, FixedSoftware: true, Software: version}
+	criteria := roster.Criteria{Service: job.service.Name, FixedSoftware: true, Software: version, Among: job.returnsTo}
 	if job.targetFull {
 		criteria.Tried = job.tried
 	}
--- a/roster/choose.go
+++ b/roster/choose.go
@@ -62,6 +62,8 @@
 	Repeatable bool
 	// Tried holds the IDs of the targets to which the request was already sent.
 	Tried []string
+	// Among, if set, holds the IDs of the only targets that may be used.
+	Among []string
 	// Rejected is set if a target rejected the request for want of room.
 	Rejected bool
 	// Reservation, if set, is that of this request. Choose uses it up once the rest is
--- a/roster/obstacle.go
+++ b/roster/obstacle.go
@@ -1,6 +1,9 @@
 package roster
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Obstacle is why a target may not get a request. It is empty if it may.
 type Obstacle string
@@ -60,14 +63,17 @@
 	case criteria.RequiredWeights != nil && !target.hasRequiredWeights(criteria, target.wait(now)):
 		return ObstacleOldWeights
 	}
-	for _, tried := range criteria.Tried {
-		if tried == target.entry.ID {
-			return ObstacleAlreadyTried
-		}
+	if slices.Contains(criteria.Tried, target.entry.ID) || !target.isAmong(criteria) {
+		return ObstacleAlreadyTried
 	}
 	return ""
 }
 
+// isAmong reports whether the target is one of those that alone may be used.
+func (target *Target) isAmong(criteria Criteria) bool {
+	return criteria.Among == nil || slices.Contains(criteria.Among, target.entry.ID)
+}
+
 // generalObstacle returns why the target may not get any new request, disregarding
 // pauses, limits and ejection.
 func (target *Target) generalObstacle(now time.Time) Obstacle {
--- a/roster/software.go
+++ b/roster/software.go
@@ -42,7 +42,7 @@
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
 	return slices.ContainsFunc(roster.services[criteria.Service], func(target *Target) bool {
-		return !target.removed && !target.entry.Draining && !target.rest.until.After(at) && target.hasSoftware(criteria) && !slices.Contains(criteria.Tried, target.entry.ID)
+		return !target.removed && !target.entry.Draining && !target.rest.until.After(at) && target.hasSoftware(criteria) && target.isAmong(criteria) && !slices.Contains(criteria.Tried, target.entry.ID)
 	})
 }
 
