Open no tunnels from the begin of a stop

Callers of a VM that reaches targets only through another one saw their streams cut when that other VM stopped: while it was still busy with requests of its own it carried new ones for others, and cut them at the end of its grace. A request that is sent through it after SIGTERM has less time than it may need, and its caller is at a VM that does not stop.

A VM that stops now denies tunnels from SIGTERM on; the others find another way, or refuse as not run.

platform TestStoppingVMCarriesNoNewRequestsOfOtherVMs failed on the code before: 12 of 12 streams were cut after their first event. It passes now, twice with -race, with the other tests of stops and partitions.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -353,6 +353,7 @@
 	start := time.Now()
 	gateway.Log.Emit(event.Draining, event.F("running", gateway.relay.Running()))
 	gateway.callerServer.Drain()
+	gateway.tunnels.close()
 	end := gateway.Settings.Bounds.Grace.After(start).Add(-exitMargin)
 	abortTimer := time.AfterFunc(time.Until(end), abortRequests)
 	defer abortTimer.Stop()
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -52,12 +52,15 @@
 	closed  bool       // whether it carries no more
 }
 
-// finish waits until this VM carries no tunnel, or the deadline has passed. More tunnels are
-// denied: the other VMs look for another way.
-func (tunnels *tunnels) finish(deadline time.Time) {
+// close denies further tunnels: the other VMs look for another way.
+func (tunnels *tunnels) close() {
 	tunnels.mu.Lock()
+	defer tunnels.mu.Unlock()
 	tunnels.closed = true
-	tunnels.mu.Unlock()
+}
+
+// finish waits until this VM carries no tunnel, or the deadline has passed.
+func (tunnels *tunnels) finish(deadline time.Time) {
 	for now := time.Now(); tunnels.used() && now.Before(deadline); now = time.Now() {
 		retry.Wait(context.Background(), now.Add(tunnelsCheckInterval))
 	}
