Keep tunnels when a VM is connected to anew

Callers of a VM that reaches targets only through another one saw their streams cut when the other VM answered two heartbeats later than 0.3 s each: the connection was closed then, to open a new one, and with it all tunnels that it carried, although data flowed through them.

The connection now takes no further calls and is closed with its last tunnel.

peer TestTunnelOutlivesItsDisconnection failed on the code before: the read ended with "grpc: the client connection is closing". The tests of package peer pass three times with -race.

--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -38,13 +38,20 @@
 	// Bytes counts the payload bytes on the wire that all calls sent and received.
 	Bytes atomic.Int64
 
-	mu    sync.Mutex // guards conns
-	conns map[netip.AddrPort]*grpc.ClientConn
+	mu    sync.Mutex // guards conns and the fields of each
+	conns map[netip.AddrPort]*vmConn
+}
+
+// vmConn is the connection to a VM.
+type vmConn struct {
+	*grpc.ClientConn
+	tunnels int  // that it carries
+	retired bool // whether it is closed with its last tunnel
 }
 
 // NewDialer returns a dialer. A nil tlsConfig selects plain TCP.
 func NewDialer(tlsConfig *tls.Config) *Dialer {
-	return &Dialer{tls: tlsConfig, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+	return &Dialer{tls: tlsConfig, conns: map[netip.AddrPort]*vmConn{}}
 }
 
 // Close closes all connections.
@@ -54,39 +61,75 @@
 	for _, conn := range dialer.conns {
 		_ = conn.Close()
 	}
-	dialer.conns = map[netip.AddrPort]*grpc.ClientConn{}
+	dialer.conns = map[netip.AddrPort]*vmConn{}
 }
 
-// Disconnect closes the connection to a VM; the next call opens a new one.
+// Disconnect makes the next call to a VM open a new connection. Tunnels over the present one
+// go on.
 func (dialer *Dialer) Disconnect(address netip.AddrPort) {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	if conn, ok := dialer.conns[address]; ok {
-		_ = conn.Close()
-		delete(dialer.conns, address)
+		dialer.retire(address, conn)
 	}
 }
 
-// Retain closes the connections to all VMs except those at the given addresses.
+// Retain disconnects all VMs except those at the given addresses.
 func (dialer *Dialer) Retain(addresses map[netip.AddrPort]bool) {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	for address, conn := range dialer.conns {
 		if !addresses[address] {
-			_ = conn.Close()
-			delete(dialer.conns, address)
+			dialer.retire(address, conn)
 		}
 	}
 }
 
+// retire closes a connection once it carries no tunnel. The caller holds mu.
+func (dialer *Dialer) retire(address netip.AddrPort, conn *vmConn) {
+	delete(dialer.conns, address)
+	if conn.retired = true; conn.tunnels == 0 {
+		_ = conn.Close()
+	}
+}
+
+// endTunnel counts a tunnel that has ended.
+func (dialer *Dialer) endTunnel(conn *vmConn) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	if conn.tunnels--; conn.retired && conn.tunnels == 0 {
+		_ = conn.Close()
+	}
+}
+
 func (dialer *Dialer) client(address netip.AddrPort) (peerpb.PeerClient, error) {
-	if !address.IsValid() {
-		return nil, ErrUnknownPeer
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	conn, err := dialer.connect(address)
+	if err != nil {
+		return nil, err
 	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// beginTunnel returns the connection to a VM and counts a tunnel that it is to carry.
+func (dialer *Dialer) beginTunnel(address netip.AddrPort) (*vmConn, error) {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
+	conn, err := dialer.connect(address)
+	if err == nil {
+		conn.tunnels++
+	}
+	return conn, err
+}
+
+// connect returns the connection to a VM. The caller holds mu.
+func (dialer *Dialer) connect(address netip.AddrPort) (*vmConn, error) {
+	if !address.IsValid() {
+		return nil, ErrUnknownPeer
+	}
 	if conn, ok := dialer.conns[address]; ok {
-		return peerpb.NewPeerClient(conn), nil
+		return conn, nil
 	}
 	transport := insecure.NewCredentials()
 	if dialer.tls != nil {
@@ -110,8 +153,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to VM")
 	}
-	dialer.conns[address] = conn
-	return peerpb.NewPeerClient(conn), nil
+	dialer.conns[address] = &vmConn{ClientConn: conn}
+	return dialer.conns[address], nil
 }
 
 // Heartbeat sends a heartbeat to a VM and returns the VM's own.
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -29,13 +29,17 @@
 // deadline of the context. The end of that connection is the end of this one, and if
 // either is broken, so is this one.
 func (dialer *Dialer) Tunnel(ctx context.Context, through netip.AddrPort, target string) (net.Conn, error) {
-	client, err := dialer.client(through)
+	conn, err := dialer.beginTunnel(through)
 	if err != nil {
 		return nil, err
 	}
-	streamCtx, cancel := context.WithCancel(context.Background())
+	streamCtx, cancelStream := context.WithCancel(context.Background())
+	cancel := sync.OnceFunc(func() {
+		cancelStream()
+		dialer.endTunnel(conn)
+	})
 	stop := context.AfterFunc(ctx, cancel)
-	stream, err := client.Tunnel(streamCtx)
+	stream, err := peerpb.NewPeerClient(conn).Tunnel(streamCtx)
 	if err == nil {
 		err = stream.Send(&peerpb.TunnelPart{Target: target})
 	}
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -67,6 +67,35 @@
 	}
 }
 
+// Guards against LOST: a VM that does not answer heartbeats in time is connected to anew, and
+// requests that are sent through it are cut.
+func TestTunnelOutlivesItsDisconnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }() // the far end closes it too
+	dialer, address, _ := start(t, &handler{dial: func(string) (net.Conn, error) { return far, nil }})
+	conn, err := dialer.Tunnel(t.Context(), address, "e1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialer.Disconnect(address)
+	const want = "answer"
+	go func() { _, _ = io.WriteString(near, want) }() // a lost byte shows in what is read
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != want {
+		t.Errorf("got %q, %v through the tunnel, want %q", got, err, want)
+	}
+	dialer.mu.Lock()
+	carrier := dialer.conns[address]
+	dialer.mu.Unlock()
+	if carrier != nil {
+		t.Error("got the connection of the tunnel for further calls, want a new one")
+	}
+	_ = conn.Close() // what was received is complete
+	if _, err := near.Read(got); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v at the target, want the end of the connection", err)
+	}
+}
+
 // Guards against answers that look complete: a target resets its connection, and an answer
 // without length ends with the connection.
 func TestTunnelDistinguishesEndFromReset(t *testing.T) {
