Let requests that left a silent target go on until their time is over

Callers saw requests end early although their target was sound and had only paused: the VM moved the request to another target, that one rejected it (full, or about to load weights), and then no way was left. Under overload the way back was denied because the answer would be later than its latency target; an empty retry budget, or the first target having no room any more, ended the request at once.

Cause: the silence of a target is taken as proof that it failed once another one is reserved, but the reservation does not bind that one. Class: suspicion taken for proof.

A request that left a silent target now waits for one that takes it, as long as it has time and any target that may take it is registered.

relay TestRequestThatLeftASilentTargetGoesOn failed in four of its five cases on the code before.

--- a/relay/job.go
+++ b/relay/job.go
@@ -110,6 +110,13 @@
 	spareRetryAt time.Time
 	// returnsTo, if set, are those of them to which alone the request may return.
 	returnsTo []string
+	// moved is set once a target was left because it was silent. That target may be sound, so
+	// that the request does not end for want of another one while it has time left. owesRetry is
+	// set while the retry for its next attempt is still to be taken out of the budget, and
+	// rejectedAt is when a target last rejected it.
+	moved      bool
+	owesRetry  bool
+	rejectedAt time.Time
 	// retryDenial is what last denied a retry, for the log.
 	retryDenial string
 
@@ -260,6 +267,9 @@
 	if job.service == nil || job.unnumbered.Load() {
 		return false, nil
 	}
+	if !job.payRetry(ctx) {
+		return false, nil
+	}
 	if job.takeNext(time.Now()) {
 		return true, nil
 	}
@@ -287,7 +297,7 @@
 			}
 			return false, nil
 		}
-		if !job.targetFull {
+		if !job.targetFull || job.mayAskAgain(time.Now()) {
 			job.tried = nil
 		}
 	}
@@ -423,7 +433,7 @@
 		return
 	}
 	if job.attempt.head.RestUntil.IsZero() {
-		job.targetFull = true
+		job.targetFull, job.rejectedAt = true, now
 		job.recordNoPlace(now)
 		assignment.RecordRejection(now)
 	}
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -87,9 +87,10 @@
 }
 
 // late reports whether, under overload, the assigned target would answer the request too
-// late: its work is left to requests that can be answered in time.
+// late: its work is left to requests that can be answered in time. A request that left a
+// silent target would have been answered there.
 func (job *job) late(assignment *roster.Assignment, now time.Time) bool {
-	if job.controller == nil || job.started || job.route.LatencyTarget <= 0 || !job.controller.Overloaded(now) {
+	if job.controller == nil || job.started || job.moved || job.route.LatencyTarget <= 0 || !job.controller.Overloaded(now) {
 		return false
 	}
 	latest := job.route.LatencyTarget.After(job.request.Arrived)
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleygw/bramleygw/admission"
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/metric"
 	"github.com/bramleygw/bramleygw/quarantine"
@@ -187,3 +188,72 @@
 		})
 	}
 }
+
+// Guards against LOST: a sound target was left because it was silent, and the request ends before
+// its time because the others, and then that one too, have no room for it.
+func TestRequestThatLeftASilentTargetGoesOn(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		retries    float64
+		rejections int
+		prepare    func(job *job)
+		want       bool
+	}{
+		{"all reject it", 20, 8, nil, true},
+		{"all reject it, and the stream has begun", 20, 8, func(job *job) { job.started = true; job.fixSoftware("") }, true},
+		{"the budget is used up", 2, 3, nil, true},
+		{"late under overload", 20, 1, func(job *job) {
+			job.request.Prompt, job.route.LatencyTarget = &Prompt{}, settings.Span(longSilence)
+			if job.controller = overloadedController(); !job.controller.Overloaded(time.Now()) {
+				panic("the controller of this test is to be overloaded")
+			}
+		}, true},
+		{"no target is left", 20, 1, func(job *job) {
+			for _, id := range []string{"a", "b", "c"} {
+				job.relay.Roster.Remove(id, time.Now())
+			}
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				attempt := newSilentAttempt(t, test.retries, "a", "b", "c")
+				job := attempt.job
+				job.deadline = time.Now().Add(time.Minute)
+				ctx, cancel := context.WithDeadline(t.Context(), job.deadline)
+				defer cancel()
+				<-time.After(longSilence)
+				attempt.end()
+				if test.prepare != nil {
+					test.prepare(job)
+				}
+				outcome, got := delivery.Broken, true
+				for range test.rejections + 1 {
+					got = job.AllowRetry(outcome, time.Now())
+					if got {
+						got, _ = job.ChooseTarget(ctx)
+					}
+					if !got {
+						break
+					}
+					job.handleRejection(&job.attempt.assignment, time.Now())
+					job.attempt.assignment.End()
+					job.tried, outcome = append(job.tried, job.attempt.assignment.ID), delivery.NotRun
+				}
+				if got != test.want {
+					t.Errorf("got a target %t after %v, want %t", got, job.tried, test.want)
+				}
+			})
+		})
+	}
+}
+
+// overloadedController returns a controller by which callers ask for more than targets take, so
+// that requests wait for longer than they are to.
+func overloadedController() *admission.Controller {
+	room := admission.Room{TokensPerSecond: 1, Wait: time.Second, AimedWait: 70 * time.Millisecond}
+	services := &admission.Services{Self: "vm-1", Started: time.Now().Add(-time.Minute), Room: func(string, time.Time) admission.Room { return room }}
+	services.SetFleetSize(2)
+	controller := services.Get("notes")
+	controller.Decide(admission.Request{Tokens: 1e6}, time.Now())
+	return controller
+}
--- a/relay/retries.go
+++ b/relay/retries.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/bramleygw/bramleygw/delivery"
 	"github.com/bramleygw/bramleygw/quarantine"
+	"github.com/bramleygw/bramleygw/retry"
 	"github.com/bramleygw/bramleygw/roster"
 )
 
@@ -29,7 +31,11 @@
 		return true
 	}
 	job.retryDenial = job.takeRetry(outcome, now)
-	if job.retryDenial == deniedByBudget && job.returnToLeft() {
+	switch {
+	case job.retryDenial == deniedByBudget && job.returnToLeft():
+		return true
+	case job.retryDenial == deniedByBudget && job.moved:
+		job.retryDenial, job.owesRetry = "", true
 		return true
 	}
 	if job.retryDenial != "" {
@@ -60,6 +66,34 @@
 	return true
 }
 
+// payRetry takes a retry that the budget did not hold out of it. It waits until the budget
+// holds one, and returns false if the context ends before.
+func (job *job) payRetry(ctx context.Context) bool {
+	for ; job.owesRetry; job.owesRetry = !job.relay.Budgets.Allow(job.service.Name, time.Now()) {
+		if !retry.Wait(ctx, time.Now().Add(deniedCheckInterval)) {
+			job.retryDenial = deniedByBudget
+			return false
+		}
+	}
+	return true
+}
+
+// mayWaitToGoOn reports whether a request that left a silent target may wait for one that takes
+// it: any may take a request of which nothing was sent to the caller.
+func (job *job) mayWaitToGoOn() bool {
+	criteria := roster.Criteria{Service: job.service.Name, Among: job.returnsTo}
+	if software := job.software.Load(); software != nil {
+		criteria.FixedSoftware, criteria.Software = true, *software
+	}
+	return job.relay.Roster.Registered(criteria, job.deadline)
+}
+
+// mayAskAgain reports whether a request that left a silent target may be sent once more to
+// targets that rejected it.
+func (job *job) mayAskAgain(now time.Time) bool {
+	return job.moved && !now.Before(job.rejectedAt.Add(delivery.RetryAfter))
+}
+
 // widen makes targets eligible that the request did not leave, if it found none of those
 // that it left and further targets may run it.
 func (job *job) widen() bool {
@@ -146,7 +180,7 @@
 func (job *job) recordSilence(assignment *roster.Assignment, result error, now time.Time) {
 	if errors.Is(result, errTimeout) && job.next != nil {
 		job.returnSpareRetry(now)
-		job.left = append(job.left, assignment.ID)
+		job.left, job.moved = append(job.left, assignment.ID), true
 		job.spareRetryAt = job.next.reservedAt
 	}
 }
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -64,6 +64,9 @@
 // mayWait reports whether the request may wait, at the given time, for a target that
 // can take it.
 func (job *job) mayWait(now time.Time) bool {
+	if job.moved {
+		return job.mayWaitToGoOn()
+	}
 	if software := job.software.Load(); software != nil {
 		return job.mayWaitForSoftware(*software, now)
 	}
