Bind requests around a change to the longest timeout that may be in force

What callers saw: requests that were sent before a route's timeout was lowered, and read after it, ended at the new timeout. A VM puts a version in force before the operator has its confirmation, and a request may wait in the socket, or its body may take a while, so that the version under which it was sent is no longer the one that binds it.

Cause: a request was bound by the timeout of the one version in force when its body was complete. Class: a single version is taken for the one in force, while for ConfigApplyMs several may be.

Fix: a table knows the longer timeouts that its routes had until less than half of that time ago, and requests that arrive in it may take as long. The other half is for versions that reach a VM late, so that none binds a request for longer than the platform allows.

Evidence: relay TestRequestsAroundAChangeKeepTheirTimeout failed without the overlap (a deadline of 20 s in place of 60 s).

--- a/relay/deadline.go
+++ b/relay/deadline.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleygw/bramleygw/event"
 	"github.com/bramleygw/bramleygw/routing"
+	"github.com/bramleygw/bramleygw/settings"
 )
 
 // defaultDeadline applies to requests for which neither the caller nor the route
@@ -31,12 +32,12 @@
 
 // limitDeadline returns the earlier of the caller's deadline and the route's, and who
 // set it.
-func limitDeadline(request *Request, route *routing.Route) (deadline time.Time, limitedBy string) {
+func (relay *Relay) limitDeadline(request *Request, route *routing.Route) (deadline time.Time, limitedBy string) {
 	if !request.Deadline.IsZero() {
 		deadline, limitedBy = request.Deadline, limitedByCaller
 	}
-	if route.Timeout > 0 {
-		if latest := route.Timeout.After(request.Arrived); deadline.IsZero() || latest.Before(deadline) {
+	if timeout := route.TimeoutFor(request.Arrived, relay.versionOverlap()); timeout > 0 {
+		if latest := timeout.After(request.Arrived); deadline.IsZero() || latest.Before(deadline) {
 			deadline, limitedBy = latest, limitedByRoute
 		}
 	}
@@ -46,6 +47,13 @@
 	return deadline, limitedBy
 }
 
+// versionOverlap returns how long a version of the configuration still counts after this VM has
+// put the next one in force. By the platform's bound that may last for ConfigDelay after its
+// confirmation; half of that is left for versions that reach this VM late.
+func (relay *Relay) versionOverlap() settings.Span {
+	return relay.Bounds.ConfigDelay / 2
+}
+
 // recordEnd records what ended the request, whose context is given.
 func (job *job) recordEnd(ctx context.Context) {
 	switch err := ctx.Err(); {
--- a/relay/job.go
+++ b/relay/job.go
@@ -157,7 +157,7 @@
 		relay: relay, request: request, answer: answer, table: table, route: route, account: account,
 		lastEventID: request.LastEventID, parts: request.sharedParts(), progress: &eventProgress{},
 	}
-	job.deadline, job.limitedBy = limitDeadline(request, route)
+	job.deadline, job.limitedBy = relay.limitDeadline(request, route)
 	job.service = table.Service(route.Service(job.streamID()))
 	name := ""
 	if account != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -138,8 +138,9 @@
 	weightsGrace = 1200 * time.Millisecond
 )
 
-// Configure activates a configuration.
+// Configure activates a configuration. It is not called concurrently.
 func (relay *Relay) Configure(table *routing.Table) {
+	table.Succeed(relay.table.Load(), time.Now(), relay.versionOverlap())
 	relay.table.Store(table)
 	if relay.Admission != nil {
 		relay.Admission.SetWeights(table.TokenRates())
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -89,6 +89,10 @@
 	// the same or a more urgent priority. NewTable sets it. If a request waits longer
 	// than that, requests queued behind it can no longer meet their LatencyTarget.
 	MaxWait settings.Span
+
+	// formerTimeouts are longer timeouts of earlier versions, which may still bind requests.
+	// Table.Succeed sets them.
+	formerTimeouts []formerTimeout
 }
 
 // Service returns the service for the request with the given ID, chosen by the
--- a/settings/platform_vm.go
+++ b/settings/platform_vm.go
@@ -50,6 +50,9 @@
 type Bounds struct {
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace Span
+	// ConfigDelay is how long after its confirmation a version of the configuration may not
+	// be in force yet.
+	ConfigDelay Span
 	// TakeoverDelay is the minimum time between the orders of two successive lease
 	// holders.
 	TakeoverDelay Span
