Take the end of a request for no failure of its target

Callers whose time ended got a 502, "the target failed", in place of a 504, and sound targets got no requests afterwards: the connection to the target has the deadline of the request, and its timer may run before that of the request. The attempt then counted as broken by the target, for its ejection and for the judgement of a release, and took a retry out of the budget.

An attempt whose connection timed out at the deadline now waits for the end of the request. A target counts as failed then only if it had been silent for longer than a working one is, by no accident.

TestTargetThatIsSilentUntilTheEndHasFailed covers what the accident did for targets that hang.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,6 +53,9 @@
 	call.Share = share
 	head, body, err := job.relay.client(assignment).Forward(ctx, call, job)
 	job.next = silenceMonitor.stop()
+	if errors.Is(err, target.ErrTimeout) && !time.Now().Before(job.deadline) {
+		<-ctx.Done() // the connection has the same deadline, and its timer may run first
+	}
 	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errTimeout) {
 		return cause
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -385,6 +385,9 @@
 	case delivery.FailedAnswer:
 		assignment.Failed(false, now)
 	case delivery.Broken:
+		if job.endedInSilence(ctx, assignment, now) {
+			assignment.Failed(false, now)
+		}
 		if ctx.Err() == nil { // otherwise this VM cancelled the attempt
 			if errors.Is(result, target.ErrConnectionLost) {
 				job.recordLoss(assignment, result, now)
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -109,6 +109,12 @@
 		event.F("silent_ms", silence.Milliseconds()), event.F("retry_denied_by", denial))
 }
 
+// endedInSilence reports whether the time of the request has ended at a target that had sent
+// nothing for longer than a working one does.
+func (job *job) endedInSilence(ctx context.Context, assignment *roster.Assignment, now time.Time) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && assignment.SilentFor(now) > job.maxSilence()
+}
+
 // maxSilence returns how long a working target may send nothing on any connection.
 func (job *job) maxSilence() time.Duration {
 	now := time.Now()
