Refuse requests with malformed bodies

Callers whose body had a malformed chunk saw their connection closed without an answer, as if they had left: every error of reading a body counted as its end. They are there, and wait.

Only the end of the connection counts as that now; other errors are those of the encoding and are answered 400. The connection is closed afterwards, and nothing is passed on, as before.

--- a/front/front.go
+++ b/front/front.go
@@ -278,12 +278,21 @@
 		return nil, tooLarge()
 	case errors.Is(err, buffer.ErrFull):
 		return nil, noMemory(time.Now())
-	case err != nil:
+	case brokeOff(err):
 		return nil, refusal.New(refusal.CallerGone, "the body broke off")
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the body's chunks are malformed; check the caller")
 	}
 	return body, nil
 }
 
+// brokeOff reports whether a body ended because its connection did. Other errors of reading it
+// are those of its encoding.
+func brokeOff(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
+}
+
 func noMemory(now time.Time) error {
 	return refusal.New(refusal.Overloaded, "this VM has no memory left for the request; retry after the time in Retry-After").WithRetryAt(now.Add(delivery.RetryAfter))
 }
