--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -305,7 +305,7 @@
 	gateway.cacheStores.setAddresses(cacheStoreAddresses(table))
 	gateway.metrics.ConfigVersion.Set(config.Version)
 	gateway.metrics.ConfigApplied.Set(time.Now().UnixMilli())
-	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)), event.F("source", source))
+	gateway.Log.Emit(event.ConfigApplied, event.F("version", config.Version), event.F("isolated_accounts", table.IsolatedAccounts()), event.F("cache_scope", string(table.Scope(nil))), event.F("object_version", uint64(change.Object.Metadata.ResourceVersion)), event.F("source", source))
 }
 
 // accountLimits returns the limits of the accounts that have one.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -158,13 +158,10 @@
 // addresses from which it fetches missing entries and to which it saves new ones.
 func (job *job) setCacheFields(call *target.Call, assignment *roster.Assignment) {
 	call.Weights = weightsText(assignment.Weights)
-	// The salt includes the weights version because a store may still hold entries
-	// of earlier versions.
-	call.Salt = job.request.Prompt.Model + "/" + call.Weights
-	if cacheScope := job.cacheScope(); cacheScope != "" {
-		call.Salt += "/" + cacheScope
-	}
-	store := job.relay.Stores.Usable(job.request.Prompt.sharedPrefix(job.cacheScope()))
+	scope := job.cacheScope()
+	job.attempt.scope = scope
+	call.Salt = cacheSalt(job.request.Prompt.Model, call.Weights, scope)
+	store := job.relay.Stores.Usable(job.request.Prompt.sharedPrefix(scope))
 	if job.request.Prompt.worthSaving() {
 		call.SaveTo = store
 	}
--- a/relay/begin.go
+++ b/relay/begin.go
@@ -43,13 +43,16 @@
 }
 
 // beforeSend decides whether the request is sent to the target that was chosen for it, when the
-// connection is open: the target may have left, or its weights may have been replaced, while the
-// request waited for that.
+// connection is open: the target may have left, its weights may have been replaced, or the account
+// may have been isolated, while the request waited for that.
 func (job *job) beforeSend() error {
 	assignment, now := &job.attempt.assignment, time.Now()
 	if !assignment.MaySend(now) || job.usesWeights() && assignment.Weights < job.requiredWeights(assignment.Wait, now) {
 		return errWithheld
 	}
+	if err := job.checkScope(); err != nil {
+		return err
+	}
 	job.attempt.sentAt = now
 	return nil
 }
--- a/relay/begin_test.go
+++ b/relay/begin_test.go
@@ -186,7 +186,7 @@
 			if !ok {
 				t.Fatal("got no target, want the target")
 			}
-			job.attempt = attempt{assignment: assignment, chosenAt: now}
+			job.attempt = attempt{assignment: assignment, chosenAt: now, scope: job.cacheScope()}
 			changed := entry("old", 1)
 			changed.Models = []roster.Model{{Name: "m", Weights: 2}}
 			test.change(relay, changed, weights)
--- a/relay/fields.go
+++ b/relay/fields.go
@@ -108,6 +108,7 @@
 		return nil
 	}
 	return []event.Field{
+		event.F("cache_scope", string(attempt.scope)),
 		event.F("sent_after_ms", attempt.sentAt.Sub(attempt.chosenAt).Milliseconds()), event.F("at_target_ms", now.Sub(attempt.sentAt).Milliseconds()),
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -150,6 +150,8 @@
 	// chosenAt is when the target was chosen, sentAt when the request was sent there; zero
 	// before.
 	chosenAt, sentAt time.Time
+	// scope is that of the cache entries that the request uses at the target.
+	scope routing.Scope
 	// begin withdraws the attempt if it does not begin in time; begun is set once the first
 	// token has arrived.
 	begin  *beginMonitor
@@ -194,15 +196,6 @@
 	return float64(job.request.Prompt.Input + job.request.Prompt.Output)
 }
 
-// cacheScope returns the name that separates the cache entries of isolated accounts
-// from those of others. It is empty for accounts that are not isolated.
-func (job *job) cacheScope() string {
-	if job.account != nil && job.account.Isolated {
-		return job.account.Name
-	}
-	return ""
-}
-
 // serve sends the request to targets until one answers or the request ends.
 func (job *job) serve(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, job.deadline)
@@ -378,11 +371,13 @@
 	assignment := &job.attempt.assignment
 	job.beginSample(assignment)
 	result := job.send(ctx, assignment)
-	if errors.Is(result, errWithheld) {
+	if errors.IsAny(result, errWithheld, errScopeChanged) {
 		assignment.Withdraw()
 	}
 	assignment.End()
-	job.tried = append(job.tried, assignment.ID)
+	if !errors.Is(result, errScopeChanged) {
+		job.tried = append(job.tried, assignment.ID)
+	}
 	now := time.Now()
 	outcome := outcomeOf(result)
 	if outcome != delivery.Answered {
@@ -399,7 +394,7 @@
 	case delivery.CallerGone:
 		return outcome, nil
 	case delivery.NotSent:
-		if !errors.Is(result, errWithheld) {
+		if !errors.IsAny(result, errWithheld, errScopeChanged) {
 			job.recordLoss(assignment, result, now)
 		}
 	case delivery.NotRun:
--- a/relay/replaced_test.go
+++ b/relay/replaced_test.go
@@ -32,6 +32,7 @@
 	old := entry("old", 1)
 	old.Models = []roster.Model{{Name: "m", Weights: 2}}
 	relay.Roster.Put(old, namedAt)
+	relay.Configure(routing.NewTable(routing.Config{}))
 	return relay
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleygw/bramleygw/prefix"
+	"github.com/bramleygw/bramleygw/routing"
 	"github.com/bramleygw/bramleygw/target"
 )
 
@@ -55,12 +56,12 @@
 
 // sharedPrefix returns the identity of the parts that other requests may share,
 // within a cache scope. It is 0 if there are none.
-func (prompt *Prompt) sharedPrefix(cacheScope string) uint64 {
+func (prompt *Prompt) sharedPrefix(scope routing.Scope) uint64 {
 	if len(prompt.Parts) < 2 {
 		return 0
 	}
 	last := prompt.Parts[len(prompt.Parts)-2]
-	return uint64(prefix.Seed(cacheScope, prompt.Model, last.ID))
+	return uint64(prefix.Seed(string(scope), prompt.Model, last.ID))
 }
 
 // sharedParts returns the IDs of the parts that other requests may share, each once.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -172,6 +172,8 @@
 	hosts          map[string][]*Route            // longest prefix first
 	accountsByKey  map[[sha256.Size]byte]*Account // by the SHA-256 of the key
 	accountsByName map[string]*Account
+	isolated       map[string]bool // names of the isolated accounts
+	commonScope    Scope           // of all other accounts
 	services       map[string]*Service
 	cacheStores    []*Service
 	leastWaits     map[string]settings.Span // by service
@@ -186,6 +188,7 @@
 		hosts:          map[string][]*Route{},
 		accountsByKey:  map[[sha256.Size]byte]*Account{},
 		accountsByName: map[string]*Account{},
+		isolated:       map[string]bool{},
 		services:       map[string]*Service{},
 		limits:         config.Limits.withDefaults(),
 	}
@@ -204,10 +207,14 @@
 	for i := range config.Accounts {
 		account := &config.Accounts[i]
 		table.accountsByName[account.Name] = account
+		if account.Isolated {
+			table.isolated[account.Name] = true
+		}
 		for _, key := range account.Keys {
 			table.accountsByKey[sha256.Sum256([]byte(key))] = account
 		}
 	}
+	table.commonScope = commonScope(table.isolated)
 	for i := range config.Services {
 		service := &config.Services[i]
 		table.services[service.Name] = service
