Require keys whenever a configuration speaks of accounts (ROUTE)

Cause: whether a key is needed was read from the number of accounts. The decoder made the same empty list of a field that is absent, empty or null, so that taking the last account away opened all routes. Beside it: an account with an empty key was that of every request without a key.

Empty keys belong to nobody.

Looked at as well: the store's objects and what VMs send each other hold the text that the operator wrote, so that each VM decodes it itself, whatever it had before; requests and streams that run when the last account goes are answered whole.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -156,10 +156,14 @@
 
 // Config is a decoded configuration.
 type Config struct {
-	Version  int64
-	Routes   []Route
-	Accounts []Account
-	Services []Service
+	Version int64
+	Routes  []Route
+	// Unrestricted is set when the configuration says nothing of accounts: no request needs
+	// a key. Otherwise only open routes serve requests without one, also when Accounts is
+	// empty.
+	Unrestricted bool
+	Accounts     []Account
+	Services     []Service
 	// Limits holds 0 where the defaults apply.
 	Limits Limits
 }
@@ -169,7 +173,8 @@
 	// Version increases with each change that the operators make.
 	Version int64
 
-	hosts          map[string][]*Route            // longest prefix first
+	hosts          map[string][]*Route // longest prefix first
+	unrestricted   bool
 	accountsByKey  map[[sha256.Size]byte]*Account // by the SHA-256 of the key
 	accountsByName map[string]*Account
 	isolated       map[string]bool // names of the isolated accounts
@@ -186,6 +191,7 @@
 	table := &Table{
 		Version:        config.Version,
 		hosts:          map[string][]*Route{},
+		unrestricted:   config.Unrestricted,
 		accountsByKey:  map[[sha256.Size]byte]*Account{},
 		accountsByName: map[string]*Account{},
 		isolated:       map[string]bool{},
@@ -211,7 +217,9 @@
 			table.isolated[account.Name] = true
 		}
 		for _, key := range account.Keys {
-			table.accountsByKey[sha256.Sum256([]byte(key))] = account
+			if key != "" { // requests without a key have none of these
+				table.accountsByKey[sha256.Sum256([]byte(key))] = account
+			}
 		}
 	}
 	table.commonScope = commonScope(table.isolated)
@@ -265,7 +273,7 @@
 
 // RequiresKey reports whether requests need a key, except on open routes.
 func (table *Table) RequiresKey() bool {
-	return len(table.accountsByName) > 0
+	return !table.unrestricted
 }
 
 // Account returns the account to which the key belongs, or nil.
