--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -117,7 +117,7 @@
 		}
 	}
 	setReuse(&call, job.relay.Roster.Adaptive(job.service.Name), job.route.Kind.Repeatable(), job.delivery.Runs() > 0, time.Now())
-	if request.Prompt != nil && len(job.service.Models) > 0 {
+	if job.usesCache() {
 		job.setCacheFields(&call, assignment)
 	}
 	return call
@@ -157,12 +157,16 @@
 // setCacheFields sets the salt under which the target stores cache entries, and the
 // addresses from which it fetches missing entries and to which it saves new ones.
 func (job *job) setCacheFields(call *target.Call, assignment *roster.Assignment) {
-	call.Weights = weightsText(assignment.Weights)
-	scope := job.cacheScope()
+	scope, prompt := job.cacheScope(), job.request.Prompt
 	job.attempt.scope = scope
-	call.Salt = cacheSalt(job.request.Prompt.Model, call.Weights, scope)
-	store := job.relay.Stores.Usable(job.request.Prompt.sharedPrefix(scope))
-	if job.request.Prompt.worthSaving() {
+	if !job.usesWeights() {
+		call.Salt = cacheSalt(job.model(), "", scope)
+		return
+	}
+	call.Weights = weightsText(assignment.Weights)
+	call.Salt = cacheSalt(prompt.Model, call.Weights, scope)
+	store := job.relay.Stores.Usable(prompt.sharedPrefix(scope))
+	if prompt.worthSaving() {
 		call.SaveTo = store
 	}
 	call.FetchFrom = store
--- a/relay/begin.go
+++ b/relay/begin.go
@@ -33,7 +33,7 @@
 
 // usesWeights reports whether targets run the request on weights of a model.
 func (job *job) usesWeights() bool {
-	return job.request.Prompt != nil && len(job.service.Models) > 0
+	return job.request.Prompt != nil && job.service.Engines
 }
 
 // mayBegin reports whether a request that begins at the given time, on the weights that its target
--- a/relay/begin_test.go
+++ b/relay/begin_test.go
@@ -101,7 +101,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				test.route.Splits = []routing.Split{{Service: "s1", Weight: 1}}
-				fixture := newFixtureWithServices(t, test.route, []routing.Service{{Name: "s1", Models: []string{"m"}}})
+				fixture := newFixtureWithServices(t, test.route, []routing.Service{{Name: "s1", Engines: true}})
 				named := time.Now()
 				fixture.relay.Weights, fixture.relay.Stores = replacedWeights{named}, noStores{}
 				fixture.relay.Bounds.WeightsGrace = settings.Span(bound)
--- a/relay/replaced_test.go
+++ b/relay/replaced_test.go
@@ -40,7 +40,7 @@
 func promptJob(relay *Relay, tokens int) *job {
 	return &job{
 		answer: &recordedAnswer{},
-		relay:  relay, route: &routing.Route{Name: "sum"}, service: &routing.Service{Name: "notes", Models: []string{"m"}},
+		relay:  relay, route: &routing.Route{Name: "sum"}, service: &routing.Service{Name: "notes", Engines: true},
 		request: &Request{Prompt: &Prompt{Model: "m", Input: tokens, Parts: []Part{{ID: "p", Tokens: tokens}}}},
 	}
 }
--- a/relay/scope.go
+++ b/relay/scope.go
@@ -22,9 +22,24 @@
 	return table.Scope(account)
 }
 
+// usesCache reports whether a target may keep cache entries of the request. It must not share
+// them among all accounts, as it does without a salt, if the configuration or the request
+// does not say which model it is for.
+func (job *job) usesCache() bool {
+	return job.request.Prompt != nil || job.service.Engines
+}
+
+// model returns the model of the request; empty if it names none.
+func (job *job) model() string {
+	if job.request.Prompt == nil {
+		return ""
+	}
+	return job.request.Prompt.Model
+}
+
 // checkScope reports whether the prepared request still names the cache entries that it uses.
 func (job *job) checkScope() error {
-	if job.usesWeights() && job.attempt.scope != job.cacheScope() {
+	if job.usesCache() && job.attempt.scope != job.cacheScope() {
 		return errScopeChanged
 	}
 	return nil
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -146,8 +146,8 @@
 // Service is a group of interchangeable targets.
 type Service struct {
 	Name string
-	// Models are the models that the targets serve; empty for plain services.
-	Models []string
+	// Engines is set when the targets run models and keep KV caches.
+	Engines bool
 	// CacheStore is the address of a KV cache store; invalid for a service that
 	// consists of targets.
 	CacheStore netip.AddrPort
