Soak: isolate, empty and bring back accounts, and judge WALL and ROUTE

The kind "accounts" writes configurations in series that isolate one account or both, lift that, take all accounts away and bring them back, 0.1 to 4 s apart, and kills VMs in between. Callers have keys of two accounts, which send the same parts, and in one request of ten a key of nobody.

The checks (history.Accounts) judge from what engines receive: a use of a cache entry by which an account shares it that is isolated in each version that may be in force (WALL); a key that no version ever held, from any VM (ROUTE); one that was taken away before the request was sent (CONFIG). All engines have one cache in which nothing yields. A refusal of a key is a fault unless a version that may be in force lacks it.

--- a/history/history.go
+++ b/history/history.go
@@ -35,6 +35,8 @@
 	Sent     time.Time
 	At       time.Time
 	Answered time.Time
+	// Key is the key with which the caller sent it; empty if it is not known.
+	Key string
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []string
 
@@ -104,6 +106,8 @@
 	// Weights is the time after which no request begins on older weights than those that
 	// were named.
 	Weights settings.Span
+	// Configuration is the time after which a confirmed version is in force.
+	Configuration settings.Span
 }
 
 const (
@@ -143,6 +147,8 @@
 	// Disturbed are faults of the store, each until Bounds.Contact after its end, in the
 	// order of time.
 	Disturbed []Interval
+	Accounts  []Accounts // in the order of time
+	CacheUses []CacheUse
 	Bounds    Bounds
 	// Excused reports whether a VM was restarted or paused between two times.
 	Excused func(vm string, from, to time.Time) bool
@@ -165,7 +171,8 @@
 
 // Check returns all violations.
 func (history *History) Check() []Violation {
-	return slices.Concat(history.checkLeaving(), history.checkDepartures(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights(), history.checkFalls(), history.checkStreams())
+	return slices.Concat(history.checkLeaving(), history.checkDepartures(), history.checkRests(), history.checkLimits(), history.checkParts(), history.checkCuts(), history.checkWeights(), history.checkFalls(), history.checkStreams(),
+		history.checkIsolation(), history.checkKeys())
 }
 
 // pair is a target and a VM.
