--- a/routing/routing.go
+++ b/routing/routing.go
@@ -177,8 +177,8 @@
 	unrestricted   bool
 	accountsByKey  map[[sha256.Size]byte]*Account // by the SHA-256 of the key
 	accountsByName map[string]*Account
-	isolated       map[string]bool // names of the isolated accounts
-	commonScope    Scope           // of all other accounts
+	isolated       map[string]Scope // of the isolated accounts, by name
+	commonScope    Scope            // of all other accounts
 	services       map[string]*Service
 	cacheStores    []*Service
 	leastWaits     map[string]settings.Span // by service
@@ -194,7 +194,7 @@
 		unrestricted:   config.Unrestricted,
 		accountsByKey:  map[[sha256.Size]byte]*Account{},
 		accountsByName: map[string]*Account{},
-		isolated:       map[string]bool{},
+		isolated:       map[string]Scope{},
 		services:       map[string]*Service{},
 		limits:         config.Limits.withDefaults(),
 	}
@@ -214,7 +214,7 @@
 		account := &config.Accounts[i]
 		table.accountsByName[account.Name] = account
 		if account.Isolated {
-			table.isolated[account.Name] = true
+			table.isolated[account.Name] = accountScope(account.Name)
 		}
 		for _, key := range account.Keys {
 			if key != "" { // requests without a key have none of these
--- a/routing/scope.go
+++ b/routing/scope.go
@@ -27,12 +27,20 @@
 	if account == nil {
 		return table.commonScope
 	}
-	if account.Isolated || table.isolated[account.Name] || table.accountsByName[account.Name] == nil {
-		return Scope(accountScopePrefix + url.PathEscape(account.Name))
+	if scope, ok := table.isolated[account.Name]; ok {
+		return scope
+	}
+	if account.Isolated || table.accountsByName[account.Name] == nil {
+		return accountScope(account.Name)
 	}
 	return table.commonScope
 }
 
+// accountScope returns the scope that an account does not share.
+func accountScope(name string) Scope {
+	return Scope(accountScopePrefix + url.PathEscape(name))
+}
+
 // IsolatedAccounts returns the number of isolated accounts.
 func (table *Table) IsolatedAccounts() int {
 	return len(table.isolated)
@@ -41,7 +49,7 @@
 // commonScope returns the scope of the accounts that are not isolated. It names those that are,
 // so that no entry in it comes from one of them, whatever they were before. It is empty if
 // no account is isolated.
-func commonScope(isolated map[string]bool) Scope {
+func commonScope(isolated map[string]Scope) Scope {
 	if len(isolated) == 0 {
 		return ""
 	}
--- a/routing/scope_test.go
+++ b/routing/scope_test.go
@@ -41,7 +41,7 @@
 				}
 				scope := sent.Scope(account)
 				for _, maker := range entries[scope] {
-					if maker.account != account.Name && (sent.isolated[maker.account] || sent.isolated[account.Name]) {
+					if maker.account != account.Name && (sent.isolated[maker.account] != "" || sent.isolated[account.Name] != "") {
 						t.Fatalf("seed %d, version %d: account %s uses entries of account %s in scope %q, and one of them is isolated", seed, sent.Version, account.Name, maker.account, scope)
 					}
 				}
