--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -23,13 +23,14 @@
 	"github.com/bramleygw/bramleygw/target"
 )
 
-// testDialect sends what these tests need: the ID of the request and the ID of the
-// last event.
+// testDialect sends what these tests need: the ID of the request, the ID of the last event and
+// the salt.
 type testDialect struct{}
 
 const (
 	testRequestID   = "Test-Request"
 	testLastEventID = "Last-Event-Id"
+	testSalt        = "Test-Salt"
 )
 
 func (testDialect) Fill(request *fasthttp.Request, call *target.Call) {
@@ -38,6 +39,7 @@
 	request.Header.SetHost("a.example")
 	request.Header.Set(testRequestID, call.RequestID)
 	request.Header.Set(testLastEventID, call.LastEventID)
+	request.Header.Set(testSalt, call.Salt)
 }
 
 func (testDialect) Head(response *fasthttp.Response) target.Head {
--- a/relay/scope_test.go
+++ b/relay/scope_test.go
@@ -1,12 +1,18 @@
 package relay
 
 import (
+	"net"
+	"net/http"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleygw/bramleygw/roster"
 	"github.com/bramleygw/bramleygw/routing"
+	"github.com/bramleygw/bramleygw/settings"
 	"github.com/bramleygw/bramleygw/target"
 )
 
@@ -71,6 +77,43 @@
 	}
 }
 
+// changingTunnels changes the configuration while it opens the first connection.
+type changingTunnels struct {
+	*pipes
+	change func()
+}
+
+func (changingTunnels *changingTunnels) Open(assignment *roster.Assignment) (net.Conn, error) {
+	changingTunnels.change()
+	changingTunnels.change = func() {}
+	return changingTunnels.pipes.Open(assignment)
+}
+
+// Guards against WALL: a request is sent under its former scope to the only target, or not at all,
+// because another account was isolated while its connection was opened.
+func TestRequestIsPreparedAnewWhenItsScopeChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := routing.Route{Kind: routing.Stream, Splits: []routing.Split{{Service: "s1", Weight: 1}}}
+		fixture := newFixtureWithServices(t, route, []routing.Service{{Name: "s1", Engines: true}})
+		fixture.relay.Weights, fixture.relay.Stores = replacedWeights{time.Now()}, noStores{}
+		fixture.relay.Bounds.WeightsGrace = settings.Span(time.Minute)
+		var salts []string
+		fixture.addPipedTarget(t, 3, func(writer http.ResponseWriter, request *http.Request) {
+			salts = append(salts, request.Header.Get(testSalt))
+			(&standinTarget{}).ServeHTTP(writer, request)
+		})
+		isolated := routing.NewTable(routing.Config{Version: 2, Accounts: []routing.Account{{Name: "t1", Keys: []string{"k1"}}, {Name: "t2", Isolated: true}}})
+		fixture.relay.Tunnels = &changingTunnels{fixture.relay.Tunnels.(*pipes), func() { fixture.relay.Configure(isolated) }}
+		prompt := &Prompt{Model: "m", Input: 100, Parts: []Part{{ID: "p", Tokens: 100}}}
+		_, err := fixture.serve(t, Request{ID: "r", Prompt: prompt})
+		<-time.After(libraryIdle)
+		want := []string{cacheSalt("m", "3", isolated.Scope(nil))}
+		if err != nil || !slices.Equal(salts, want) {
+			t.Errorf("got salts %q and %v, want %q alone", salts, err, want)
+		}
+	})
+}
+
 // Guards against WALL by a name: two models, versions or scopes have one salt.
 func TestCacheSaltsAreTheSameOnlyForTheSameEntries(t *testing.T) {
 	scope := func(name string) routing.Scope {
