--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,8 @@
 	// updating is held while what a source delivered is merged into the mirror and put
 	// into effect.
 	updating sync.Mutex
+	// targetsKnown is set once all targets that a source delivered together are in effect.
+	targetsKnown atomic.Bool
 
 	fetchAddresses chan netip.AddrPort
 	departures     *departures
@@ -282,9 +284,10 @@
 }
 
 // Ready reports whether the VM can serve: it is not draining, knows the named weights and
-// the orders for releases, and has at least one configuration and one target.
+// the orders for releases, has at least one configuration and one target, and has put all
+// targets into effect that it received with that one.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.releases.known() && gateway.roster.Size() > 0
+	return !gateway.callerServer.Draining() && gateway.relay.Table() != nil && gateway.weights.Known() && gateway.releases.known() && gateway.targetsKnown.Load() && gateway.roster.Size() > 0
 }
 
 // Run serves until the context ends, then stops gracefully: readiness checks fail
--- a/gateway/store_sync.go
+++ b/gateway/store_sync.go
@@ -263,6 +263,9 @@
 	defer gateway.updating.Unlock()
 	changes := merge()
 	gateway.applyChanges(changes, source, namedAt)
+	if gateway.roster.Size() > 0 {
+		gateway.targetsKnown.Store(true)
+	}
 	return changes
 }
 
