--- a/routing/scope_test.go
+++ b/routing/scope_test.go
@@ -6,9 +6,6 @@
 	"testing"
 )
 
-// entryMaker is who made a cache entry.
-type entryMaker struct{ account string }
-
 // Guards against WALL in any order of changes: an account that is isolated, or was when it made
 // cache entries, shares them with others. VMs have any of the last versions, and requests
 // arrive under one version and are sent under a later one.
@@ -23,7 +20,7 @@
 	for seed := range uint64(histories) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		var tables []*Table
-		entries := map[Scope][]entryMaker{}
+		makers := map[Scope][]string{} // accounts that made entries
 		for version := range versions {
 			config := Config{Version: int64(version)}
 			for _, account := range random.Perm(accounts) {
@@ -40,12 +37,12 @@
 					continue // refused
 				}
 				scope := sent.Scope(account)
-				for _, maker := range entries[scope] {
-					if maker.account != account.Name && (sent.isolated[maker.account] != "" || sent.isolated[account.Name] != "") {
-						t.Fatalf("seed %d, version %d: account %s uses entries of account %s in scope %q, and one of them is isolated", seed, sent.Version, account.Name, maker.account, scope)
+				for _, maker := range makers[scope] {
+					if maker != account.Name && (sent.isolated[maker] != "" || sent.isolated[account.Name] != "") {
+						t.Fatalf("seed %d, version %d: account %s uses entries of account %s in scope %q, and one of them is isolated", seed, sent.Version, account.Name, maker, scope)
 					}
 				}
-				entries[scope] = append(entries[scope], entryMaker{account.Name})
+				makers[scope] = append(makers[scope], account.Name)
 			}
 		}
 	}
